--- /dev/null
+++ b/examples/savinja/deployment.sh
@@ -0,0 +1,10 @@
+# Savinja on one machine: a worker for each data centre and some more, as scripts/cluster.sh reads it.
+POOL=levy
+DATA_CENTRES=(celje-a celje-b zalec velenje)
+CONTROL_IN=(celje-a celje-b zalec)
+ENTRY_IN=(celje-a zalec)
+WORKER_IN=(celje-a celje-b zalec velenje)
+WORKER_SLOTS=8
+WORKER_CORES=30
+WORKER_MEMORY_MB=60000
+CLIENT_DELAY_US=1000
--- /dev/null
+++ b/node/daemon/process.go
@@ -0,0 +1,144 @@
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/node/events"
+	"flamingohall.example/node/settings"
+)
+
+// headerTimeout bounds how long a client may take to send its request headers.
+const headerTimeout = 10 * time.Second
+
+// process is one running flamingohalld.
+type process struct {
+	file     *settings.File
+	logger   logr.Logger
+	roles    []namedRole
+	server   *http.Server
+	listener net.Listener
+	stopping atomic.Bool
+}
+
+// newProcess opens the internal listener and builds the roles, in the order in which they start.
+func newProcess(file *settings.File, logger logr.Logger) (*process, error) {
+	listener, err := net.Listen("tcp", file.Node.Listen)
+	if err != nil {
+		return nil, fault.New(fault.Unavailable, "free the port or change node.listen", "listen: %v", err)
+	}
+	p := &process{file: file, logger: logger, listener: listener}
+	if p.roles, err = buildRoles(file, logger); err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
+	p.server = &http.Server{Handler: p.mux(), ReadHeaderTimeout: headerTimeout}
+	return p, nil
+}
+
+// mux returns the handler of the internal listener.
+func (p *process) mux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintln(w, "alive")
+	})
+	mux.HandleFunc("GET /readyz", p.serveReady)
+	for _, r := range p.roles {
+		r.Register(mux)
+	}
+	return mux
+}
+
+func (p *process) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := p.ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ready")
+}
+
+// ready returns nil when every role is ready and no stop was asked for.
+func (p *process) ready() error {
+	if p.stopping.Load() {
+		return fault.New(fault.Unavailable, "use another VM", "the process is stopping")
+	}
+	for _, r := range p.roles {
+		if err := r.Ready(); err != nil {
+			return errors.Wrap(err, r.name)
+		}
+	}
+	return nil
+}
+
+// run serves until ctx ends, then stops every role without cutting a request.
+func (p *process) run(ctx context.Context) error {
+	served := make(chan error, 1)
+	go func() { served <- p.server.Serve(p.listener) }()
+	life, endLife := context.WithCancel(context.WithoutCancel(ctx))
+	defer endLife()
+	if err := p.start(life); err != nil {
+		return errors.Join(err, p.server.Close())
+	}
+	go p.logWhenReady(ctx)
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "internal listener")
+	case <-ctx.Done():
+	}
+	return p.stop(context.WithoutCancel(ctx))
+}
+
+func (p *process) start(ctx context.Context) error {
+	for _, r := range p.roles {
+		if err := r.Start(ctx); err != nil {
+			return errors.Wrap(err, r.name)
+		}
+	}
+	return nil
+}
+
+// readyPoll is the period at which a starting process looks whether its roles are ready.
+const readyPoll = 20 * time.Millisecond
+
+func (p *process) logWhenReady(ctx context.Context) {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for p.ready() != nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	events.ProcessReady.Log(p.logger, "listen", p.listener.Addr().String())
+}
+
+// stop ends the roles in reverse order of their start: callers first, shared state last.
+func (p *process) stop(ctx context.Context) error {
+	p.stopping.Store(true)
+	events.ProcessStopping.Log(p.logger)
+	ctx, cancel := context.WithTimeout(ctx, p.file.Node.StopGrace()+p.file.Node.BalancerGrace())
+	defer cancel()
+	var failed error
+	for i := len(p.roles) - 1; i >= 0; i-- {
+		if err := p.roles[i].Stop(ctx); err != nil {
+			failed = errors.Join(failed, errors.Wrap(err, p.roles[i].name))
+		}
+	}
+	if err := p.server.Shutdown(ctx); err != nil {
+		failed = errors.Join(failed, errors.Wrap(err, "internal listener"))
+	}
+	if failed == nil {
+		events.ProcessStopped.Log(p.logger)
+	}
+	return failed
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -58,15 +58,19 @@
 	Level string `json:"level"`
 }
 
+// Values of Log.
+const (
+	FormatJSON = "json"
+	FormatText = "text"
+	LevelInfo  = "info"
+	LevelDebug = "debug"
+)
+
 // Defaults of the common sections.
 const (
 	defaultStopGraceMS     = 30_000
 	defaultBalancerGraceMS = 500
 	maxGraceMS             = 10 * 60 * 1000
-	formatJSON             = "json"
-	formatText             = "text"
-	levelInfo              = "info"
-	levelDebug             = "debug"
 )
 
 // Read reads and checks the file at path. Its errors are *Problems or *fault.Error.
@@ -102,8 +106,8 @@
 	setDefault(&f.Node.Advertise, f.Node.Listen)
 	setDefault(&f.Node.StopGraceMS, defaultStopGraceMS)
 	setDefault(&f.Node.BalancerGraceMS, defaultBalancerGraceMS)
-	setDefault(&f.Log.Format, formatJSON)
-	setDefault(&f.Log.Level, levelInfo)
+	setDefault(&f.Log.Format, FormatJSON)
+	setDefault(&f.Log.Level, LevelInfo)
 	if f.Entry != nil {
 		f.Entry.fillDefaults()
 	}
@@ -124,8 +128,8 @@
 	c.address("/node/listen", f.Node.Listen)
 	c.between("/node/stop_grace_ms", f.Node.StopGraceMS, 0, maxGraceMS)
 	c.between("/node/balancer_grace_ms", f.Node.BalancerGraceMS, 0, maxGraceMS)
-	c.oneOf("/log/format", f.Log.Format, formatJSON, formatText)
-	c.oneOf("/log/level", f.Log.Level, levelInfo, levelDebug)
+	c.oneOf("/log/format", f.Log.Format, FormatJSON, FormatText)
+	c.oneOf("/log/level", f.Log.Level, LevelInfo, LevelDebug)
 	hasRole := f.Entry != nil || f.Sidecar != nil || f.Control != nil || f.StandIn != nil
 	c.require(hasRole, "", "no role is set", `add a section "entry", "sidecar" or "control"`)
 	if f.Entry != nil || f.Sidecar != nil {
