Tests that kill, freeze and wipe real processes, before the roles exist

Cause: the users' promises need a witness that isn't our own code; the stand-in targets' ledgers count starts. Ruled out: shell scripts (no shared checks), timed assertions (the verdict would depend on the machine). Conclusion: they go green as the roles arrive.

--- /dev/null
+++ b/tools/systemtest/failures_test.go
@@ -0,0 +1,274 @@
+package systemtest
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+
+	"flamingohall.example/node/rpc"
+)
+
+var ordinary = clusterSize{control: 3, entries: 2, workers: 4, slots: 4}
+
+// jobsInFlight is how many jobs the load of a failure test keeps going.
+const jobsInFlight = 8
+
+// load submits never-repeated jobs until stopped, each resubmitted until it is answered.
+type load struct {
+	t       *testing.T
+	apis    []string
+	tasks   int
+	stop    chan struct{}
+	workers sync.WaitGroup
+	mutex   sync.Mutex
+	jobs    []submission
+	answers []answer
+}
+
+func startLoad(t *testing.T, apis []string, tasks int) *load {
+	l := &load{t: t, apis: apis, tasks: tasks, stop: make(chan struct{})}
+	for worker := range jobsInFlight {
+		l.workers.Add(1)
+		go l.run(worker)
+	}
+	return l
+}
+
+func (l *load) run(worker int) {
+	defer l.workers.Done()
+	for n := 0; ; n++ {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		s := newSubmission("charge", fmt.Sprintf("load-%d-%d", worker, n), l.tasks, 40)
+		got := postUntilAnswered(l.t, rotate(l.apis, worker), s)
+		l.mutex.Lock()
+		l.jobs = append(l.jobs, s)
+		l.answers = append(l.answers, got)
+		l.mutex.Unlock()
+	}
+}
+
+func rotate(list []string, by int) []string {
+	by %= len(list)
+	return append(append([]string{}, list[by:]...), list[:by]...)
+}
+
+func (l *load) answered() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.answers)
+}
+
+// awaitMore waits until so many more jobs are answered.
+func (l *load) awaitMore(count int) {
+	l.t.Helper()
+	from := l.answered()
+	eventually(l.t, fmt.Sprintf("%d more jobs are answered", count), func() bool {
+		return l.answered() >= from+count
+	})
+}
+
+// finish ends the load and returns its jobs with their answers.
+func (l *load) finish() ([]submission, []answer) {
+	close(l.stop)
+	l.workers.Wait()
+	return l.jobs, l.answers
+}
+
+func TestSystem_WholeAnswers(t *testing.T) {
+	c := newCluster(t, ordinary)
+	for _, entry := range []string{"check", "charge"} {
+		s := newSubmission(entry, "whole-"+entry, 60, 20)
+		got, status := post(c.apis[0], s)
+		if status != http.StatusOK {
+			t.Fatalf("%s: status %d", entry, status)
+		}
+		requireWhole(t, s, got)
+		again, _ := post(c.apis[1], s)
+		requireWhole(t, s, again)
+	}
+	for id, count := range c.starts() {
+		if count != 1 {
+			t.Logf("task %s started %d times", id, count)
+		}
+	}
+	charged := newSubmission("charge", "whole-charge", 60, 20)
+	got, _ := post(c.apis[1], charged)
+	requireTruthful(t, charged, got, c.starts())
+}
+
+func TestSystem_EntryKilledMidJob(t *testing.T) {
+	c := newCluster(t, ordinary)
+	s := newSubmission("charge", "entry-killed", 40, 150)
+	first := postAsync(c.apis[0], s)
+	eventually(t, "tasks run", func() bool { return len(c.starts()) >= 8 })
+	c.entries[0].kill()
+	<-first
+	got := postUntilAnswered(t, c.apis[1:], s)
+	requireTruthful(t, s, got, c.starts())
+	requireWhole(t, s, got)
+}
+
+func TestSystem_EntryFrozenMidJob(t *testing.T) {
+	c := newCluster(t, ordinary)
+	s := newSubmission("charge", "entry-frozen", 40, 150)
+	first := postAsync(c.apis[0], s)
+	eventually(t, "tasks run", func() bool { return len(c.starts()) >= 8 })
+	c.entries[0].signal(syscall.SIGSTOP)
+	got := postUntilAnswered(t, c.apis[1:], s)
+	c.entries[0].signal(syscall.SIGCONT)
+	late := <-first
+	requireTruthful(t, s, got, c.starts())
+	requireWhole(t, s, got)
+	if len(late.Tasks) != 0 && late.State == "complete" {
+		requireWhole(t, s, late)
+	}
+}
+
+func TestSystem_SidecarKilledUnderLoad(t *testing.T) {
+	c := newCluster(t, ordinary)
+	l := startLoad(t, c.apis, 6)
+	l.awaitMore(jobsInFlight)
+	for range 3 {
+		c.sidecars[1].kill()
+		l.awaitMore(jobsInFlight)
+		c.sidecars[1].start()
+		c.sidecars[1].awaitReady()
+		l.awaitMore(jobsInFlight)
+	}
+	requireLoadTruthful(t, c, l)
+}
+
+func TestSystem_ControlLeaderKilledUnderLoad(t *testing.T) {
+	c := newCluster(t, ordinary)
+	l := startLoad(t, c.apis, 4)
+	l.awaitMore(jobsInFlight)
+	for range 3 {
+		leader := c.control[c.leader()]
+		leader.kill()
+		l.awaitMore(jobsInFlight)
+		leader.start()
+		leader.awaitReady()
+	}
+	l.awaitMore(jobsInFlight)
+	requireLoadTruthful(t, c, l)
+}
+
+func TestSystem_ControlLeaderFrozenKeepsCatalogue(t *testing.T) {
+	c := newCluster(t, ordinary)
+	frozen := c.control[c.leader()]
+	frozen.signal(syscall.SIGSTOP)
+	c.applyCatalogue(catalogueText)
+	frozen.signal(syscall.SIGCONT)
+	eventually(t, "the returned VM has the change", func() bool {
+		for i := range c.control {
+			got, err := c.operator(i).GetCatalogue(context.Background(), &rpc.GetCatalogueRequest{})
+			if err != nil || got.Revision != 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestSystem_AllControlRestartedKeepsCatalogueAndClaims(t *testing.T) {
+	c := newCluster(t, ordinary)
+	s := newSubmission("charge", "restart", 10, 20)
+	got, _ := post(c.apis[0], s)
+	requireWhole(t, s, got)
+	for _, p := range c.control {
+		p.kill()
+	}
+	for _, p := range c.control {
+		p.start()
+	}
+	for _, p := range c.control {
+		p.awaitReady()
+	}
+	again := postUntilAnswered(t, c.apis[1:], s)
+	requireWhole(t, s, again)
+	requireTruthful(t, s, again, c.starts())
+	c.awaitRevisionEverywhere(1)
+}
+
+func TestSystem_DeletedDataFolderLosesItsVote(t *testing.T) {
+	c := newCluster(t, ordinary)
+	lost := (c.leader() + 1) % len(c.control)
+	c.control[lost].kill()
+	if err := os.RemoveAll(c.dataFolder(lost)); err != nil {
+		t.Fatal(err)
+	}
+	c.control[lost].start()
+	c.applyCatalogue(catalogueText)
+	c.awaitCatalogueAt(c.leader(), 2)
+	members, err := c.operator(c.leader()).Members(context.Background(), &rpc.MembersRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, member := range members.Members {
+		if member.Id == c.control[lost].id && member.MatchIndex != 0 {
+			t.Errorf("%s lost its disk and is still counted: %v", member.Id, member)
+		}
+	}
+}
+
+func TestSystem_PlannedStopsCutNothing(t *testing.T) {
+	c := newCluster(t, ordinary)
+	s := newSubmission("charge", "stop-entry", 24, 100)
+	first := postAsync(c.apis[0], s)
+	eventually(t, "tasks run", func() bool { return len(c.starts()) >= 4 })
+	c.sidecars[0].stop()
+	c.control[c.leader()].stop()
+	c.entries[0].stop()
+	got := <-first
+	requireWhole(t, s, got)
+	requireTruthful(t, s, got, c.starts())
+}
+
+// leader returns the place of the leading control VM.
+func (c *cluster) leader() int {
+	c.t.Helper()
+	found := -1
+	eventually(c.t, "a control VM leads", func() bool {
+		for i := range c.control {
+			answer, err := c.operator(i).Members(context.Background(), &rpc.MembersRequest{})
+			if err == nil && answer.Leader == c.control[i].id {
+				found = i
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func (c *cluster) awaitCatalogueAt(i int, revision uint64) {
+	c.t.Helper()
+	eventually(c.t, fmt.Sprintf("revision %d at control-%d", revision, i), func() bool {
+		got, err := c.operator(i).GetCatalogue(context.Background(), &rpc.GetCatalogueRequest{})
+		return err == nil && got.Revision == revision
+	})
+}
+
+// requireLoadTruthful ends the load and checks each answer against the ledgers.
+func requireLoadTruthful(t *testing.T, c *cluster, l *load) {
+	t.Helper()
+	jobs, answers := l.finish()
+	starts := c.starts()
+	requireNoDoubledStart(t, starts)
+	whole := 0
+	for i := range jobs {
+		requireTruthful(t, jobs[i], answers[i], starts)
+		if answers[i].State == "complete" {
+			whole++
+		}
+	}
+	t.Logf("%d jobs answered, %d whole, %d tasks started", len(jobs), whole, len(starts))
+}
