Follow the control VMs with a long poll

Cause: entries and sidecars need the replicated state and a way to claim jobs. Ruled out: a stream, since twirp has none and a poll finds silent connections by itself.

--- /dev/null
+++ b/node/controlclient/follower.go
@@ -0,0 +1,269 @@
+package controlclient
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/node/events"
+	"flamingohall.example/node/metrics"
+	"flamingohall.example/node/rpc"
+)
+
+// Times of the follower's loop.
+const (
+	// Hold is how long a control VM may hold a poll when nothing changes.
+	Hold = 5 * time.Second
+	// answerSlack is what an answer may take beyond the hold before the connection counts as silent.
+	answerSlack = 2 * time.Second
+	// maxAnswerStaleness is how long a control VM may have been out of touch before another one is tried.
+	maxAnswerStaleness = 5 * time.Second
+	minBackoff         = 50 * time.Millisecond
+	maxBackoff         = 2 * time.Second
+)
+
+// Options configure a Follower.
+type Options struct {
+	// Addresses are the host:port pairs of the control VMs.
+	Addresses []string
+	// Self returns the caller's own record; it is called before each message and must not block.
+	Self func() *rpc.Node
+	// WantNodes and WantCatalogue choose what the answers carry.
+	WantNodes     bool
+	WantCatalogue bool
+	Logger        logr.Logger
+	// Metrics receives control_messages and control_bytes.
+	Metrics *metrics.Role
+	// HTTP replaces the follower's own client; control_bytes then counts message bodies only.
+	HTTP *http.Client
+}
+
+// Follower keeps a View of the replicated state up to date.
+type Follower struct {
+	options Options
+	pool    *pool
+	caller  *caller
+
+	announced chan struct{}
+	view      atomic.Pointer[View]
+	// failing is touched by the loop only.
+	failing bool
+
+	// mutex guards the fields below.
+	mutex   sync.Mutex
+	changed chan struct{}
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+// NewFollower returns a follower that does nothing before Start.
+func NewFollower(options Options) *Follower {
+	if options.Metrics == nil {
+		options.Metrics = metrics.NewRole("follower", options.Self().GetId())
+	}
+	shared := newPool(options)
+	return &Follower{
+		options: options, pool: shared, caller: &caller{pool: shared},
+		announced: make(chan struct{}, 1), changed: make(chan struct{}),
+	}
+}
+
+// Start runs the loop until ctx ends or Goodbye is called.
+func (f *Follower) Start(ctx context.Context) {
+	loopContext, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	f.mutex.Lock()
+	f.cancel, f.done = cancel, done
+	f.mutex.Unlock()
+	go func() {
+		defer close(done)
+		f.loop(loopContext)
+	}()
+}
+
+// Ready returns nil after the first confirmed view, fault.Unavailable before.
+func (f *Follower) Ready() error {
+	if f.view.Load() != nil {
+		return nil
+	}
+	return fault.New(fault.Unavailable, "check that a majority of the control VMs runs and can be reached",
+		"no confirmed state from control yet")
+}
+
+// View returns the latest view, nil before the first one.
+func (f *Follower) View() *View {
+	return f.view.Load()
+}
+
+// Changed returns a channel that is closed at the next change of nodes, catalogue or drain.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.changed
+}
+
+// Announce sends Self at once instead of with the next poll.
+func (f *Follower) Announce() {
+	select {
+	case f.announced <- struct{}{}:
+	default:
+	}
+}
+
+// Control returns a client over all control VMs. Claim and Finish are retried on another VM until ctx ends.
+func (f *Follower) Control() rpc.Control {
+	return f.caller
+}
+
+// Goodbye ends the loop and tells control that this process stops. It tries each control VM until one has answered.
+func (f *Follower) Goodbye(ctx context.Context) error {
+	f.mutex.Lock()
+	cancel, done := f.cancel, f.done
+	f.mutex.Unlock()
+	if cancel != nil {
+		cancel()
+		<-done
+	}
+	request := f.request()
+	request.Goodbye = true
+	request.HoldMs = 0
+	_, err := f.caller.retry(ctx, func(ctx context.Context, client rpc.Control) (any, error) {
+		return client.Sync(ctx, request)
+	})
+	return errors.Wrap(err, "goodbye")
+}
+
+// loop polls until ctx ends.
+func (f *Follower) loop(ctx context.Context) {
+	backoff := newBackoff()
+	for ctx.Err() == nil {
+		err := f.poll(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			f.recovered()
+			backoff.reset()
+			continue
+		}
+		f.failed(err)
+		f.pool.rotate()
+		f.wait(ctx, backoff.next())
+	}
+}
+
+// poll sends one message and applies its answer. An announcement cuts the wait short.
+func (f *Follower) poll(ctx context.Context) error {
+	request := f.request()
+	limit := time.Duration(request.GetHoldMs())*time.Millisecond + answerSlack
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	interrupted := f.interruptOnAnnounce(ctx, cancel)
+	sentAt := time.Now()
+	answer, err := f.pool.current().Sync(ctx, request)
+	cancel()
+	if <-interrupted {
+		// The next poll carries the new record at once.
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return f.apply(answer, sentAt)
+}
+
+// interruptOnAnnounce cancels the poll at an announcement; the channel tells once whether it did.
+func (f *Follower) interruptOnAnnounce(ctx context.Context, cancel context.CancelFunc) <-chan bool {
+	interrupted := make(chan bool, 1)
+	go func() {
+		select {
+		case <-f.announced:
+			cancel()
+			interrupted <- true
+		case <-ctx.Done():
+			interrupted <- false
+		}
+	}()
+	return interrupted
+}
+
+func (f *Follower) request() *rpc.SyncRequest {
+	request := &rpc.SyncRequest{
+		Node: f.options.Self(), HoldMs: Hold.Milliseconds(),
+		WantNodes: f.options.WantNodes, WantCatalogue: f.options.WantCatalogue,
+	}
+	if view := f.view.Load(); view != nil {
+		request.KnownIndex = view.Index
+		request.RevisionInForce = view.Revision
+	}
+	return request
+}
+
+// apply publishes the view after an answer. Its errors make the loop try another control VM.
+func (f *Follower) apply(answer *rpc.SyncResponse, sentAt time.Time) error {
+	held := time.Duration(answer.GetHeldMs()) * time.Millisecond
+	staleness := time.Duration(answer.GetStalenessMs()) * time.Millisecond
+	before := f.view.Load()
+	after, err := before.next(answer, sentAt.Add(held-staleness))
+	if err != nil {
+		return err
+	}
+	if after == nil {
+		return fault.New(fault.Unavailable, "none: another control VM is tried",
+			"control VM is at index %d, behind %d", answer.GetIndex(), before.Index)
+	}
+	f.publish(before, after, answer)
+	if staleness > maxAnswerStaleness {
+		return fault.New(fault.Unavailable, "check the network between the control VMs",
+			"control VM has been out of touch with its quorum for %v", staleness)
+	}
+	return nil
+}
+
+func (f *Follower) publish(before, after *View, answer *rpc.SyncResponse) {
+	f.view.Store(after)
+	if !before.changes(after, answer) {
+		return
+	}
+	if before == nil || before.Revision != after.Revision {
+		events.RevisionInForce.Log(f.options.Logger, "revision", after.Revision, "index", after.Index)
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// wait sleeps for the backoff; an announcement ends it early.
+func (f *Follower) wait(ctx context.Context, backoff time.Duration) {
+	timer := time.NewTimer(backoff)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.announced:
+	case <-ctx.Done():
+	}
+}
+
+// failed logs the first failure of a row.
+func (f *Follower) failed(err error) {
+	if f.failing {
+		return
+	}
+	f.failing = true
+	events.SyncFailed.LogError(f.options.Logger, err, "address", f.pool.address())
+}
+
+func (f *Follower) recovered() {
+	if !f.failing {
+		return
+	}
+	f.failing = false
+	events.SyncRecovered.Log(f.options.Logger, "address", f.pool.address())
+}
