Add the stand-in target

Cause: experiments and tests need a target that is reached as a real one would be and keeps its own witness of starts. Ruled out: a fake in process, since connections must be able to break. Conclusion: the sidecar can be built against it.

--- /dev/null
+++ b/node/standin/task.go
@@ -0,0 +1,199 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"flamingohall.example/node/settings"
+)
+
+// Headers between a sidecar and its target.
+const (
+	// HeaderAttempt carries the attempt's number.
+	HeaderAttempt = "Flamingohall-Attempt"
+	// HeaderEntry carries the name of the catalogue entry.
+	HeaderEntry = "Flamingohall-Entry"
+	// HeaderNotStarted with the value "true" marks a refusal of a task that was not started.
+	HeaderNotStarted = "Flamingohall-Not-Started"
+)
+
+// Payload is what a task of a stand-in may ask for.
+type Payload struct {
+	// RunMS is the run time in milliseconds; nil takes the knob's.
+	RunMS *int `json:"run_ms,omitempty"`
+	// Fail is one of the Fail constants.
+	Fail string          `json:"fail,omitempty"`
+	Echo json.RawMessage `json:"echo,omitempty"`
+}
+
+// Values of Payload.Fail.
+const (
+	FailNone   = ""
+	FailTask   = "task"
+	FailTarget = "target"
+	FailHang   = "hang"
+)
+
+// Result is the body of a task that is done.
+type Result struct {
+	Echo   json.RawMessage `json:"echo"`
+	Target string          `json:"target"`
+	// Start counts the starts of this stand-in.
+	Start int64 `json:"start"`
+}
+
+// LedgerLine is one start.
+type LedgerLine struct {
+	Task    string `json:"task"`
+	Attempt uint32 `json:"attempt"`
+	UnixUS  int64  `json:"unix_us"`
+}
+
+func (t *Target) serveTask(out http.ResponseWriter, in *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(out, in.Body, maxPayloadBytes))
+	if err != nil {
+		http.Error(out, "payload: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	knobs := t.knobs.Load()
+	pause(in.Context(), delay(knobs))
+	defer pause(in.Context(), delay(knobs))
+	if !t.counts.enter(knobs.Slots) {
+		out.Header().Set(HeaderNotStarted, "true")
+		http.Error(out, "no free slot", http.StatusServiceUnavailable)
+		return
+	}
+	defer t.counts.leave()
+	t.run(out, in, knobs, body)
+}
+
+func (t *Target) run(out http.ResponseWriter, in *http.Request, knobs *settings.StandIn, body []byte) {
+	number := t.begun.Add(1)
+	if err := t.record(in); err != nil {
+		http.Error(out, "ledger: "+err.Error(), http.StatusInternalServerError)
+		return
+	}
+	payload, err := decodePayload(body)
+	if err != nil {
+		t.counts.failed.Add(1)
+		http.Error(out, "payload: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !pause(in.Context(), runTime(knobs, payload, number)) {
+		t.counts.cancelled.Add(1)
+		return
+	}
+	switch failure(knobs, payload, number) {
+	case FailTask:
+		t.counts.failed.Add(1)
+		http.Error(out, "the task asked to fail", http.StatusUnprocessableEntity)
+	case FailTarget:
+		t.counts.failed.Add(1)
+		http.Error(out, "the target fails", http.StatusInternalServerError)
+	case FailHang:
+		<-in.Context().Done()
+		t.counts.cancelled.Add(1)
+	default:
+		t.counts.done.Add(1)
+		t.answer(out, knobs, payload, number)
+	}
+}
+
+func (t *Target) answer(out http.ResponseWriter, knobs *settings.StandIn, payload Payload, number int64) {
+	id := knobs.ID
+	if id == "" {
+		id = t.Addr()
+	}
+	out.Header().Set("Content-Type", "application/json")
+	writeJSON(out, Result{Echo: payload.Echo, Target: id, Start: number})
+}
+
+// record appends one line to the ledger with one write.
+func (t *Target) record(in *http.Request) error {
+	t.ledgerMutex.Lock()
+	defer t.ledgerMutex.Unlock()
+	if t.ledger == nil {
+		return nil
+	}
+	attempt, err := strconv.ParseUint(in.Header.Get(HeaderAttempt), 10, 32)
+	if err != nil {
+		attempt = 0
+	}
+	line, err := json.Marshal(LedgerLine{
+		Task: in.PathValue("task"), Attempt: uint32(attempt), UnixUS: time.Now().UnixMicro(),
+	})
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	if _, err := t.ledger.Write(append(line, '\n')); err != nil {
+		return errors.Wrap(err, "append")
+	}
+	return nil
+}
+
+func decodePayload(body []byte) (Payload, error) {
+	var payload Payload
+	if len(bytes.TrimSpace(body)) == 0 {
+		return payload, nil
+	}
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(body, &fields) != nil {
+		return Payload{Echo: body}, nil
+	}
+	err := json.Unmarshal(body, &payload)
+	return payload, err
+}
+
+func runTime(knobs *settings.StandIn, payload Payload, number int64) time.Duration {
+	run := time.Duration(knobs.RunMS) * time.Millisecond
+	if payload.RunMS != nil {
+		run = time.Duration(*payload.RunMS) * time.Millisecond
+	}
+	if every(knobs.SlowEvery, number) {
+		run = time.Duration(float64(run) * knobs.SlowFactor)
+	}
+	return run
+}
+
+func failure(knobs *settings.StandIn, payload Payload, number int64) string {
+	switch {
+	case payload.Fail != FailNone:
+		return payload.Fail
+	case every(knobs.HangEvery, number):
+		return FailHang
+	case every(knobs.FailEvery, number):
+		return FailTarget
+	default:
+		return FailNone
+	}
+}
+
+func every(period int, number int64) bool {
+	return period > 0 && number%int64(period) == 0
+}
+
+func delay(knobs *settings.StandIn) time.Duration {
+	return time.Duration(knobs.DelayUS) * time.Microsecond
+}
+
+// pause waits and reports whether the whole time passed before ctx was over.
+func pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return true
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
