Add the command line: submissions, catalogue, targets, members, burn and waste reports, stand-in

Ruled out: A positional flag for payload files apart from FILE: an argument that is JSON is a payload, any other is a file. A change id drawn at random: a resend by running the command again would not be known as one. Conclusion: The HTTP and twirp shapes are those of the contract; the whole path is not proved until the roles are there.

--- a/core/burn/recorder.go
+++ b/core/burn/recorder.go
@@ -23,11 +23,11 @@
 	budgetWindow = 3 * 24 * time.Hour
 )
 
-// windowCount is the number of windows.
-const windowCount = 4
+// WindowCount is the number of windows of a row.
+const WindowCount = 4
 
 // windows are the lengths by position in counters.
-var windows = [windowCount]time.Duration{shortWindow, hourWindow, dayWindow, budgetWindow}
+var windows = [WindowCount]time.Duration{shortWindow, hourWindow, dayWindow, budgetWindow}
 
 // Positions in windows.
 const (
@@ -44,7 +44,7 @@
 }
 
 // counters are the rings of one pair, one for each window.
-type counters [windowCount]ring
+type counters [WindowCount]ring
 
 // Recorder counts submissions for each pair of catalogue entry and owner. The zero value is not usable: call
 // NewRecorder.
--- a/core/burn/report.go
+++ b/core/burn/report.go
@@ -132,7 +132,7 @@
 func (r *Row) rate() {
 	r.Alert = AlertNone
 	r.BudgetLeft = 1
-	if r.Objective == nil || len(r.Windows) != windowCount {
+	if r.Objective == nil || len(r.Windows) != WindowCount {
 		return
 	}
 	for i := range r.Windows {
--- /dev/null
+++ b/tools/cli/exit.go
@@ -0,0 +1,72 @@
+package cli
+
+import (
+	"fmt"
+
+	"github.com/go-faster/errors"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/node/settings"
+	"flamingohall.example/tools/client"
+)
+
+// Exit codes of flamingohall; 0 means that all was done.
+const (
+	// ExitFailed means that something failed that has no code of its own.
+	ExitFailed = 1
+	// ExitUsage means that the command line or a file that it names is wrong.
+	ExitUsage = 2
+	// ExitConflict means that the thing to change has changed, or that a key stands for another body.
+	ExitConflict = 3
+	// ExitNotWhole means that a job failed or has no whole answer.
+	ExitNotWhole = 4
+	// ExitUnavailable means that no process answered, or that it refused for now.
+	ExitUnavailable = 5
+)
+
+// NotWholeError tells that a submission has no whole answer.
+type NotWholeError struct {
+	Owner, Key string
+	State      client.State
+	// Done and Tasks count the tasks with a result and all tasks.
+	Done, Tasks int
+}
+
+// Error names the submission and the remedy.
+func (e *NotWholeError) Error() string {
+	remedy := "see the reason of each task"
+	if e.State == client.StateRunning {
+		remedy = "ask again with flamingohall status"
+	}
+	return fmt.Sprintf("submission %s of %s is %s with %d of %d tasks done; %s",
+		e.Key, e.Owner, e.State, e.Done, e.Tasks, remedy)
+}
+
+// exitByKind are the codes of faults; others are ExitFailed.
+var exitByKind = map[fault.Kind]int{
+	fault.Malformed:   ExitUsage,
+	fault.Invalid:     ExitUsage,
+	fault.TooLarge:    ExitUsage,
+	fault.Conflict:    ExitConflict,
+	fault.Fenced:      ExitConflict,
+	fault.Expired:     ExitNotWhole,
+	fault.Unknown:     ExitNotWhole,
+	fault.Overloaded:  ExitUnavailable,
+	fault.Unavailable: ExitUnavailable,
+}
+
+// ExitCode returns the exit code that stands for err.
+func ExitCode(err error) int {
+	var notWhole *NotWholeError
+	if errors.As(err, &notWhole) {
+		return ExitNotWhole
+	}
+	var problems *settings.Problems
+	if errors.As(err, &problems) {
+		return ExitUsage
+	}
+	if code, known := exitByKind[fault.Of(err).Kind]; known {
+		return code
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/tools/cli/fakes_test.go
@@ -0,0 +1,202 @@
+package cli_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+
+	"github.com/twitchtv/twirp"
+
+	"flamingohall.example/core/burn"
+	"flamingohall.example/node/rpc"
+	"flamingohall.example/tools/client"
+)
+
+// fakeOperator is a control VM that keeps its state in memory.
+type fakeOperator struct {
+	mutex    sync.Mutex
+	revision []*rpc.GetCatalogueResponse
+	drained  map[string]bool
+	members  []*rpc.Member
+}
+
+func newFakeOperator() *fakeOperator {
+	return &fakeOperator{
+		drained: map[string]bool{},
+		members: []*rpc.Member{{Id: "control-0", Address: "127.0.0.1:7001", DataCentre: "celje-a", MatchIndex: 9}},
+	}
+}
+
+func (f *fakeOperator) ApplyCatalogue(_ context.Context, r *rpc.ApplyCatalogueRequest) (*rpc.ApplyCatalogueResponse, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, earlier := range f.revision {
+		if earlier.ChangeId == r.ChangeId {
+			return &rpc.ApplyCatalogueResponse{Applied: true, Revision: earlier.Revision, ChangeId: r.ChangeId}, nil
+		}
+	}
+	if current := uint64(len(f.revision)); r.BaseRevision != current {
+		last := f.revision[current-1]
+		return &rpc.ApplyCatalogueResponse{Revision: current, ChangedBy: last.Author, ChangeId: last.ChangeId}, nil
+	}
+	next := uint64(len(f.revision)) + 1
+	f.revision = append(f.revision, &rpc.GetCatalogueResponse{
+		Revision: next, Document: r.Document, Author: r.Author, ChangeId: r.ChangeId, AppliedUnixMs: 1_800_000_000_000,
+	})
+	return &rpc.ApplyCatalogueResponse{Applied: true, Revision: next, ChangedBy: r.Author, ChangeId: r.ChangeId}, nil
+}
+
+func (f *fakeOperator) GetCatalogue(_ context.Context, r *rpc.GetCatalogueRequest) (*rpc.GetCatalogueResponse, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	number := r.Revision
+	if number == 0 {
+		number = uint64(len(f.revision))
+	}
+	if number == 0 {
+		return &rpc.GetCatalogueResponse{}, nil
+	}
+	if number > uint64(len(f.revision)) {
+		return nil, twirp.NotFoundError("no such revision").WithMeta("remedy", "see flamingohall catalogue history")
+	}
+	return f.revision[number-1], nil
+}
+
+func (f *fakeOperator) History(_ context.Context, r *rpc.HistoryRequest) (*rpc.HistoryResponse, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	response := &rpc.HistoryResponse{}
+	for i := len(f.revision) - 1; i >= 0 && len(response.Changes) < int(r.Limit); i-- {
+		found := f.revision[i]
+		response.Changes = append(response.Changes, &rpc.Change{
+			Revision: found.Revision, ChangeId: found.ChangeId, Author: found.Author, AppliedUnixMs: found.AppliedUnixMs,
+		})
+	}
+	return response, nil
+}
+
+func (f *fakeOperator) Nodes(context.Context, *rpc.NodesRequest) (*rpc.NodesResponse, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	revision := uint64(len(f.revision))
+	target := &rpc.Node{
+		Id: "worker-0", Role: rpc.Role_ROLE_SIDECAR, DataCentre: "celje-a", Address: "127.0.0.1:7302",
+		Drained: f.drained["worker-0"],
+		Target:  &rpc.TargetInfo{Worker: "worker-0", Rack: "rack-0", Pool: "levy", Slots: 8, Cores: 30, MemoryMb: 60000},
+	}
+	entry := &rpc.Node{Id: "entry-0", Role: rpc.Role_ROLE_ENTRY, DataCentre: "zalec", Address: "127.0.0.1:7101"}
+	return &rpc.NodesResponse{CatalogueRevision: revision, Nodes: []*rpc.NodeStatus{
+		{Node: target, RevisionInForce: min(revision, 1), LastHeardMs: 120},
+		{Node: entry, RevisionInForce: revision, LastHeardMs: 80},
+	}}, nil
+}
+
+func (f *fakeOperator) Drain(_ context.Context, r *rpc.DrainRequest) (*rpc.DrainResponse, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if r.Target != "worker-0" {
+		return &rpc.DrainResponse{}, nil
+	}
+	f.drained[r.Target] = r.Drained
+	return &rpc.DrainResponse{Found: true}, nil
+}
+
+func (f *fakeOperator) Members(context.Context, *rpc.MembersRequest) (*rpc.MembersResponse, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return &rpc.MembersResponse{Leader: "control-0", Term: 3, CommitIndex: 9, Members: f.members}, nil
+}
+
+func (f *fakeOperator) ChangeMember(_ context.Context, r *rpc.ChangeMemberRequest) (*rpc.ChangeMemberResponse, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	kept := []*rpc.Member{}
+	for _, found := range f.members {
+		if found.Id != r.Member.Id {
+			kept = append(kept, found)
+		}
+	}
+	if !r.Remove {
+		r.Member.Learner = true
+		kept = append(kept, r.Member)
+	}
+	f.members = kept
+	return &rpc.ChangeMemberResponse{Members: kept}, nil
+}
+
+// fakeEntry serves the callers' API from memory: every task is done at once, unless its payload asks to fail.
+type fakeEntry struct {
+	*http.ServeMux
+	mutex   sync.Mutex
+	answers map[string]*client.Answer
+}
+
+func newFakeEntry() *fakeEntry {
+	f := &fakeEntry{ServeMux: http.NewServeMux(), answers: map[string]*client.Answer{}}
+	f.HandleFunc("POST /v1/submissions", f.submit)
+	f.HandleFunc("GET /v1/submissions/{owner}/{key}", f.status)
+	f.HandleFunc("POST /v1/submissions/{owner}/{key}/cancel", f.status)
+	f.HandleFunc("GET /v1/burn", func(w http.ResponseWriter, _ *http.Request) {
+		windows := []burn.Window{{Seconds: 300}, {Seconds: 3600}, {Seconds: 21600}, {Seconds: 259200}}
+		for i := range windows {
+			windows[i].Good, windows[i].Bad = 990, 10
+		}
+		_ = json.NewEncoder(w).Encode(burn.Report{AtUnixMS: 1_800_000_000_000, Rows: []burn.Row{{
+			Entry: "levy/validate", Owner: "levy", Objective: &burn.Objective{LatencyMS: 400, Ratio: 0.99}, Windows: windows,
+			LastHour: []burn.Minute{{StartUnix: 1_800_000_000, Good: 990, Bad: 10}},
+		}}})
+	})
+	return f
+}
+
+func (f *fakeEntry) submit(w http.ResponseWriter, r *http.Request) {
+	var submission client.Submission
+	if json.NewDecoder(r.Body).Decode(&submission) != nil {
+		refuse(w, http.StatusBadRequest, "malformed", "no JSON", 0)
+		return
+	}
+	switch submission.Entry {
+	case "levy/validate":
+	case "busy":
+		refuse(w, http.StatusTooManyRequests, "overloaded", "too much waits", 1500)
+		return
+	default:
+		refuse(w, http.StatusUnprocessableEntity, "invalid", "entry "+submission.Entry+" is not in the catalogue", 0)
+		return
+	}
+	answer := &client.Answer{
+		Job: "0123456789abcdef", Owner: submission.Owner, Entry: submission.Entry, Key: submission.Key,
+		State: client.StateComplete, Revision: 1,
+	}
+	for i, task := range submission.Tasks {
+		outcome := client.TaskAnswer{Index: i, Outcome: client.OutcomeDone, Attempts: 1, Target: "worker-0", RunUS: 50_000, Result: task.Payload}
+		if string(task.Payload) == `{"fail":"task"}` {
+			outcome.Outcome, outcome.Cause, outcome.Reason = "failed", "task", "the task asked to fail"
+			answer.State = client.StateFailed
+		}
+		answer.Tasks = append(answer.Tasks, outcome)
+	}
+	f.mutex.Lock()
+	f.answers[submission.Owner+"\x00"+submission.Key] = answer
+	f.mutex.Unlock()
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (f *fakeEntry) status(w http.ResponseWriter, r *http.Request) {
+	f.mutex.Lock()
+	answer := f.answers[r.PathValue("owner")+"\x00"+r.PathValue("key")]
+	f.mutex.Unlock()
+	if answer == nil {
+		refuse(w, http.StatusNotFound, "not_found", "no such submission", 0)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func refuse(w http.ResponseWriter, status int, kind, message string, retryAfterMS int) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]any{"error": map[string]any{
+		"kind": kind, "message": message, "remedy": "see docs/API.md", "retry_after_ms": retryAfterMS,
+	}})
+}
--- a/tools/cli/main.go
+++ b/tools/cli/main.go
@@ -2,10 +2,15 @@
 package cli
 
 import (
+	"context"
 	"io"
+	"os/signal"
+	"strings"
+	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/go-faster/errors"
+	"github.com/willabides/kongplete"
 
 	"flamingohall.example/core/fault"
 )
@@ -13,37 +18,86 @@
 // Version is set by the linker for a release.
 var Version = "development"
 
+// commandLine is the whole command line.
 type commandLine struct {
+	Globals
+
+	Submit     submitCommand     `cmd:"" group:"callers" help:"Send a submission and print its whole answer."`
+	Status     statusCommand     `cmd:"" group:"callers" help:"Print what is known of a submission."`
+	Cancel     cancelCommand     `cmd:"" group:"callers" help:"Cancel a submission."`
+	Catalogue  catalogueCommand  `cmd:"" group:"operators" help:"Apply and read the catalogue of owners and entries."`
+	Targets    targetsCommand    `cmd:"" group:"operators" help:"List the targets that control knows."`
+	Drain      drainCommand      `cmd:"" group:"operators" help:"Send a target no new work, or send it work again."`
+	Owners     ownersCommand     `cmd:"" group:"operators" help:"List the owners with their shares and quotas."`
+	Members    membersCommand    `cmd:"" group:"operators" help:"List and change the control VMs."`
+	Report     reportCommand     `cmd:"" group:"operators" help:"Report on the service."`
+	StandIn    standInCommand    `cmd:"" group:"experiments" help:"Run a stand-in target until SIGTERM or SIGINT."`
+	Completion completionCommand `cmd:"" group:"shell" help:"Print the line that makes a shell complete this command."`
+
 	Version kong.VersionFlag `help:"Print the version."`
 }
 
-// Main runs the command line and returns its error.
-func Main(args []string, out, errOut io.Writer) error {
-	var cli commandLine
-	exited := false
-	parser, err := kong.New(&cli,
+const description = `Callers, operators and experiments talk to flamingohall with this command.
+
+Examples:
+  flamingohall submit examples/savinja/jobs/charge-return.json
+  flamingohall submit --owner levy-queries --entry levy/validate --key q-17 '{"run_ms":60}' '{"run_ms":90}'
+  flamingohall status levy-queries q-17
+  flamingohall catalogue apply examples/savinja/catalogue.jsonc
+  flamingohall catalogue status --wait
+  flamingohall drain worker-3
+  flamingohall report burn --html burn.html
+
+Exit codes:
+  0  done
+  1  failed
+  2  the command line or a file it names is wrong
+  3  conflict: what was to be changed has changed, or a key stands for another body
+  4  a job failed or has no whole answer
+  5  unavailable: no process answered, or it refused for now
+
+Control VMs and entries are named by --control and --entries or by the environment.`
+
+// newParser builds the parser of the command line.
+func newParser(cli *commandLine, out, errOut io.Writer, exit func(int)) (*kong.Kong, error) {
+	return kong.New(cli,
 		kong.Name("flamingohall"),
+		kong.Description(description),
 		kong.Vars{"version": Version},
 		kong.Writers(out, errOut),
-		kong.Exit(func(int) { exited = true }),
+		kong.Exit(exit),
+		kong.BindTo(out, (*io.Writer)(nil)),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+		kong.ExplicitGroups([]kong.Group{
+			{Key: "callers", Title: "For callers:"},
+			{Key: "operators", Title: "For operators:"},
+			{Key: "experiments", Title: "For experiments:"},
+			{Key: "shell", Title: "For the shell:"},
+		}),
 	)
+}
+
+// Main runs the command line and returns its error.
+func Main(args []string, out, errOut io.Writer) error {
+	var cli commandLine
+	exited := false
+	exit := func(int) { exited = true }
+	parser, err := newParser(&cli, out, errOut, exit)
 	if err != nil {
 		return errors.Wrap(err, "command line")
 	}
+	if kongplete.Complete(parser, kongplete.WithExitFunc(exit)); exited {
+		return nil
+	}
 	parsed, err := parser.Parse(args)
 	if exited {
 		return nil
 	}
 	if err != nil {
-		return fault.New(fault.Malformed, "see flamingohall --help", "%v", err)
-	}
-	return parsed.Run()
-}
-
-// ExitCode returns the exit code that stands for err.
-func ExitCode(err error) int {
-	if fault.Is(err, fault.Malformed) {
-		return 2
+		return fault.New(fault.Malformed, "see flamingohall --help", "%s", strings.TrimSpace(err.Error()))
 	}
-	return 1
+	ctx, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer release()
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	return parsed.Run(&cli.Globals)
 }
--- /dev/null
+++ b/tools/cli/owners.go
@@ -0,0 +1,50 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"strconv"
+
+	"flamingohall.example/core/catalogue"
+)
+
+type ownersCommand struct{}
+
+// Run lists the owners of the catalogue in force.
+func (ownersCommand) Run(ctx context.Context, globals *Globals, out io.Writer) error {
+	operator, err := globals.operator()
+	if err != nil {
+		return err
+	}
+	document, err := storedCatalogue(ctx, operator, 0)
+	if err != nil {
+		return err
+	}
+	if globals.JSON {
+		return printJSON(out, append([]catalogue.Owner{}, document.Owners...))
+	}
+	rows := newTable(out, "OWNER\tWEIGHT\tRUNNING\tSTARTS A SECOND\tENTRIES")
+	for _, owner := range document.Owners {
+		rows.row("%s\t%d\t%s\t%s\t%d", owner.Name, owner.Weight, bound(float64(owner.Running)),
+			bound(owner.StartsPerSecond), entriesOf(document, owner.Name))
+	}
+	return rows.flush()
+}
+
+// bound prints a quota; 0 stands for none.
+func bound(quota float64) string {
+	if quota == 0 {
+		return "no bound"
+	}
+	return strconv.FormatFloat(quota, 'g', -1, 64)
+}
+
+func entriesOf(document catalogue.Document, owner string) int {
+	count := 0
+	for _, entry := range document.Entries {
+		if entry.Owner == owner {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/tools/cli/script_test.go
@@ -0,0 +1,68 @@
+package cli_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"flamingohall.example/node/daemon"
+	"flamingohall.example/node/rpc"
+	"flamingohall.example/tools/cli"
+)
+
+// TestMain makes both binaries commands of the scripts.
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"flamingohall": func() {
+			if err := cli.Main(os.Args[1:], os.Stdout, os.Stderr); err != nil {
+				fmt.Fprintln(os.Stderr, "flamingohall:", err)
+				os.Exit(cli.ExitCode(err))
+			}
+		},
+		"flamingohalld": func() {
+			if err := daemon.Main(os.Args[1:], os.Stdout, os.Stderr); err != nil {
+				fmt.Fprintln(os.Stderr, "flamingohalld:", err)
+				os.Exit(daemon.ExitCode(err))
+			}
+		},
+	})
+}
+
+// TestScripts runs the scripts against a fake control VM and a fake entry. "exits CODE COMMAND..." checks exit codes.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		RequireExplicitExec: true,
+		Setup: func(env *testscript.Env) error {
+			control := httptest.NewServer(rpc.NewOperatorServer(newFakeOperator()))
+			entry := httptest.NewServer(newFakeEntry())
+			env.Defer(control.Close)
+			env.Defer(entry.Close)
+			env.Setenv("FLAMINGOHALL_CONTROL", control.URL)
+			env.Setenv("FLAMINGOHALL_ENTRIES", entry.URL)
+			env.Setenv("FLAMINGOHALL_AUTHOR", "ana")
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){"exits": exits},
+	})
+}
+
+// exits runs a command that must end with the code given.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: exits CODE COMMAND...")
+	}
+	err := ts.Exec(args[1], args[2:]...)
+	code := 0
+	if err != nil {
+		if _, scanErr := fmt.Sscanf(err.Error(), "exit status %d", &code); scanErr != nil {
+			ts.Fatalf("%v", err)
+		}
+	}
+	if fmt.Sprint(code) != args[0] {
+		ts.Fatalf("exit code %d, want %s", code, args[0])
+	}
+}
--- /dev/null
+++ b/tools/client/entries.go
@@ -0,0 +1,160 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"flamingohall.example/core/burn"
+	"flamingohall.example/core/fault"
+)
+
+// MaxAnswerBytes bounds the body of a response that is read.
+const MaxAnswerBytes = 64 << 20
+
+// Entries calls the callers' API. It tries the entries in turn: a submission's key makes a second try safe.
+type Entries struct {
+	urls []string
+	http *http.Client
+}
+
+// NewEntries returns a client over the entries at addresses (host:port or URLs).
+func NewEntries(addresses []string) (*Entries, error) {
+	if len(addresses) == 0 {
+		return nil, fault.New(fault.Malformed, "give --entries or set FLAMINGOHALL_ENTRIES", "no entry is named")
+	}
+	entries := &Entries{http: &http.Client{Transport: newTransport()}}
+	for _, address := range addresses {
+		entries.urls = append(entries.urls, baseURL(address))
+	}
+	return entries, nil
+}
+
+// At returns a client over the entry at that position only, modulo the number of entries.
+func (e *Entries) At(position int) *Entries {
+	return &Entries{urls: []string{e.urls[position%len(e.urls)]}, http: e.http}
+}
+
+// Count returns the number of entries.
+func (e *Entries) Count() int {
+	return len(e.urls)
+}
+
+// Submit sends a submission. With wait it returns the finished answer, without it the state at acceptance.
+func (e *Entries) Submit(ctx context.Context, submission *Submission, wait bool) (*Answer, error) {
+	body, err := json.Marshal(submission)
+	if err != nil {
+		return nil, fault.New(fault.Malformed, "give payloads that are JSON", "submission: %v", err)
+	}
+	path := "/v1/submissions"
+	if !wait {
+		path += "?wait=false"
+	}
+	return e.answer(ctx, http.MethodPost, path, body)
+}
+
+// Status returns what the entries know of a submission.
+func (e *Entries) Status(ctx context.Context, owner, key string) (*Answer, error) {
+	return e.answer(ctx, http.MethodGet, submissionPath(owner, key), nil)
+}
+
+// Cancel asks for the end of a submission and returns its state.
+func (e *Entries) Cancel(ctx context.Context, owner, key string) (*Answer, error) {
+	return e.answer(ctx, http.MethodPost, submissionPath(owner, key)+"/cancel", nil)
+}
+
+// Burn returns the burn of all entries added up. Every entry must answer.
+func (e *Entries) Burn(ctx context.Context) (burn.Report, error) {
+	reports := make([]burn.Report, 0, len(e.urls))
+	for position := range e.urls {
+		var report burn.Report
+		body, err := e.At(position).try(ctx, http.MethodGet, "/v1/burn", nil)
+		if err != nil {
+			return burn.Report{}, err
+		}
+		if err := json.Unmarshal(body, &report); err != nil {
+			return burn.Report{}, unreadable(err)
+		}
+		reports = append(reports, report)
+	}
+	return burn.Merge(reports...), nil
+}
+
+func submissionPath(owner, key string) string {
+	return "/v1/submissions/" + url.PathEscape(owner) + "/" + url.PathEscape(key)
+}
+
+func (e *Entries) answer(ctx context.Context, method, path string, body []byte) (*Answer, error) {
+	text, err := e.try(ctx, method, path, body)
+	if err != nil {
+		return nil, err
+	}
+	answer := new(Answer)
+	if err := json.Unmarshal(text, answer); err != nil {
+		return nil, unreadable(err)
+	}
+	return answer, nil
+}
+
+func unreadable(err error) error {
+	return fault.New(fault.Internal, "check that the address is an entry's callers' address", "answer: %v", err)
+}
+
+// try sends a request to the entries in turn until one answers or refuses for good.
+func (e *Entries) try(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	var failures []string
+	var last *fault.Error
+	for _, base := range e.urls {
+		text, err := e.send(ctx, method, base+path, body)
+		if err == nil {
+			return text, nil
+		}
+		last = fault.Of(err)
+		if last.Kind != fault.Unavailable {
+			return nil, last
+		}
+		failures = append(failures, base+": "+last.Error())
+	}
+	if len(failures) == 1 {
+		return nil, last
+	}
+	return nil, fault.New(fault.Unavailable, "check --entries and that an entry runs",
+		"no entry answered: %s", strings.Join(failures, ", ")).After(last.RetryAfter)
+}
+
+// send makes one request. A connection that fails is fault.Unavailable; the key makes another try safe.
+func (e *Entries) send(ctx context.Context, method, url string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, fault.New(fault.Malformed, "write addresses as host:port", "entry address: %v", err)
+	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := e.http.Do(request)
+	if err != nil {
+		return nil, connectionFault(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes))
+	if err != nil {
+		return nil, connectionFault(err)
+	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return nil, faultOfResponse(response.StatusCode, response.Header, text)
+	}
+	return text, nil
+}
+
+func connectionFault(err error) *fault.Error {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return fault.New(fault.Unknown, "ask for the status or submit again with the same key", "no answer in time: %v", err)
+	}
+	return fault.New(fault.Unavailable, "submit again with the same key", "connection: %v", err)
+}
--- /dev/null
+++ b/tools/client/transport.go
@@ -0,0 +1,37 @@
+package client
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Limits of connections.
+const (
+	dialTimeout      = 2 * time.Second
+	idleTimeout      = 30 * time.Second
+	connectionsIdle  = 512
+	connectionsTotal = 1024
+)
+
+// newTransport returns a transport for many requests at once to few hosts.
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        connectionsIdle,
+		MaxIdleConnsPerHost: connectionsIdle,
+		MaxConnsPerHost:     connectionsTotal,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// baseURL returns address as a URL without a trailing slash; host:port is taken as HTTP.
+func baseURL(address string) string {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	return strings.TrimRight(address, "/")
+}
