Add the bench: seeded open-loop scenarios, slowdown against the ideal, comparison and page

Ruled out: A closed loop of clients: a slow system would hold its own load back and look fast. A load tool from elsewhere: none checks that each caller gets its own answer, or the targets' ledgers. Figures: none of the system yet. Conclusion: ready to attach to processes once the roles run; the tests run it against fakes only.

--- /dev/null
+++ b/tools/bench/result.go
@@ -0,0 +1,132 @@
+package bench
+
+// Result is what a run measured.
+type Result struct {
+	Scenario string `json:"scenario"`
+	// Digest is the SHA-256 of the scenario.
+	Digest string `json:"digest"`
+	Seed   uint64 `json:"seed"`
+	// Command is the command line that made the run.
+	Command []string `json:"command"`
+	// Way is "entries" or "direct".
+	Way           string `json:"way"`
+	StartedUnixMS int64  `json:"started_unix_ms"`
+	// MeasuredMS is the time over which measured submissions were sent, in milliseconds.
+	MeasuredMS int64         `json:"measured_ms"`
+	All        ClassResult   `json:"all"`
+	Classes    []ClassResult `json:"classes"`
+	Seconds    []Second      `json:"seconds"`
+	Messages   Messages      `json:"messages"`
+	Callers    Callers       `json:"callers"`
+	Nodes      []NodeControl `json:"nodes"`
+	Processes  []ProcessCost `json:"processes"`
+	Faults     []FaultResult `json:"faults"`
+	Ledger     *LedgerResult `json:"ledger,omitempty"`
+	Machine    Machine       `json:"machine"`
+}
+
+// ClassResult is what the callers of one class saw of the submissions that are measured.
+type ClassResult struct {
+	Class string `json:"class"`
+	Sent  int    `json:"sent"`
+	// Endings counts submissions by how they ended: complete, failed, cancelled, refused, expired, unanswered, wrong.
+	Endings map[string]int `json:"endings"`
+	// TasksDone counts the tasks of complete answers.
+	TasksDone int `json:"tasks_done"`
+	// TasksPerSecond is TasksDone over the measured time.
+	TasksPerSecond float64 `json:"tasks_per_second"`
+	// ResponseUS and Slowdown are those of complete answers; slowdown is response time over the ideal.
+	ResponseUS Quantiles `json:"response_us"`
+	Slowdown   Quantiles `json:"slowdown"`
+	// RefusalUS is the time to a refusal.
+	RefusalUS Quantiles `json:"refusal_us"`
+	// RefusedWithoutTime counts refusals that named no time to return.
+	RefusedWithoutTime int `json:"refused_without_time"`
+	// ClaimUS and WaitUS are the entry's own account of complete answers, in microseconds.
+	ClaimUS Quantiles `json:"claim_us"`
+	WaitUS  Quantiles `json:"wait_us"`
+	// Samples are the first reasons of endings other than complete.
+	Samples []string `json:"samples,omitempty"`
+}
+
+// Quantiles describe a distribution.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+	P999  float64 `json:"p999"`
+	Max   float64 `json:"max"`
+}
+
+// Second is what was sent within one second.
+type Second struct {
+	// At is the second since the start.
+	At          int     `json:"at"`
+	Sent        int     `json:"sent"`
+	Complete    int     `json:"complete"`
+	Refused     int     `json:"refused"`
+	OtherEnding int     `json:"other_ending"`
+	SlowdownP50 float64 `json:"slowdown_p50"`
+	SlowdownP99 float64 `json:"slowdown_p99"`
+}
+
+// Messages are the counters of the system's processes over the whole run.
+type Messages struct {
+	// Known is false when no process was named whose counters could be read.
+	Known        bool  `json:"known"`
+	TasksStarted int64 `json:"tasks_started"`
+	RunsSent     int64 `json:"runs_sent"`
+	// Wasted counts wasted messages by kind.
+	Wasted          map[string]int64 `json:"wasted"`
+	WastedPerTask   float64          `json:"wasted_per_task"`
+	RunsPerTask     float64          `json:"runs_per_task"`
+	ControlMessages int64            `json:"control_messages"`
+	ControlBytes    int64            `json:"control_bytes"`
+}
+
+// Callers are the messages on the callers' side, which are counted apart.
+type Callers struct {
+	Submissions   int64 `json:"submissions"`
+	Resubmissions int64 `json:"resubmissions"`
+	Cancellations int64 `json:"cancellations"`
+	// NotSent counts submissions that the bench held back because too many had no answer.
+	NotSent int64 `json:"not_sent"`
+	// SendDelayUS is how late the bench itself was, in microseconds.
+	SendDelayUS Quantiles `json:"send_delay_us"`
+}
+
+// ProcessCost is what one process used over the whole run.
+type ProcessCost struct {
+	Name string `json:"name"`
+	PID  int    `json:"pid,omitempty"`
+	// Core is the processor time as a share of one core.
+	Core float64 `json:"core"`
+	// ResidentBytes is the memory at the end, PeakBytes the most since the process started.
+	ResidentBytes int64 `json:"resident_bytes"`
+	PeakBytes     int64 `json:"peak_bytes"`
+}
+
+// NodeControl is the control traffic of one node over the whole run.
+type NodeControl struct {
+	Role              string  `json:"role"`
+	ID                string  `json:"id"`
+	BytesPerSecond    float64 `json:"bytes_per_second"`
+	MessagesPerSecond float64 `json:"messages_per_second"`
+}
+
+// FaultResult tells whether a fault was applied.
+type FaultResult struct {
+	AtMS    int    `json:"at_ms"`
+	Targets []int  `json:"targets"`
+	Error   string `json:"error,omitempty"`
+}
+
+// Machine is what the run shared its machine with.
+type Machine struct {
+	Cores int `json:"cores"`
+	// LoadBefore and LoadAfter are the one-minute load averages.
+	LoadBefore float64 `json:"load_before"`
+	LoadAfter  float64 `json:"load_after"`
+}
--- a/tools/cli/main.go
+++ b/tools/cli/main.go
@@ -32,6 +32,7 @@
 	Members    membersCommand    `cmd:"" group:"operators" help:"List and change the control VMs."`
 	Report     reportCommand     `cmd:"" group:"operators" help:"Report on the service."`
 	StandIn    standInCommand    `cmd:"" group:"experiments" help:"Run a stand-in target until SIGTERM or SIGINT."`
+	Bench      benchCommand      `cmd:"" group:"experiments" help:"Measure a running system under load and faults."`
 	Completion completionCommand `cmd:"" group:"shell" help:"Print the line that makes a shell complete this command."`
 
 	Version kong.VersionFlag `help:"Print the version."`
@@ -47,6 +48,7 @@
   flamingohall catalogue status --wait
   flamingohall drain worker-3
   flamingohall report burn --html burn.html
+  flamingohall bench run examples/bench/smoke.jsonc --out result.json
 
 Exit codes:
   0  done
--- a/tools/page/burn.go
+++ b/tools/page/burn.go
@@ -18,6 +18,9 @@
 var (
 	goodColour = color.RGBA{R: 0x2a, G: 0x7f, B: 0x62, A: 0xff}
 	badColour  = color.RGBA{R: 0xb3, G: 0x36, B: 0x36, A: 0xff}
+	midColour  = color.RGBA{R: 0x3b, G: 0x5b, B: 0x92, A: 0xff}
+	// lineColours are taken in turn by plots with several lines.
+	lineColours = []color.Color{goodColour, badColour, midColour}
 )
 
 // windowNames are the windows of a row as the pages name them.
