Add the replicated aggregates: catalogue store, claims, registry, state

Cause: control needs compare-and-set revisions, at-most-once claims and a registry with deltas. Ruled out: JSON commands (answers grow by a third); wall-clock retention (one wrong clock would forget claims early).

--- /dev/null
+++ b/core/catalogue/store.go
@@ -0,0 +1,186 @@
+package catalogue
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+
+	"github.com/go-faster/errors"
+)
+
+// Limits of what a store keeps. The current document is kept whatever its size.
+const (
+	// KeptAnswers is the number of changes whose first answer a resend gets.
+	KeptAnswers = 10_000
+	// KeptDocumentBytes bounds the documents of earlier revisions.
+	KeptDocumentBytes = 8 << 20
+)
+
+// ErrChangeIDReused means that a change id came back with another content.
+var ErrChangeIDReused = errors.New("the change id stands for another change")
+
+// Change asks for a new revision. The same ChangeID sent again gets the first answer.
+type Change struct {
+	ChangeID string `msgpack:"id"`
+	// BaseRevision must be the current revision for the change to apply.
+	BaseRevision uint64 `msgpack:"base"`
+	Document     []byte `msgpack:"doc"`
+	Author       string `msgpack:"by"`
+}
+
+// Answer tells what became of a change.
+type Answer struct {
+	Applied bool `msgpack:"ok"`
+	// Revision is the new revision, or the current one on conflict; ChangedBy and ChangeID tell who made it.
+	Revision  uint64 `msgpack:"rev"`
+	ChangedBy string `msgpack:"by"`
+	ChangeID  string `msgpack:"id"`
+}
+
+// Revision is one accepted change.
+type Revision struct {
+	Number        uint64 `msgpack:"rev"`
+	ChangeID      string `msgpack:"id"`
+	Author        string `msgpack:"by"`
+	AppliedUnixMS int64  `msgpack:"at"`
+	// Document is nil once KeptDocumentBytes has pushed it out.
+	Document []byte `msgpack:"doc"`
+}
+
+// remembered is the first answer to a change id.
+type remembered struct {
+	ChangeID string   `msgpack:"id"`
+	Digest   [32]byte `msgpack:"sum"`
+	Answer   Answer   `msgpack:"ans"`
+}
+
+// Store keeps the revisions of the catalogue. It is not safe for concurrent use.
+type Store struct {
+	// revisions and answers hold the newest at the end.
+	revisions []Revision
+	answers   []remembered
+	byChange  map[string]int
+	// dropped is the number of answers forgotten, so that byChange can hold positions that never shift.
+	dropped       int
+	documentBytes int
+}
+
+// NewStore returns a store at revision 0, which has no document.
+func NewStore() *Store {
+	return &Store{byChange: map[string]int{}}
+}
+
+// Current returns the newest revision, the zero Revision before the first change.
+func (s *Store) Current() Revision {
+	if len(s.revisions) == 0 {
+		return Revision{}
+	}
+	return s.revisions[len(s.revisions)-1]
+}
+
+// At returns the revision of that number, while it is kept.
+func (s *Store) At(number uint64) (Revision, bool) {
+	position, found := slices.BinarySearchFunc(s.revisions, number, func(r Revision, n uint64) int {
+		return cmp.Compare(r.Number, n)
+	})
+	if !found {
+		return Revision{}, false
+	}
+	return s.revisions[position], true
+}
+
+// History returns up to limit revisions, newest first.
+func (s *Store) History(limit int) []Revision {
+	kept := s.revisions[max(0, len(s.revisions)-limit):]
+	newestFirst := slices.Clone(kept)
+	slices.Reverse(newestFirst)
+	return newestFirst
+}
+
+// Apply answers a change: compare-and-set on BaseRevision, or the first answer to a resend. The error is
+// ErrChangeIDReused.
+func (s *Store) Apply(change Change, nowMS int64) (Answer, error) {
+	digest := change.digest()
+	if position, known := s.byChange[change.ChangeID]; known {
+		first := s.answers[position-s.dropped]
+		if first.Digest != digest {
+			return Answer{}, ErrChangeIDReused
+		}
+		return first.Answer, nil
+	}
+	current := s.Current()
+	answer := Answer{Revision: current.Number, ChangedBy: current.Author, ChangeID: current.ChangeID}
+	if change.BaseRevision == current.Number {
+		s.append(Revision{
+			Number: current.Number + 1, ChangeID: change.ChangeID, Author: change.Author,
+			AppliedUnixMS: nowMS, Document: change.Document,
+		})
+		answer = Answer{
+			Applied: true, Revision: current.Number + 1, ChangedBy: change.Author, ChangeID: change.ChangeID,
+		}
+	}
+	s.remember(remembered{ChangeID: change.ChangeID, Digest: digest, Answer: answer})
+	return answer, nil
+}
+
+func (s *Store) append(revision Revision) {
+	s.revisions = append(s.revisions, revision)
+	s.documentBytes += len(revision.Document)
+	for i := 0; i < len(s.revisions)-1 && s.documentBytes > KeptDocumentBytes; i++ {
+		s.documentBytes -= len(s.revisions[i].Document)
+		s.revisions[i].Document = nil
+	}
+	if len(s.revisions) > KeptAnswers {
+		s.documentBytes -= len(s.revisions[0].Document)
+		s.revisions = s.revisions[1:]
+	}
+}
+
+func (s *Store) remember(first remembered) {
+	s.byChange[first.ChangeID] = s.dropped + len(s.answers)
+	s.answers = append(s.answers, first)
+	if len(s.answers) > KeptAnswers {
+		delete(s.byChange, s.answers[0].ChangeID)
+		s.answers = s.answers[1:]
+		s.dropped++
+	}
+}
+
+// digest covers everything that makes the change what it is.
+func (c Change) digest() [32]byte {
+	sum := sha256.New()
+	var base [8]byte
+	binary.BigEndian.PutUint64(base[:], c.BaseRevision)
+	sum.Write(base[:])
+	binary.BigEndian.PutUint64(base[:], uint64(len(c.Author)))
+	sum.Write(base[:])
+	sum.Write([]byte(c.Author))
+	sum.Write(c.Document)
+	return [32]byte(sum.Sum(nil))
+}
+
+// StoreImage is the store in a snapshot.
+type StoreImage struct {
+	Revisions []Revision   `msgpack:"revisions"`
+	Answers   []remembered `msgpack:"answers"`
+}
+
+// Image returns the store's content; it shares memory with the store.
+func (s *Store) Image() StoreImage {
+	return StoreImage{Revisions: s.revisions, Answers: s.answers}
+}
+
+// RestoreStore returns the store that an image describes.
+func RestoreStore(image StoreImage) *Store {
+	restored := NewStore()
+	restored.revisions = image.Revisions
+	restored.answers = image.Answers
+	for i, first := range image.Answers {
+		restored.byChange[first.ChangeID] = i
+	}
+	for _, revision := range image.Revisions {
+		restored.documentBytes += len(revision.Document)
+	}
+	return restored
+}
--- /dev/null
+++ b/core/claim/doc.go
@@ -0,0 +1,12 @@
+// Package claim decides who may start the tasks of a job that must not repeat, and keeps the answer of a finished one.
+//
+// A job has at most one holder at a time, an entry's process, under an epoch that grows with each takeover. Epochs are
+// log indexes, so that a job that was forgotten and claimed anew gets a larger one. A takeover names the epoch it saw
+// and succeeds only when the holder is no longer live, so that of two entries that race exactly one wins. Finish counts
+// under the current epoch only.
+//
+// Retention: an answer is kept for Limits.AnswerMS and while all answers fit in Limits.AnswerBytes. The record of the
+// job itself, which keeps it from starting again, is kept for Limits.RecordMS after its last change. When records fill
+// Limits.RecordBytes, the oldest goes early if it has been untouched for Limits.MinRecordMS; otherwise a new claim is
+// refused, as forgetting a young job could start it twice.
+package claim
--- /dev/null
+++ b/core/claim/table.go
@@ -0,0 +1,345 @@
+package claim
+
+import (
+	"bytes"
+	"container/list"
+)
+
+// Status tells what became of a claim or a finish.
+type Status uint8
+
+// Statuses of answers.
+const (
+	// Granted means that the caller holds the job under Answer.Epoch.
+	Granted Status = iota + 1
+	// Held means that another process holds it.
+	Held
+	// Finished means that the answer is stored; Answer.Body is empty when it is no longer kept.
+	Finished
+	// Conflict means that the job stands for another body.
+	Conflict
+	// Fenced means that the epoch named is no longer the job's.
+	Fenced
+	// Full means that too many young jobs are remembered to take another.
+	Full
+)
+
+// Limits bound what a Table keeps; times in milliseconds, sizes in bytes.
+type Limits struct {
+	AnswerBytes int
+	AnswerMS    int64
+	RecordBytes int
+	RecordMS    int64
+	MinRecordMS int64
+}
+
+// DefaultLimits are those of the replicated state. They must be the same on all replicas.
+var DefaultLimits = Limits{
+	AnswerBytes: 16 << 20,
+	AnswerMS:    60 * 60 * 1000,
+	RecordBytes: 24 << 20,
+	RecordMS:    24 * 60 * 60 * 1000,
+	MinRecordMS: 60 * 60 * 1000,
+}
+
+// MaxAnswerBytes is the largest answer that is stored; a larger one leaves only the record that the job finished.
+const MaxAnswerBytes = 1 << 20
+
+// recordOverhead estimates the memory of a record beyond its texts, in bytes.
+const recordOverhead = 160
+
+// Target names a process that may hold tasks of the job.
+type Target struct {
+	ID          string `msgpack:"id"`
+	Incarnation string `msgpack:"inc"`
+}
+
+// Request asks for a job. At most one of TakeOver and Extend is set.
+type Request struct {
+	Job         string `msgpack:"job"`
+	Holder      string `msgpack:"by"`
+	Incarnation string `msgpack:"inc"`
+	// Digest identifies the body; Extend may leave it empty.
+	Digest  []byte   `msgpack:"sum"`
+	Targets []Target `msgpack:"on"`
+	// TakeOver is the epoch of the dead holder's claim; Extend that of the caller's own, to which targets are added.
+	TakeOver uint64 `msgpack:"take"`
+	Extend   uint64 `msgpack:"ext"`
+}
+
+// Finish stores the answer of a job under its epoch.
+type Finish struct {
+	Job   string `msgpack:"job"`
+	Epoch uint64 `msgpack:"epoch"`
+	Body  []byte `msgpack:"body"`
+}
+
+// Answer tells the state of a job after a request.
+type Answer struct {
+	Status      Status   `msgpack:"status"`
+	Epoch       uint64   `msgpack:"epoch"`
+	Holder      string   `msgpack:"by"`
+	Incarnation string   `msgpack:"inc"`
+	HolderLive  bool     `msgpack:"live"`
+	Targets     []Target `msgpack:"on"`
+	Body        []byte   `msgpack:"body"`
+}
+
+// Live reports whether a process is a registered, running node.
+type Live func(id, incarnation string) bool
+
+// record is one job. Holder and Targets are cleared when it finishes.
+type record struct {
+	Job         string   `msgpack:"job"`
+	Digest      []byte   `msgpack:"sum"`
+	Epoch       uint64   `msgpack:"epoch"`
+	Replaced    uint64   `msgpack:"was"`
+	Holder      string   `msgpack:"by"`
+	Incarnation string   `msgpack:"inc"`
+	Targets     []Target `msgpack:"on"`
+	TouchedMS   int64    `msgpack:"at"`
+	Finished    bool     `msgpack:"done"`
+	Body        []byte   `msgpack:"body"`
+}
+
+// Table holds all claims. It is not safe for concurrent use.
+type Table struct {
+	limits Limits
+	jobs   map[string]*list.Element
+	// order holds *record, least recently touched first.
+	order *list.List
+	// answered holds the finished jobs whose answer is kept, oldest first.
+	answered    []*record
+	answerBytes int
+	recordBytes int
+}
+
+// NewTable returns an empty table.
+func NewTable(limits Limits) *Table {
+	return &Table{limits: limits, jobs: map[string]*list.Element{}, order: list.New()}
+}
+
+// Len returns the number of jobs remembered.
+func (t *Table) Len() int {
+	return len(t.jobs)
+}
+
+// Claim answers a request. index is the log index of the command, at least that of any before; nowMS never goes back.
+func (t *Table) Claim(request Request, index uint64, nowMS int64, live Live) Answer {
+	t.expire(nowMS)
+	element, known := t.jobs[request.Job]
+	if !known {
+		return t.claimUnknown(request, index, nowMS)
+	}
+	job := element.Value.(*record)
+	if !job.matches(request) {
+		return Answer{Status: Conflict}
+	}
+	if job.Finished {
+		return Answer{Status: Finished, Epoch: job.Epoch, Body: job.Body}
+	}
+	switch {
+	case request.Extend != 0:
+		return t.extend(element, request, nowMS, live)
+	case job.heldBy(request):
+		return t.claimAgain(element, request, nowMS, live)
+	case request.TakeOver == job.Epoch && !live(job.Holder, job.Incarnation):
+		return t.takeOver(element, request, index, nowMS)
+	}
+	return job.answer(Held, live)
+}
+
+// claimUnknown answers for a job that is not remembered.
+func (t *Table) claimUnknown(request Request, index uint64, nowMS int64) Answer {
+	if request.Extend != 0 || request.TakeOver != 0 {
+		return Answer{Status: Fenced}
+	}
+	made := &record{
+		Job: request.Job, Digest: request.Digest, Epoch: index, Holder: request.Holder,
+		Incarnation: request.Incarnation, Targets: request.Targets, TouchedMS: nowMS,
+	}
+	if !t.makeRoom(made.size(), nowMS) {
+		return Answer{Status: Full}
+	}
+	t.insert(made)
+	return made.granted()
+}
+
+// claimAgain answers a resend by the holder itself, also of the takeover that made it the holder.
+func (t *Table) claimAgain(element *list.Element, request Request, nowMS int64, live Live) Answer {
+	job := element.Value.(*record)
+	if request.TakeOver != 0 && request.TakeOver != job.Replaced {
+		return job.answer(Held, live)
+	}
+	t.addTargets(element, request.Targets, nowMS)
+	return job.granted()
+}
+
+func (t *Table) extend(element *list.Element, request Request, nowMS int64, live Live) Answer {
+	job := element.Value.(*record)
+	if !job.heldBy(request) || job.Epoch != request.Extend {
+		return job.answer(Fenced, live)
+	}
+	t.addTargets(element, request.Targets, nowMS)
+	return job.granted()
+}
+
+// takeOver replaces the holder. The answer names all targets of earlier holders, which the caller has to seal.
+func (t *Table) takeOver(element *list.Element, request Request, index uint64, nowMS int64) Answer {
+	job := element.Value.(*record)
+	t.recordBytes -= job.size()
+	job.Replaced = job.Epoch
+	job.Epoch = index
+	job.Holder = request.Holder
+	job.Incarnation = request.Incarnation
+	t.recordBytes += job.size()
+	t.addTargets(element, request.Targets, nowMS)
+	return job.granted()
+}
+
+// addTargets keeps each target once and marks the job as touched.
+func (t *Table) addTargets(element *list.Element, targets []Target, nowMS int64) {
+	job := element.Value.(*record)
+	t.recordBytes -= job.size()
+	known := make(map[Target]bool, len(job.Targets))
+	for _, target := range job.Targets {
+		known[target] = true
+	}
+	// A new slice: answers given earlier may still hold the old one.
+	merged := append([]Target(nil), job.Targets...)
+	for _, target := range targets {
+		if !known[target] {
+			known[target] = true
+			merged = append(merged, target)
+		}
+	}
+	job.Targets = merged
+	t.recordBytes += job.size()
+	t.touch(element, nowMS)
+}
+
+// Finish stores the answer under the job's epoch. A repeated Finish keeps the first answer.
+func (t *Table) Finish(finish Finish, nowMS int64) Status {
+	t.expire(nowMS)
+	element, known := t.jobs[finish.Job]
+	if !known {
+		return Fenced
+	}
+	job := element.Value.(*record)
+	if job.Epoch != finish.Epoch {
+		return Fenced
+	}
+	if job.Finished {
+		return Finished
+	}
+	t.recordBytes -= job.size()
+	job.Finished = true
+	job.Holder, job.Incarnation, job.Targets = "", "", nil
+	t.recordBytes += job.size()
+	t.touch(element, nowMS)
+	t.keepAnswer(job, finish.Body)
+	return Finished
+}
+
+func (t *Table) keepAnswer(job *record, body []byte) {
+	if len(body) == 0 || len(body) > MaxAnswerBytes {
+		return
+	}
+	job.Body = body
+	t.answered = append(t.answered, job)
+	t.answerBytes += len(body)
+	for t.answerBytes > t.limits.AnswerBytes {
+		t.dropOldestAnswer()
+	}
+}
+
+func (t *Table) dropOldestAnswer() {
+	oldest := t.answered[0]
+	t.answered[0] = nil
+	t.answered = t.answered[1:]
+	t.answerBytes -= len(oldest.Body)
+	oldest.Body = nil
+}
+
+// expire forgets what has passed its time.
+func (t *Table) expire(nowMS int64) {
+	for len(t.answered) > 0 && t.answered[0].TouchedMS+t.limits.AnswerMS <= nowMS {
+		t.dropOldestAnswer()
+	}
+	for front := t.order.Front(); front != nil; front = t.order.Front() {
+		if front.Value.(*record).TouchedMS+t.limits.RecordMS > nowMS {
+			return
+		}
+		t.remove(front)
+	}
+}
+
+// makeRoom forgets old jobs until size more bytes fit; false means that what is left is too young to forget.
+func (t *Table) makeRoom(size int, nowMS int64) bool {
+	for t.recordBytes+size > t.limits.RecordBytes {
+		front := t.order.Front()
+		if front == nil || front.Value.(*record).TouchedMS+t.limits.MinRecordMS > nowMS {
+			return false
+		}
+		t.remove(front)
+	}
+	return true
+}
+
+func (t *Table) insert(job *record) {
+	t.jobs[job.Job] = t.order.PushBack(job)
+	t.recordBytes += job.size()
+}
+
+// remove forgets a job. Its answer, if any, is the oldest kept: both queues are in the order of the last touch.
+func (t *Table) remove(element *list.Element) {
+	job := element.Value.(*record)
+	if job.Body != nil {
+		t.dropOldestAnswer()
+	}
+	t.order.Remove(element)
+	delete(t.jobs, job.Job)
+	t.recordBytes -= job.size()
+}
+
+func (t *Table) touch(element *list.Element, nowMS int64) {
+	element.Value.(*record).TouchedMS = nowMS
+	t.order.MoveToBack(element)
+}
+
+func (r *record) matches(request Request) bool {
+	if request.Extend != 0 && len(request.Digest) == 0 {
+		return true
+	}
+	return bytes.Equal(r.Digest, request.Digest)
+}
+
+func (r *record) heldBy(request Request) bool {
+	return r.Holder == request.Holder && r.Incarnation == request.Incarnation
+}
+
+func (r *record) granted() Answer {
+	return Answer{
+		Status: Granted, Epoch: r.Epoch, Holder: r.Holder, Incarnation: r.Incarnation,
+		HolderLive: true, Targets: r.Targets,
+	}
+}
+
+func (r *record) answer(status Status, live Live) Answer {
+	return Answer{
+		Status: status, Epoch: r.Epoch, Holder: r.Holder, Incarnation: r.Incarnation,
+		HolderLive: live(r.Holder, r.Incarnation), Targets: r.Targets,
+	}
+}
+
+// size estimates the record's memory without its answer, in bytes.
+func (r *record) size() int {
+	size := recordOverhead + len(r.Job) + len(r.Digest) + len(r.Holder) + len(r.Incarnation)
+	for _, target := range r.Targets {
+		size += targetOverhead + len(target.ID) + len(target.Incarnation)
+	}
+	return size
+}
+
+// targetOverhead estimates the memory of a target beyond its texts, in bytes.
+const targetOverhead = 32
--- /dev/null
+++ b/core/registry/image.go
@@ -0,0 +1,59 @@
+package registry
+
+import (
+	"maps"
+	"slices"
+)
+
+// Image is the registry in a snapshot.
+type Image struct {
+	Nodes      []Node        `msgpack:"nodes"`
+	Tombstones []tombstone   `msgpack:"tombstones"`
+	Floor      uint64        `msgpack:"floor"`
+	Ended      []ending      `msgpack:"ended"`
+	Drained    []string      `msgpack:"drained"`
+	Answers    []drainAnswer `msgpack:"answers"`
+	LastNumber uint64        `msgpack:"last"`
+}
+
+// ending lists the incarnations of one node that must not return.
+type ending struct {
+	ID           string   `msgpack:"id"`
+	Incarnations []string `msgpack:"incs"`
+}
+
+// Image returns the registry's content; it shares memory with the registry.
+func (r *Registry) Image() Image {
+	image := Image{
+		Nodes: r.Nodes(), Tombstones: r.tombstones, Floor: r.floor, Answers: r.answers, LastNumber: r.lastNumber,
+		Drained: slices.Sorted(maps.Keys(r.drained)),
+	}
+	for _, id := range r.endedOrder {
+		image.Ended = append(image.Ended, ending{ID: id, Incarnations: r.ended[id]})
+	}
+	return image
+}
+
+// Restore returns the registry that an image describes.
+func Restore(image Image) *Registry {
+	restored := New()
+	restored.tombstones = image.Tombstones
+	restored.floor = image.Floor
+	restored.answers = image.Answers
+	restored.lastNumber = image.LastNumber
+	for _, node := range image.Nodes {
+		restored.nodes[node.ID] = node
+		restored.byNumber[node.Number] = node.ID
+	}
+	for _, one := range image.Ended {
+		restored.ended[one.ID] = one.Incarnations
+		restored.endedOrder = append(restored.endedOrder, one.ID)
+	}
+	for _, id := range image.Drained {
+		restored.drained[id] = true
+	}
+	for _, answer := range image.Answers {
+		restored.byChange[answer.ChangeID] = answer.Found
+	}
+	return restored
+}
--- /dev/null
+++ b/core/state/state.go
@@ -0,0 +1,116 @@
+package state
+
+import (
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"flamingohall.example/core/catalogue"
+	"flamingohall.example/core/claim"
+	"flamingohall.example/core/registry"
+)
+
+// State is the replicated state at one log index. It is not safe for concurrent use.
+type State struct {
+	Catalogue *catalogue.Store
+	Claims    *claim.Table
+	Registry  *registry.Registry
+	// Index is the log index of the last command applied.
+	Index uint64
+	// CatalogueIndex and RegistryIndex are the log indexes of the last changes that followers see.
+	CatalogueIndex uint64
+	RegistryIndex  uint64
+	// ClockMS is the sum of the ticks in milliseconds. It measures retention and runs no faster than real time.
+	ClockMS int64
+	// TickIndex is the log index of the last tick that counted.
+	TickIndex uint64
+}
+
+// New returns the empty state at index 0.
+func New() *State {
+	return &State{
+		Catalogue: catalogue.NewStore(), Claims: claim.NewTable(claim.DefaultLimits), Registry: registry.New(),
+	}
+}
+
+// Apply executes a command at its log index and returns the encoded results. A command that can't be read changes
+// nothing and returns no results, on every replica alike.
+func (s *State) Apply(index uint64, encoded []byte) ([]byte, error) {
+	s.Index = index
+	command, err := DecodeCommand(encoded)
+	if err != nil {
+		return nil, err
+	}
+	results := make([]Result, 0, len(command.Steps))
+	for _, step := range command.Steps {
+		results = append(results, s.step(step, command.UnixMS))
+	}
+	answer, err := msgpack.Marshal(results)
+	return answer, errors.Wrap(err, "encode results")
+}
+
+func (s *State) step(step Step, unixMS int64) Result {
+	switch {
+	case step.Claim != nil:
+		answer := s.Claims.Claim(*step.Claim, s.Index, s.ClockMS, s.Registry.Live)
+		return Result{Claim: &answer}
+	case step.Finish != nil:
+		return Result{Claim: &claim.Answer{Status: s.Claims.Finish(*step.Finish, s.ClockMS)}}
+	case step.Change != nil:
+		return s.change(*step.Change, unixMS)
+	case step.Announce != nil:
+		return s.announce(*step.Announce)
+	case step.Goodbye != nil:
+		s.Registry.Goodbye(step.Goodbye.ID, step.Goodbye.Incarnation, s.Index)
+		s.RegistryIndex = s.Index
+		return Result{Accepted: true}
+	case step.Lose != nil:
+		return s.lose(*step.Lose)
+	case step.Tick != nil:
+		return s.tick(*step.Tick)
+	case step.Drain != nil:
+		found := s.Registry.Drain(step.Drain.ChangeID, step.Drain.Target, step.Drain.Drained, s.Index)
+		s.RegistryIndex = s.Index
+		return Result{Found: found}
+	}
+	return Result{}
+}
+
+func (s *State) change(change catalogue.Change, unixMS int64) Result {
+	before := s.Catalogue.Current().Number
+	answer, err := s.Catalogue.Apply(change, unixMS)
+	if err != nil {
+		return Result{ChangeIDReused: true}
+	}
+	if s.Catalogue.Current().Number != before {
+		s.CatalogueIndex = s.Index
+	}
+	return Result{Change: &answer}
+}
+
+// tick advances the clock. Only the first tick after the one that it names counts, so that two proposers can't both
+// add the same time.
+func (s *State) tick(tick Tick) Result {
+	if tick.Since != s.TickIndex || tick.ElapsedMS < 0 {
+		return Result{}
+	}
+	s.ClockMS += min(tick.ElapsedMS, MaxTickMS)
+	s.TickIndex = s.Index
+	return Result{Accepted: true}
+}
+
+func (s *State) announce(node registry.Node) Result {
+	differs := s.Registry.Differs(node)
+	accepted := s.Registry.Announce(node, s.Index)
+	if differs && accepted {
+		s.RegistryIndex = s.Index
+	}
+	return Result{Accepted: accepted}
+}
+
+func (s *State) lose(loss Loss) Result {
+	lost := s.Registry.Lose(loss.Process.ID, loss.Process.Incarnation, loss.ChangedAt, s.Index)
+	if lost {
+		s.RegistryIndex = s.Index
+	}
+	return Result{Accepted: lost}
+}
