Serve the replicated state: Control and Operator over a log

Cause: entries and sidecars need membership, claims and the catalogue; operators need changes that hold. Ruled out: heartbeats through the log (a synced write for each); a wall clock for retention. Change: node/control with proposer, digester, warden, contact watch; sync answers by delta; compact digests; the follower adopts the control VMs' addresses.

--- a/core/state/command.go
+++ b/core/state/command.go
@@ -77,19 +77,28 @@
 // Encode returns the command's bytes.
 func (c Command) Encode() ([]byte, error) {
 	encoded, err := msgpack.Marshal(c)
-	return encoded, errors.Wrap(err, "encode command")
+	if err != nil {
+		return encoded, errors.Wrap(err, "encode command")
+	}
+	return encoded, nil
 }
 
 // DecodeCommand reads the bytes of Encode.
 func DecodeCommand(encoded []byte) (Command, error) {
 	var command Command
 	err := msgpack.Unmarshal(encoded, &command)
-	return command, errors.Wrap(err, "decode command")
+	if err != nil {
+		return command, errors.Wrap(err, "decode command")
+	}
+	return command, nil
 }
 
 // DecodeResults reads what Apply returned, one result for each step.
 func DecodeResults(encoded []byte) ([]Result, error) {
 	var results []Result
 	err := msgpack.Unmarshal(encoded, &results)
-	return results, errors.Wrap(err, "decode results")
+	if err != nil {
+		return results, errors.Wrap(err, "decode results")
+	}
+	return results, nil
 }
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -32,14 +32,20 @@
 		ClockMS: s.ClockMS, TickIndex: s.TickIndex, Catalogue: s.Catalogue.Image(), Claims: s.Claims.Image(),
 		Registry: s.Registry.Image(),
 	})
-	return encoded, errors.Wrap(err, "encode snapshot")
+	if err != nil {
+		return encoded, errors.Wrap(err, "encode snapshot")
+	}
+	return encoded, nil
 }
 
 // Restore returns the state of a snapshot.
 func Restore(snapshot []byte) (*State, error) {
 	var read image
 	if err := msgpack.Unmarshal(snapshot, &read); err != nil {
-		return nil, errors.Wrap(err, "decode snapshot")
+		if err != nil {
+			return nil, errors.Wrap(err, "decode snapshot")
+		}
+		return nil, nil
 	}
 	if read.Version != imageVersion {
 		return nil, errors.Errorf("snapshot has layout %d, this program reads %d", read.Version, imageVersion)
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -45,7 +45,10 @@
 		results = append(results, s.step(step, command.UnixMS))
 	}
 	answer, err := msgpack.Marshal(results)
-	return answer, errors.Wrap(err, "encode results")
+	if err != nil {
+		return answer, errors.Wrap(err, "encode results")
+	}
+	return answer, nil
 }
 
 func (s *State) step(step Step, unixMS int64) Result {
--- /dev/null
+++ b/node/control/answer.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/core/registry"
+	"flamingohall.example/core/state"
+	"flamingohall.example/node/rpc"
+)
+
+// answer returns what the caller doesn't know yet, at the index that this VM has applied.
+func (r *Role) answer(request *rpc.SyncRequest, arrived time.Time) *rpc.SyncResponse {
+	response := &rpc.SyncResponse{Full: request.GetKnownIndex() == 0}
+	r.machine.read(func(s *state.State) { fill(response, request, s) })
+	r.addAddresses(response, request.GetAddressesDigest())
+	now := time.Now()
+	response.StalenessMs = max(0, now.Sub(r.group.Status().ConfirmedAt)).Milliseconds()
+	response.HeldMs = now.Sub(arrived).Milliseconds()
+	return response
+}
+
+// fill copies from the state what the request asks for.
+func fill(response *rpc.SyncResponse, request *rpc.SyncRequest, s *state.State) {
+	known := request.GetKnownIndex()
+	current := s.Catalogue.Current()
+	own, _ := s.Registry.Node(request.GetNode().GetId())
+	response.Index = s.Index
+	response.CatalogueRevision = current.Number
+	response.Drained = own.Drained
+	if request.GetWantCatalogue() && s.CatalogueIndex > known {
+		response.Catalogue = current.Document
+	}
+	if !request.GetWantNodes() {
+		return
+	}
+	changed, removed, ok := s.Registry.Delta(known)
+	if !ok {
+		// Removals since then are forgotten: the follower starts over, with the catalogue that it needs for that.
+		response.Full = true
+		changed, removed = s.Registry.Nodes(), nil
+		if request.GetWantCatalogue() {
+			response.Catalogue = current.Document
+		}
+	}
+	response.Removed = removed
+	for _, node := range changed {
+		response.Nodes = append(response.Nodes, nodeToRPC(node))
+	}
+}
+
+// addAddresses names the control VMs unless the caller has the same list.
+func (r *Role) addAddresses(response *rpc.SyncResponse, known uint64) {
+	var addresses []string
+	for _, member := range r.group.Status().Members {
+		addresses = append(addresses, member.Address)
+	}
+	slices.Sort(addresses)
+	digest := fnv.New64a()
+	for _, address := range addresses {
+		_, _ = digest.Write([]byte(address + "\n"))
+	}
+	if digest.Sum64() == known || len(addresses) == 0 {
+		return
+	}
+	response.AddressesDigest = digest.Sum64()
+	response.ControlAddresses = addresses
+}
+
+// nodeFromRPC checks an announcement.
+func nodeFromRPC(node *rpc.Node) (registry.Node, error) {
+	made := registry.Node{
+		ID: node.GetId(), Incarnation: node.GetIncarnation(), DataCentre: node.GetDataCentre(),
+		Address: node.GetAddress(), Leaving: node.GetLeaving(),
+	}
+	for _, text := range []string{made.ID, made.Incarnation} {
+		if text == "" || len(text) > maxNameBytes {
+			return made, fault.New(fault.Invalid, "give 1 to 256 bytes", "node: id or incarnation of %d bytes", len(text))
+		}
+	}
+	switch node.GetRole() {
+	case rpc.Role_ROLE_ENTRY:
+		made.Role = registry.Entry
+	case rpc.Role_ROLE_SIDECAR:
+		made.Role = registry.Sidecar
+	case rpc.Role_ROLE_UNSPECIFIED, rpc.Role_ROLE_CONTROL:
+		return made, fault.New(fault.Invalid, "announce an entry or a sidecar", "node %q: role %v", made.ID, node.GetRole())
+	}
+	if target := node.GetTarget(); target != nil {
+		made.Target = registry.Target{
+			Worker: target.GetWorker(), Rack: target.GetRack(), Pool: target.GetPool(), Slots: target.GetSlots(),
+			Cores: target.GetCores(), MemoryMB: target.GetMemoryMb(), Accelerators: target.GetAccelerators(),
+		}
+	}
+	return made, nil
+}
+
+func nodeToRPC(node registry.Node) *rpc.Node {
+	made := &rpc.Node{
+		Id: node.ID, Role: rpc.Role_ROLE_ENTRY, Incarnation: node.Incarnation, DataCentre: node.DataCentre,
+		Address: node.Address, Leaving: node.Leaving, Drained: node.Drained, ChangedAt: node.ChangedAt,
+	}
+	if node.Role != registry.Sidecar {
+		return made
+	}
+	made.Role = rpc.Role_ROLE_SIDECAR
+	made.Target = &rpc.TargetInfo{
+		Worker: node.Target.Worker, Rack: node.Target.Rack, Pool: node.Target.Pool, Slots: node.Target.Slots,
+		Cores: node.Target.Cores, MemoryMb: node.Target.MemoryMB, Accelerators: node.Target.Accelerators,
+	}
+	return made
+}
--- /dev/null
+++ b/node/control/machine.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"context"
+	"sync"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/core/state"
+)
+
+// machine guards the state: the group's one goroutine writes, services read.
+type machine struct {
+	mutex sync.RWMutex
+	state *state.State
+	// visible is closed at the next change that followers see, applied at the next command.
+	visible chan struct{}
+	applied chan struct{}
+}
+
+func newMachine() *machine {
+	return &machine{state: state.New(), visible: make(chan struct{}), applied: make(chan struct{})}
+}
+
+// Apply executes a command. A command that can't be read yields no result and changes nothing, on all replicas.
+func (m *machine) Apply(index uint64, command []byte) []byte {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	catalogueIndex, registryIndex := m.state.CatalogueIndex, m.state.RegistryIndex
+	result, err := m.state.Apply(index, command)
+	if err != nil {
+		result = nil
+	}
+	m.wake(catalogueIndex != m.state.CatalogueIndex || registryIndex != m.state.RegistryIndex)
+	return result
+}
+
+// Snapshot returns the encoded state.
+func (m *machine) Snapshot() ([]byte, error) {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.state.Snapshot()
+}
+
+// Restore replaces the state by a snapshot taken at index.
+func (m *machine) Restore(index uint64, snapshot []byte) error {
+	restored, err := state.Restore(snapshot)
+	if err != nil {
+		return fault.New(fault.Storage, "replace this control VM's data folder", "snapshot at %d: %v", index, err)
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.state = restored
+	m.state.Index = max(m.state.Index, index)
+	m.wake(true)
+	return nil
+}
+
+// wake runs under the lock.
+func (m *machine) wake(visible bool) {
+	close(m.applied)
+	m.applied = make(chan struct{})
+	if visible {
+		close(m.visible)
+		m.visible = make(chan struct{})
+	}
+}
+
+// read calls look with the state. look must not keep it.
+func (m *machine) read(look func(s *state.State)) {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	look(m.state)
+}
+
+// watch returns a channel that is closed at the next change that followers see.
+func (m *machine) watch() <-chan struct{} {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.visible
+}
+
+// waitApplied returns once the state includes index. The error is fault.Unavailable.
+func (m *machine) waitApplied(ctx context.Context, index uint64) error {
+	for {
+		m.mutex.RLock()
+		reached, next := m.state.Index, m.applied
+		m.mutex.RUnlock()
+		if reached >= index {
+			return nil
+		}
+		select {
+		case <-next:
+		case <-ctx.Done():
+			return fault.New(fault.Unavailable, "ask another control VM",
+				"this control VM is at index %d, behind %d", reached, index)
+		}
+	}
+}
--- /dev/null
+++ b/node/control/operator.go
@@ -0,0 +1,223 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"flamingohall.example/core/catalogue"
+	"flamingohall.example/core/fault"
+	"flamingohall.example/core/registry"
+	"flamingohall.example/core/state"
+	"flamingohall.example/node/events"
+	"flamingohall.example/node/faultrpc"
+	"flamingohall.example/node/rpc"
+	"flamingohall.example/node/settings"
+)
+
+// Limits of operators' requests.
+const (
+	defaultHistory = 50
+	maxHistory     = 1_000
+	// neverHeard stands for a node that nobody has heard since this leader took over.
+	neverHeard = -1
+)
+
+// operator serves rpc.Operator.
+type operator struct {
+	role *Role
+}
+
+// ApplyCatalogue makes a document the next revision if base_revision is the current one.
+func (o *operator) ApplyCatalogue(
+	ctx context.Context, request *rpc.ApplyCatalogueRequest,
+) (*rpc.ApplyCatalogueResponse, error) {
+	response, err := o.applyCatalogue(ctx, request)
+	return response, faultrpc.To(err)
+}
+
+func (o *operator) applyCatalogue(
+	ctx context.Context, request *rpc.ApplyCatalogueRequest,
+) (*rpc.ApplyCatalogueResponse, error) {
+	if err := checkChange(request.GetChangeId(), request.GetAuthor()); err != nil {
+		return nil, err
+	}
+	if _, err := catalogue.Parse(request.GetDocument()); err != nil {
+		return nil, err
+	}
+	change := catalogue.Change{
+		ChangeID: request.GetChangeId(), BaseRevision: request.GetBaseRevision(),
+		Document: request.GetDocument(), Author: request.GetAuthor(),
+	}
+	_, result, err := o.role.proposer.propose(ctx, state.Step{Change: &change})
+	if err != nil {
+		return nil, resendable(err)
+	}
+	if result.ChangeIDReused || result.Change == nil {
+		return nil, fault.New(fault.Conflict, "use a new change id for each change",
+			"change id %q stands for another change", change.ChangeID)
+	}
+	answer := result.Change
+	event := events.CatalogueChanged
+	if !answer.Applied {
+		event = events.CatalogueRefused
+	}
+	event.Log(o.role.logger, "change", change.ChangeID, "author", change.Author, "revision", answer.Revision)
+	return &rpc.ApplyCatalogueResponse{
+		Applied: answer.Applied, Revision: answer.Revision, ChangedBy: answer.ChangedBy, ChangeId: answer.ChangeID,
+	}, nil
+}
+
+func checkChange(changeID, author string) error {
+	if changeID == "" || len(changeID) > maxNameBytes {
+		return fault.New(fault.Invalid, "give 1 to 256 bytes", "change id of %d bytes", len(changeID))
+	}
+	if len(author) > maxNameBytes {
+		return fault.New(fault.Invalid, "give at most 256 bytes", "author of %d bytes", len(author))
+	}
+	return nil
+}
+
+// resendable tells operators that the same change id is safe to send again.
+func resendable(err error) error {
+	found := fault.Of(err)
+	if found.Kind != fault.Unknown {
+		return found
+	}
+	return fault.New(fault.Unknown, "send the same change again with the same change id", "%s", found.Message)
+}
+
+// GetCatalogue returns a revision after a confirmed read.
+func (o *operator) GetCatalogue(
+	ctx context.Context, request *rpc.GetCatalogueRequest,
+) (*rpc.GetCatalogueResponse, error) {
+	if err := o.confirm(ctx); err != nil {
+		return nil, faultrpc.To(err)
+	}
+	var revision catalogue.Revision
+	found := true
+	o.role.machine.read(func(s *state.State) {
+		revision = s.Catalogue.Current()
+		if request.GetRevision() != 0 {
+			revision, found = s.Catalogue.At(request.GetRevision())
+		}
+	})
+	if !found || revision.Number != 0 && revision.Document == nil {
+		return nil, faultrpc.To(fault.New(fault.NotFound, "list the history; old documents are in version control",
+			"revision %d is not kept", request.GetRevision()))
+	}
+	return &rpc.GetCatalogueResponse{
+		Revision: revision.Number, Document: revision.Document, Author: revision.Author,
+		ChangeId: revision.ChangeID, AppliedUnixMs: revision.AppliedUnixMS,
+	}, nil
+}
+
+// History returns the newest changes first.
+func (o *operator) History(ctx context.Context, request *rpc.HistoryRequest) (*rpc.HistoryResponse, error) {
+	if err := o.confirm(ctx); err != nil {
+		return nil, faultrpc.To(err)
+	}
+	limit := int(request.GetLimit())
+	if limit == 0 {
+		limit = defaultHistory
+	}
+	response := &rpc.HistoryResponse{}
+	o.role.machine.read(func(s *state.State) {
+		for _, revision := range s.Catalogue.History(min(limit, maxHistory)) {
+			response.Changes = append(response.Changes, &rpc.Change{
+				Revision: revision.Number, ChangeId: revision.ChangeID, Author: revision.Author,
+				AppliedUnixMs: revision.AppliedUnixMS,
+			})
+		}
+	})
+	return response, nil
+}
+
+// Nodes lists the nodes with the revision in force at each; the leader knows.
+func (o *operator) Nodes(ctx context.Context, request *rpc.NodesRequest) (*rpc.NodesResponse, error) {
+	status := o.role.group.Status()
+	if !status.IsLeader && !request.GetLocal() && status.LeaderAddress != "" {
+		return o.role.leaderClient(status).Nodes(ctx, &rpc.NodesRequest{Local: true})
+	}
+	if err := o.confirm(ctx); err != nil {
+		return nil, faultrpc.To(err)
+	}
+	response := &rpc.NodesResponse{}
+	var nodes []registry.Node
+	o.role.machine.read(func(s *state.State) {
+		response.Index = s.Index
+		response.CatalogueRevision = s.Catalogue.Current().Number
+		nodes = s.Registry.Nodes()
+	})
+	now := time.Now()
+	for _, node := range nodes {
+		listed := &rpc.NodeStatus{Node: nodeToRPC(node), LastHeardMs: neverHeard}
+		if seen, found := o.role.presence.last(node.Number); found {
+			listed.RevisionInForce = seen.revision
+			listed.LastHeardMs = now.Sub(seen.at).Milliseconds()
+		}
+		response.Nodes = append(response.Nodes, listed)
+	}
+	return response, nil
+}
+
+// Drain keeps new work away from a target, or lets it back.
+func (o *operator) Drain(ctx context.Context, request *rpc.DrainRequest) (*rpc.DrainResponse, error) {
+	if err := checkChange(request.GetChangeId(), ""); err != nil {
+		return nil, faultrpc.To(err)
+	}
+	step := state.Drain{ChangeID: request.GetChangeId(), Target: request.GetTarget(), Drained: request.GetDrained()}
+	_, result, err := o.role.proposer.propose(ctx, state.Step{Drain: &step})
+	if err != nil {
+		return nil, faultrpc.To(resendable(err))
+	}
+	events.TargetDrained.Log(o.role.logger, "change", step.ChangeID, "target", step.Target,
+		"drained", step.Drained, "found", result.Found)
+	return &rpc.DrainResponse{Found: result.Found}, nil
+}
+
+// Members lists the control VMs; the leader knows how far each has come.
+func (o *operator) Members(ctx context.Context, request *rpc.MembersRequest) (*rpc.MembersResponse, error) {
+	status := o.role.group.Status()
+	if !status.IsLeader && !request.GetLocal() && status.LeaderAddress != "" {
+		return o.role.leaderClient(status).Members(ctx, &rpc.MembersRequest{Local: true})
+	}
+	return &rpc.MembersResponse{
+		Leader: status.Leader, Term: status.Term, CommitIndex: status.CommitIndex, Members: membersToRPC(status),
+	}, nil
+}
+
+// ChangeMember adds or removes one control VM. Adding a member again or removing an unknown one changes nothing, so
+// that a resend is safe.
+func (o *operator) ChangeMember(
+	ctx context.Context, request *rpc.ChangeMemberRequest,
+) (*rpc.ChangeMemberResponse, error) {
+	asked := request.GetMember()
+	member := settings.Member{ID: asked.GetId(), Address: asked.GetAddress(), DataCentre: asked.GetDataCentre()}
+	if member.ID == "" || (member.Address == "" && !request.GetRemove()) {
+		return nil, faultrpc.To(fault.New(fault.Invalid, "give id and address", "member %q at %q", member.ID, member.Address))
+	}
+	if err := o.role.group.ChangeMember(ctx, member, request.GetRemove()); err != nil {
+		return nil, faultrpc.To(err)
+	}
+	events.MemberChanged.Log(o.role.logger, "member", member.ID, "address", member.Address, "remove", request.GetRemove())
+	return &rpc.ChangeMemberResponse{Members: membersToRPC(o.role.group.Status())}, nil
+}
+
+func membersToRPC(status Status) []*rpc.Member {
+	var members []*rpc.Member
+	for _, member := range status.Members {
+		members = append(members, &rpc.Member{
+			Id: member.ID, Address: member.Address, DataCentre: member.DataCentre,
+			Learner: member.Learner, MatchIndex: member.MatchIndex,
+		})
+	}
+	return members
+}
+
+// confirm makes sure that this VM's state includes everything committed before the call.
+func (o *operator) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	_, err := o.role.group.Confirm(ctx)
+	return err
+}
--- /dev/null
+++ b/node/control/role.go
@@ -0,0 +1,128 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/node/events"
+	"flamingohall.example/node/metrics"
+	"flamingohall.example/node/rpc"
+	"flamingohall.example/node/settings"
+)
+
+// Times of the contact watch.
+const (
+	contactPeriod = 200 * time.Millisecond
+	// maxSilence is how long this VM may be out of touch with a majority before it stops answering.
+	maxSilence = 2 * time.Second
+)
+
+// Role is the control role of a process.
+type Role struct {
+	id      string
+	lease   time.Duration
+	logger  logr.Logger
+	metrics *metrics.Role
+	http    *http.Client
+
+	group    Group
+	machine  *machine
+	proposer *proposer
+	presence *presence
+	gate     *gate
+
+	cancel context.CancelFunc
+	// duties are the named loops, background the proposals that nobody waits for.
+	duties     sync.WaitGroup
+	background sync.WaitGroup
+}
+
+// newRole returns the role over a group that group makes for the machine.
+func newRole(file *settings.File, logger logr.Logger, open func(m *machine) (Group, error)) (*Role, error) {
+	role := &Role{
+		id: file.Node.ID, lease: time.Duration(file.Control.TargetLeaseMS) * time.Millisecond, logger: logger,
+		metrics: metrics.NewRole("control", file.Node.ID), http: &http.Client{Transport: &http.Transport{}},
+		machine: newMachine(), presence: newPresence(), gate: newGate(outOfTouch()),
+	}
+	group, err := open(role.machine)
+	if err != nil {
+		return nil, err
+	}
+	role.group = group
+	role.proposer = newProposer(group, role.metrics)
+	role.publishGauges()
+	return role, nil
+}
+
+func outOfTouch() *fault.Error {
+	return fault.New(fault.Unavailable, "ask another control VM; check that a majority of them runs",
+		"this control VM is out of touch with a majority").After(contactPeriod)
+}
+
+func stopping() *fault.Error {
+	return fault.New(fault.Unavailable, "ask another control VM", "this control VM is stopping")
+}
+
+// Register adds the twirp services to the process's listener.
+func (r *Role) Register(mux *http.ServeMux) {
+	r.group.Register(mux)
+	mux.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(r))
+	mux.Handle(rpc.OperatorPathPrefix, rpc.NewOperatorServer(&operator{role: r}))
+}
+
+// Start starts the group and the duties.
+func (r *Role) Start(ctx context.Context) error {
+	if err := r.group.Start(ctx); err != nil {
+		return err
+	}
+	ctx, r.cancel = context.WithCancel(ctx)
+	r.duties.Go(func() { r.proposer.run(ctx) })
+	r.duties.Go(func() { (&digester{role: r}).run(ctx) })
+	r.duties.Go(func() { (&warden{role: r}).run(ctx) })
+	r.duties.Go(func() { every(ctx, contactPeriod, r.watchContact) })
+	return nil
+}
+
+// Ready returns nil while this VM is in touch with a majority and no stop was asked for.
+func (r *Role) Ready() error {
+	if err := r.group.Ready(); err != nil {
+		return err
+	}
+	_, err := r.gate.check()
+	return err
+}
+
+// Stop releases the polls, lets commands under way end, and hands leadership over.
+func (r *Role) Stop(ctx context.Context) error {
+	r.gate.shut(stopping(), true)
+	if r.cancel != nil {
+		r.cancel()
+	}
+	r.duties.Wait()
+	r.background.Wait()
+	return r.group.Stop(ctx)
+}
+
+// watchContact opens the gate while this VM is in touch with a majority.
+func (r *Role) watchContact() {
+	silence := time.Since(r.group.Status().ConfirmedAt)
+	if silence <= maxSilence {
+		if r.gate.open() {
+			events.QuorumRegained.Log(r.logger)
+		}
+		return
+	}
+	if r.gate.shut(outOfTouch(), false) {
+		events.QuorumLost.Log(r.logger, "silence", silence.String())
+	}
+}
+
+// leaderClient returns the leader's Operator service.
+func (r *Role) leaderClient(status Status) rpc.Operator {
+	return rpc.NewOperatorProtobufClient("http://"+status.LeaderAddress, r.http)
+}
--- /dev/null
+++ b/node/control/warden.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"flamingohall.example/core/registry"
+	"flamingohall.example/core/state"
+	"flamingohall.example/node/events"
+)
+
+// Times of the warden.
+const (
+	watchPeriod = time.Second
+	// maxWatchGap is the pause after which the warden takes itself for frozen and starts its leases anew.
+	maxWatchGap = 3 * time.Second
+	tickPeriod  = 10 * time.Second
+)
+
+// warden gives up nodes that nobody hears, and advances the state's clock, while this VM leads.
+type warden struct {
+	role *Role
+	// leading and watchedAt tell when leases have to start anew.
+	leading   bool
+	watchedAt time.Time
+	// since is the earliest time from which silence of a process counts, by registry number.
+	since map[uint64]time.Time
+	// tickIndex is the last tick seen applied, at tickedAt.
+	tickIndex uint64
+	tickedAt  time.Time
+}
+
+// run is the warden's duty.
+func (w *warden) run(ctx context.Context) {
+	every(ctx, watchPeriod, func() { w.watch(ctx, time.Now()) })
+}
+
+func (w *warden) watch(ctx context.Context, now time.Time) {
+	frozen := now.Sub(w.watchedAt) > maxWatchGap
+	w.watchedAt = now
+	var nodes []registry.Node
+	w.role.machine.read(func(s *state.State) { nodes = s.Registry.Nodes() })
+	w.role.presence.forget(numbersOf(nodes))
+	leads := w.role.group.Status().IsLeader
+	if !leads {
+		w.leading = false
+		return
+	}
+	if !w.leading || frozen {
+		w.takeUp(now)
+	}
+	w.giveUpSilent(ctx, nodes, now)
+	w.tick(ctx, now)
+}
+
+// takeUp starts all leases anew.
+func (w *warden) takeUp(now time.Time) {
+	w.leading = true
+	w.since = map[uint64]time.Time{}
+	w.tickedAt = now
+	events.LeadershipGained.Log(w.role.logger, "lease", w.role.lease.String())
+}
+
+func (w *warden) giveUpSilent(ctx context.Context, nodes []registry.Node, now time.Time) {
+	since := make(map[uint64]time.Time, len(nodes))
+	for _, node := range nodes {
+		from, known := w.since[node.Number]
+		if !known {
+			from = now
+		}
+		since[node.Number] = from
+		if seen, found := w.role.presence.last(node.Number); found && seen.at.After(from) {
+			from = seen.at
+		}
+		if now.Sub(from) > w.role.lease {
+			w.giveUp(ctx, node, now.Sub(from))
+		}
+	}
+	w.since = since
+}
+
+// giveUp proposes a loss without waiting for it; the next round tries again.
+func (w *warden) giveUp(ctx context.Context, node registry.Node, silence time.Duration) {
+	loss := state.Loss{Process: state.Process{ID: node.ID, Incarnation: node.Incarnation}, ChangedAt: node.ChangedAt}
+	w.role.background.Go(func() {
+		_, result, err := w.role.proposer.propose(ctx, state.Step{Lose: &loss})
+		if err == nil && result.Accepted {
+			events.NodeLost.Log(w.role.logger, "id", node.ID, "incarnation", node.Incarnation, "silence", silence.String())
+		}
+	})
+}
+
+// tick proposes the time since the last tick was seen applied, which is never more than what has passed.
+func (w *warden) tick(ctx context.Context, now time.Time) {
+	var applied uint64
+	w.role.machine.read(func(s *state.State) { applied = s.TickIndex })
+	if applied != w.tickIndex {
+		w.tickIndex = applied
+		w.tickedAt = now
+		return
+	}
+	elapsed := now.Sub(w.tickedAt)
+	if elapsed < tickPeriod {
+		return
+	}
+	tick := state.Tick{Since: applied, ElapsedMS: elapsed.Milliseconds()}
+	w.role.background.Go(func() { _, _, _ = w.role.proposer.propose(ctx, state.Step{Tick: &tick}) })
+}
+
+func numbersOf(nodes []registry.Node) map[uint64]bool {
+	numbers := make(map[uint64]bool, len(nodes))
+	for _, node := range nodes {
+		numbers[node.Number] = true
+	}
+	return numbers
+}
--- a/node/controlclient/caller.go
+++ b/node/controlclient/caller.go
@@ -39,13 +39,13 @@
 
 // Sync sends one message to the preferred control VM.
 func (c *caller) Sync(ctx context.Context, request *rpc.SyncRequest) (*rpc.SyncResponse, error) {
-	answer, err := c.pool.current().Sync(ctx, request)
+	answer, err := c.pool.current().client.Sync(ctx, request)
 	return answer, faultrpc.From(err)
 }
 
 // Digest sends one message to the preferred control VM.
 func (c *caller) Digest(ctx context.Context, request *rpc.DigestRequest) (*rpc.DigestResponse, error) {
-	answer, err := c.pool.current().Digest(ctx, request)
+	answer, err := c.pool.current().client.Digest(ctx, request)
 	return answer, faultrpc.From(err)
 }
 
@@ -55,8 +55,8 @@
 	backoff := newBackoff()
 	mayHaveRun := false
 	for {
-		seen := c.pool.preferred.Load()
-		answer, err := attempt(ctx, c.pool.current(), call)
+		server := c.pool.current()
+		answer, err := attempt(ctx, server.client, call)
 		if err == nil {
 			return answer, nil
 		}
@@ -65,7 +65,7 @@
 			return nil, found
 		}
 		mayHaveRun = mayHaveRun || found.Kind != fault.Unavailable
-		c.pool.rotateFrom(seen)
+		c.pool.rotate(server)
 		if !sleep(ctx, backoff.next()) {
 			return nil, exhausted(found, mayHaveRun)
 		}
--- a/node/controlclient/follower.go
+++ b/node/controlclient/follower.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 
 	"flamingohall.example/core/fault"
@@ -52,8 +51,9 @@
 
 	announced chan struct{}
 	view      atomic.Pointer[View]
-	// failing is touched by the loop only.
-	failing bool
+	// failing and addressesDigest are touched by the loop only.
+	failing         bool
+	addressesDigest uint64
 
 	// mutex guards the fields below.
 	mutex   sync.Mutex
@@ -136,37 +136,38 @@
 	_, err := f.caller.retry(ctx, func(ctx context.Context, client rpc.Control) (any, error) {
 		return client.Sync(ctx, request)
 	})
-	return errors.Wrap(err, "goodbye")
+	return err
 }
 
 // loop polls until ctx ends.
 func (f *Follower) loop(ctx context.Context) {
 	backoff := newBackoff()
 	for ctx.Err() == nil {
-		err := f.poll(ctx)
+		server := f.pool.current()
+		err := f.poll(ctx, server)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
-			f.recovered()
+			f.recovered(server)
 			backoff.reset()
 			continue
 		}
-		f.failed(err)
-		f.pool.rotate()
+		f.failed(server, err)
+		f.pool.rotate(server)
 		f.wait(ctx, backoff.next())
 	}
 }
 
 // poll sends one message and applies its answer. An announcement cuts the wait short.
-func (f *Follower) poll(ctx context.Context) error {
+func (f *Follower) poll(ctx context.Context, server server) error {
 	request := f.request()
 	limit := time.Duration(request.GetHoldMs())*time.Millisecond + answerSlack
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	interrupted := f.interruptOnAnnounce(ctx, cancel)
 	sentAt := time.Now()
-	answer, err := f.pool.current().Sync(ctx, request)
+	answer, err := server.client.Sync(ctx, request)
 	cancel()
 	if <-interrupted {
 		// The next poll carries the new record at once.
@@ -196,7 +197,7 @@
 func (f *Follower) request() *rpc.SyncRequest {
 	request := &rpc.SyncRequest{
 		Node: f.options.Self(), HoldMs: Hold.Milliseconds(),
-		WantNodes: f.options.WantNodes, WantCatalogue: f.options.WantCatalogue,
+		WantNodes: f.options.WantNodes, WantCatalogue: f.options.WantCatalogue, AddressesDigest: f.addressesDigest,
 	}
 	if view := f.view.Load(); view != nil {
 		request.KnownIndex = view.Index
@@ -219,6 +220,10 @@
 			"control VM is at index %d, behind %d", answer.GetIndex(), before.Index)
 	}
 	f.publish(before, after, answer)
+	if len(answer.GetControlAddresses()) > 0 {
+		f.addressesDigest = answer.GetAddressesDigest()
+		f.pool.adopt(answer.GetControlAddresses())
+	}
 	if staleness > maxAnswerStaleness {
 		return fault.New(fault.Unavailable, "check the network between the control VMs",
 			"control VM has been out of touch with its quorum for %v", staleness)
@@ -252,18 +257,18 @@
 }
 
 // failed logs the first failure of a row.
-func (f *Follower) failed(err error) {
+func (f *Follower) failed(server server, err error) {
 	if f.failing {
 		return
 	}
 	f.failing = true
-	events.SyncFailed.LogError(f.options.Logger, err, "address", f.pool.address())
+	events.SyncFailed.LogError(f.options.Logger, err, "address", server.address)
 }
 
-func (f *Follower) recovered() {
+func (f *Follower) recovered(server server) {
 	if !f.failing {
 		return
 	}
 	f.failing = false
-	events.SyncRecovered.Log(f.options.Logger, "address", f.pool.address())
+	events.SyncRecovered.Log(f.options.Logger, "address", server.address)
 }
--- a/node/controlclient/pool.go
+++ b/node/controlclient/pool.go
@@ -5,8 +5,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"flamingohall.example/node/metrics"
@@ -23,30 +23,44 @@
 // pool holds one client for each control VM and the one preferred now.
 type pool struct {
 	metrics *metrics.Role
-	clients []rpc.Control
-	names   []string
 	http    *http.Client
-	// preferred indexes clients; only its value modulo len(clients) matters.
-	preferred atomic.Uint64
 	// bodiesOnly is true when the HTTP client is not ours, so that its connections can't be counted.
 	bodiesOnly bool
+	// configured are the addresses from the settings, which stay in the list.
+	configured []string
+
+	// mutex guards the fields below.
+	mutex   sync.Mutex
+	servers []server
+	// preferred indexes servers.
+	preferred int
+}
+
+// server is one control VM.
+type server struct {
+	address string
+	client  rpc.Control
 }
 
 func newPool(options Options) *pool {
-	made := &pool{metrics: options.Metrics, names: options.Addresses, http: options.HTTP}
+	made := &pool{metrics: options.Metrics, http: options.HTTP, configured: options.Addresses}
 	made.bodiesOnly = options.HTTP != nil
 	if made.http == nil {
 		made.http = made.ownClient()
 	}
 	for _, address := range options.Addresses {
-		client := rpc.NewControlProtobufClient("http://"+address, made.http)
-		made.clients = append(made.clients, client)
+		made.servers = append(made.servers, made.server(address))
 	}
 	// A random start spreads the followers over the control VMs.
-	made.preferred.Store(rand.Uint64N(uint64(len(made.clients)))) //nolint:gosec // Not a secret.
+	made.preferred = rand.IntN(len(made.servers)) //nolint:gosec // Not a secret.
 	return made
 }
 
+func (p *pool) server(address string) server {
+	client := rpc.NewControlProtobufClient("http://"+address, p.http)
+	return server{address: address, client: &counted{Control: client, pool: p}}
+}
+
 // ownClient returns an HTTP client whose connections count their bytes.
 func (p *pool) ownClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -64,31 +78,47 @@
 	return &http.Client{Transport: transport}
 }
 
-func (p *pool) position() int {
-	return int(p.preferred.Load() % uint64(len(p.clients)))
-}
-
-func (p *pool) current() rpc.Control {
-	return &counted{Control: p.clients[p.position()], pool: p}
-}
-
-func (p *pool) address() string {
-	return p.names[p.position()]
+// current returns the preferred control VM.
+func (p *pool) current() server {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.servers[p.preferred]
 }
 
-// rotate prefers the next control VM and drops idle connections, one of which may have gone silent.
-func (p *pool) rotate() {
-	p.rotateFrom(p.preferred.Load())
-}
-
-// rotateFrom moves on unless another caller already did.
-func (p *pool) rotateFrom(seen uint64) {
-	p.preferred.CompareAndSwap(seen, seen+1)
+// rotate prefers the VM after one that failed, unless another caller already moved on, and drops idle connections, one
+// of which may have gone silent.
+func (p *pool) rotate(failed server) {
+	p.mutex.Lock()
+	if p.servers[p.preferred].address == failed.address {
+		p.preferred = (p.preferred + 1) % len(p.servers)
+	}
+	p.mutex.Unlock()
 	if !p.bodiesOnly {
 		p.http.CloseIdleConnections()
 	}
 }
 
+// adopt replaces the list by what control says, followed by the configured addresses that it lacks.
+func (p *pool) adopt(addresses []string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	before := p.servers[p.preferred].address
+	var servers []server
+	preferred := 0
+	known := map[string]bool{}
+	for _, address := range slices.Concat(addresses, p.configured) {
+		if known[address] {
+			continue
+		}
+		known[address] = true
+		if address == before {
+			preferred = len(servers)
+		}
+		servers = append(servers, p.server(address))
+	}
+	p.servers, p.preferred = servers, preferred
+}
+
 // countedConn counts the bytes of a connection, both ways.
 type countedConn struct {
 	net.Conn
