Add the aggregate of a target, untested yet

Cause: every start at a target goes through one gate. Ruled out: forgetting by time alone, since a copy may wait in a socket for longer. Change: package core/target: gate, fences, seals, queue with turns, outcomes remembered within bounds.

--- /dev/null
+++ b/core/target/gate.go
@@ -0,0 +1,238 @@
+package target
+
+// ending is how an attempt ends.
+type ending struct {
+	outcome Outcome
+	cause   Cause
+	reason  string
+}
+
+var (
+	pastDeadline = ending{NotRun, CauseDeadline, "the deadline passed before it could start"}
+	sealed       = ending{NotRun, CauseSealed, "sealed before it started"}
+	superseded   = ending{NotRun, CauseSealed, "a later attempt has been seen"}
+	fencedOff    = ending{NotRun, CauseFenced, "a newer claim holds the job"}
+	cancelledIt  = ending{Cancelled, CauseCancelled, "cancelled before it started"}
+	staleSeal    = ending{Unknown, CauseFenced, "a newer claim holds the job and may start it"}
+	lostProcess  = ending{Unknown, CauseLost, "the process that knew is gone"}
+	otherProcess = ending{Unknown, CauseIncarnation, "meant for an earlier process at this target"}
+	forgotten    = ending{Unknown, CauseLost, "it may have been started here; its outcome is forgotten"}
+)
+
+// told makes the outcome of an attempt that has no record of its own.
+func (e ending) told(index, attempt uint32) TaskOutcome {
+	return TaskOutcome{Index: index, Attempt: attempt, Outcome: e.outcome, Cause: e.cause, Reason: e.reason}
+}
+
+// run is the gate.
+func (t *Target) run(event Run) {
+	w := t.addWaiter(event)
+	j, refusal, admitted := t.admitJob(event)
+	for _, spec := range event.Tasks {
+		if !admitted {
+			w.settle(refusal.told(spec.Index, spec.Attempt))
+			continue
+		}
+		t.admitTask(j, event, spec, w)
+	}
+	if j != nil {
+		t.rest(j)
+	}
+	w.complete = true
+	t.answerWhenDue(w)
+}
+
+// admitJob returns the job's record, or why all tasks of the request are refused.
+func (t *Target) admitJob(event Run) (*job, ending, bool) {
+	if t.otherIncarnation(event) {
+		return nil, otherProcess, false
+	}
+	j, how := t.open(event.Job)
+	if j == nil {
+		return nil, how, false
+	}
+	j.repeatable = j.repeatable && event.Repeatable
+	if event.Epoch > j.fence {
+		j.raise(event.Epoch, 0)
+	}
+	return j, ending{}, true
+}
+
+func (t *Target) otherIncarnation(event Run) bool {
+	if t.off.incarnation || (event.Repeatable && event.Incarnation == "") {
+		return false
+	}
+	return event.Incarnation != t.options.Incarnation
+}
+
+// open returns the record of a job, a new one when nothing is known of it, or none and the reason when it was
+// forgotten and nothing of it may start.
+func (t *Target) open(id JobID) (*job, ending) {
+	if j := t.jobs[id]; j != nil {
+		t.wake(j)
+		return j, ending{}
+	}
+	stone, buried := t.stones.stones[id]
+	if buried && !t.off.tombstones {
+		switch stone.fate {
+		case fateStarted:
+			return nil, forgotten
+		case fateCancelled:
+			return nil, cancelledIt
+		case fateOpen:
+			t.stones.remove(id)
+		}
+	}
+	j := &job{id: id, repeatable: !buried, fence: stone.fence, fenceAttempt: stone.attempt}
+	t.jobs[id] = j
+	t.charge(j, jobBytes)
+	return j, ending{}
+}
+
+// admitTask decides on one task of a request. A waiter is told of it now or when it ends.
+func (t *Target) admitTask(j *job, event Run, spec Spec, w *waiter) {
+	each := j.find(spec.Index)
+	switch {
+	case each != nil && spec.Attempt <= each.attempt:
+		t.attach(j, each, spec, w)
+		return
+	case each != nil && !t.mayTryAgain(j, each):
+		w.watch(each)
+		return
+	case each != nil && each.sealed:
+		w.settle(ending{each.outcome, each.cause, each.reason}.told(spec.Index, spec.Attempt))
+		return
+	case each == nil && j.lost:
+		w.settle(forgotten.told(spec.Index, spec.Attempt))
+		return
+	case !t.off.fence && j.fenced(event.Epoch, spec.Attempt):
+		w.settle(t.fencedEnding(j, event).told(spec.Index, spec.Attempt))
+		return
+	}
+	if each == nil {
+		each = t.addTask(j, spec.Index)
+	}
+	if how, refused := t.refuse(j, event); refused {
+		t.remember(j, each, spec, how, w)
+		return
+	}
+	t.enqueue(j, each, event, spec)
+	w.watch(each)
+	t.pump()
+}
+
+// attach answers a copy, or an attempt older than the latest. A never-repeated task has a later attempt only when the
+// older ones did not start.
+func (t *Target) attach(j *job, each *task, spec Spec, w *waiter) {
+	switch {
+	case spec.Attempt == each.attempt:
+		w.watch(each)
+	case each.started && j.repeatable:
+		w.settle(forgotten.told(spec.Index, spec.Attempt))
+	default:
+		w.settle(superseded.told(spec.Index, spec.Attempt))
+	}
+}
+
+// mayTryAgain reports whether an attempt later than the last one may start.
+func (t *Target) mayTryAgain(j *job, each *task) bool {
+	if each.live != nil || each.outcome == Done {
+		return false
+	}
+	return j.repeatable || !each.started || t.off.gate
+}
+
+func (t *Target) fencedEnding(j *job, event Run) ending {
+	if event.Epoch < j.fence {
+		return fencedOff
+	}
+	return sealed
+}
+
+// refuse tells why a new attempt is not taken, if so.
+func (t *Target) refuse(j *job, event Run) (ending, bool) {
+	if j.cancelled {
+		return cancelledIt, true
+	}
+	if how, closed := t.closed(); closed {
+		return how, true
+	}
+	if event.Deadline <= t.now {
+		return pastDeadline, true
+	}
+	slots := max(event.Slots, 1)
+	switch {
+	case slots > t.options.Slots:
+		return ending{NotRun, CauseBusy, "the task needs more slots than the target has"}, true
+	case t.bytes > t.options.OutcomeBytes:
+		return ending{NotRun, CauseBusy, "the memory for outcomes is full"}, true
+	case t.queue.tasks < t.options.Queue:
+		return ending{}, false
+	case t.queue.tasks == 0 && t.busy+slots <= t.options.Slots:
+		return ending{}, false
+	default:
+		return ending{NotRun, CauseBusy, "no free slot and no room in the queue"}, true
+	}
+}
+
+// remember ends an attempt that never got into the queue, so that a late copy of the request can't start it.
+func (t *Target) remember(j *job, each *task, spec Spec, how ending, w *waiter) {
+	if t.off.refusals {
+		w.settle(how.told(spec.Index, spec.Attempt))
+		return
+	}
+	each.attempt = spec.Attempt
+	t.conclude(j, each, how, nil)
+	w.watch(each)
+}
+
+func (t *Target) enqueue(j *job, each *task, event Run, spec Spec) {
+	each.attempt = spec.Attempt
+	each.outcome = Queued
+	each.cause = CauseNone
+	t.setText(j, each, "", nil)
+	each.queueUS = 0
+	each.runUS = 0
+	each.live = &liveTask{
+		job: j, payload: spec.Payload, entry: event.Entry, deadline: event.Deadline,
+		queuedAt: t.now, slots: max(event.Slots, 1),
+	}
+	j.live++
+	t.queue.push(j, each)
+}
+
+// end ends a live attempt without a result.
+func (t *Target) end(j *job, each *task, how ending) {
+	t.endWith(j, each, how, nil)
+}
+
+// endWith ends a live attempt and tells those who wait for it.
+func (t *Target) endWith(j *job, each *task, how ending, result []byte) {
+	waiters := each.live.waiters
+	each.live = nil
+	j.live--
+	t.conclude(j, each, how, result)
+	for _, w := range waiters {
+		w.ended(each)
+		t.answerWhenDue(w)
+	}
+	t.rest(j)
+}
+
+func (t *Target) conclude(j *job, each *task, how ending, result []byte) {
+	each.outcome = how.outcome
+	each.cause = how.cause
+	t.setText(j, each, how.reason, result)
+}
+
+func (t *Target) setText(j *job, each *task, reason string, result []byte) {
+	t.charge(j, len(reason)+len(result)-len(each.reason)-len(each.result))
+	each.reason = reason
+	each.result = result
+}
+
+func (t *Target) addTask(j *job, index uint32) *task {
+	t.charge(j, taskBytes)
+	t.remembered++
+	return j.add(index)
+}
