Add the sidecar role: gate, calls to the target, drain, planned stop

Cause: entries need a process beside each target that starts every task at most once. Ruled out: finishing what is queued at a planned stop; it is handed back as not run, so that entries place it elsewhere in one message and no start reaches the target after the announcement. Conclusion: a job of six never-repeated tasks runs once when it is sent twice; a drain hands queued work back.

--- a/core/target/gate.go
+++ b/core/target/gate.go
@@ -1,5 +1,7 @@
 package target
 
+import "slices"
+
 // ending is how an attempt ends.
 type ending struct {
 	outcome Outcome
@@ -97,7 +99,7 @@
 		t.attach(j, each, spec, w)
 		return
 	case each != nil && !t.mayTryAgain(j, each):
-		w.watch(each)
+		t.watch(w, each)
 		return
 	case each != nil && each.sealed:
 		w.settle(ending{each.outcome, each.cause, each.reason}.told(spec.Index, spec.Attempt))
@@ -109,6 +111,7 @@
 		w.settle(t.fencedEnding(j, event).told(spec.Index, spec.Attempt))
 		return
 	}
+	w.fresh = true
 	if each == nil {
 		each = t.addTask(j, spec.Index)
 	}
@@ -117,7 +120,7 @@
 		return
 	}
 	t.enqueue(j, each, event, spec)
-	w.watch(each)
+	t.watch(w, each)
 	t.pump()
 }
 
@@ -126,7 +129,7 @@
 func (t *Target) attach(j *job, each *task, spec Spec, w *waiter) {
 	switch {
 	case spec.Attempt == each.attempt:
-		w.watch(each)
+		t.watch(w, each)
 	case each.started && j.repeatable:
 		w.settle(forgotten.told(spec.Index, spec.Attempt))
 	default:
@@ -183,7 +186,7 @@
 	}
 	each.attempt = spec.Attempt
 	t.conclude(j, each, how, nil)
-	w.watch(each)
+	t.watch(w, each)
 }
 
 func (t *Target) enqueue(j *job, each *task, event Run, spec Spec) {
@@ -212,6 +215,8 @@
 	each.live = nil
 	j.live--
 	t.conclude(j, each, how, result)
+	told := slices.ContainsFunc(waiters, func(w *waiter) bool { return !w.answered })
+	t.setUntold(each, !told)
 	for _, w := range waiters {
 		w.ended(each)
 		t.answerWhenDue(w)
--- a/core/target/job.go
+++ b/core/target/job.go
@@ -47,6 +47,8 @@
 	started bool
 	// sealed means that no attempt starts under the job's fence.
 	sealed bool
+	// untold means that the attempt has ended and no answer has carried its outcome.
+	untold bool
 }
 
 // liveTask is what a task needs only until it ends.
--- a/core/target/memory.go
+++ b/core/target/memory.go
@@ -157,6 +157,9 @@
 	t.wake(j)
 	t.bytes -= int(j.bytes)
 	t.remembered -= len(j.tasks)
+	for _, each := range j.tasks {
+		t.setUntold(each, false)
+	}
 	delete(t.jobs, j.id)
 	if j.repeatable {
 		return
--- a/core/target/message.go
+++ b/core/target/message.go
@@ -209,6 +209,8 @@
 	Freed, Stopping int
 	// Lost, for a Seal, means that tasks not listed may have been started here.
 	Lost bool
+	// Repeated, for a Run, means that it brought nothing new.
+	Repeated bool
 }
 
 func (Start) isEffect()  {}
--- a/core/target/seal.go
+++ b/core/target/seal.go
@@ -20,7 +20,7 @@
 		t.shut(j, event, unseen)
 	}
 	answer.Lost = unseen.outcome == Unknown
-	answer.Outcomes = j.report(event, unseen)
+	answer.Outcomes = t.report(j, event, unseen)
 	t.rest(j)
 	t.answer(answer)
 }
@@ -86,13 +86,13 @@
 }
 
 // report lists the tasks that a seal asks for.
-func (j *job) report(event Seal, unseen ending) []TaskOutcome {
+func (t *Target) report(j *job, event Seal, unseen ending) []TaskOutcome {
 	outcomes := make([]TaskOutcome, 0, len(event.Indexes))
 	listed := map[uint32]bool{}
 	for _, index := range event.Indexes {
 		listed[index] = true
 		if each := j.find(index); each != nil {
-			outcomes = append(outcomes, each.told())
+			outcomes = append(outcomes, t.tell(each))
 			continue
 		}
 		outcomes = append(outcomes, unseen.told(index, 0))
@@ -102,12 +102,18 @@
 	}
 	for _, each := range j.tasks {
 		if !listed[each.index] {
-			outcomes = append(outcomes, each.told())
+			outcomes = append(outcomes, t.tell(each))
 		}
 	}
 	return outcomes
 }
 
+// tell returns what is known of a task and notes that it was told.
+func (t *Target) tell(each *task) TaskOutcome {
+	t.setUntold(each, false)
+	return each.told()
+}
+
 func allTold(how ending, indexes []uint32) []TaskOutcome {
 	outcomes := make([]TaskOutcome, 0, len(indexes))
 	for _, index := range indexes {
@@ -175,7 +181,7 @@
 	if j == nil {
 		answer.Outcomes = allTold(unseen, event.Indexes)
 	} else {
-		answer.Outcomes = j.report(Seal{Indexes: event.Indexes, All: len(event.Indexes) == 0}, unseen)
+		answer.Outcomes = t.report(j, Seal{Indexes: event.Indexes, All: len(event.Indexes) == 0}, unseen)
 	}
 	t.answer(answer)
 }
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -30,13 +30,15 @@
 	busy       int
 	bytes      int
 	remembered int
-	leaving    bool
-	drained    bool
-	away       bool
-	sequence   uint64
-	now        time.Duration
-	effects    []Effect
-	off        safeguardsOff
+	// untold counts the ended attempts whose outcome no answer has carried.
+	untold   int
+	leaving  bool
+	drained  bool
+	away     bool
+	sequence uint64
+	now      time.Duration
+	effects  []Effect
+	off      safeguardsOff
 }
 
 // safeguardsOff lets tests show that each safeguard is needed.
@@ -109,6 +111,12 @@
 	return t.busy == 0 && t.queue.tasks == 0 && len(t.waiters) == 0
 }
 
+// Untold returns how many attempts have ended of which nobody has been told, since every request for them had been
+// answered before.
+func (t *Target) Untold() int {
+	return t.untold
+}
+
 // Remembered returns how many tasks are known, the memory they are charged with in bytes, and how many jobs have
 // been forgotten altogether.
 func (t *Target) Remembered() (tasks, bytes int, dropped uint64) {
--- a/core/target/waiter.go
+++ b/core/target/waiter.go
@@ -13,6 +13,8 @@
 	// complete is set once all tasks of the request are watched.
 	complete bool
 	answered bool
+	// fresh means that the request brought an attempt that had not been seen.
+	fresh bool
 }
 
 // watched is one task of a request: its record, or an outcome that has none.
@@ -27,11 +29,12 @@
 	return w
 }
 
-// watch adds a task with a record.
-func (w *waiter) watch(each *task) {
+// watch adds a task with a record to a request.
+func (t *Target) watch(w *waiter, each *task) {
 	w.watched = append(w.watched, watched{each: each})
 	if each.live == nil {
 		w.due = w.due || each.outcome != Done
+		t.setUntold(each, false)
 		return
 	}
 	w.open++
@@ -77,7 +80,20 @@
 		outcomes = append(outcomes, each.each.told())
 	}
 	w.watched = nil
-	t.answer(Answer{Waiter: w.id, Outcomes: outcomes})
+	t.answer(Answer{Waiter: w.id, Outcomes: outcomes, Repeated: !w.fresh})
+}
+
+// setUntold counts the outcomes that nobody has been told.
+func (t *Target) setUntold(each *task, untold bool) {
+	if each.untold == untold {
+		return
+	}
+	each.untold = untold
+	if untold {
+		t.untold++
+		return
+	}
+	t.untold--
 }
 
 // answer sends an answer with the present load.
--- /dev/null
+++ b/node/sidecar/harness_test.go
@@ -0,0 +1,185 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/node/controlclient"
+	"flamingohall.example/node/rpc"
+	"flamingohall.example/node/settings"
+	"flamingohall.example/node/standin"
+)
+
+const testJob = "000102030405060708090a0b0c0d0e0f"
+
+// fakeControl is a membership that knows this node.
+type fakeControl struct {
+	view      atomic.Pointer[controlclient.View]
+	changes   atomic.Pointer[chan struct{}]
+	announced atomic.Int64
+	goodbyes  atomic.Int64
+}
+
+func newFakeControl() *fakeControl {
+	fake := &fakeControl{}
+	changed := make(chan struct{})
+	fake.changes.Store(&changed)
+	fake.view.Store(&controlclient.View{Index: 1})
+	return fake
+}
+
+func (f *fakeControl) Start(context.Context)         {}
+func (f *fakeControl) Ready() error                  { return nil }
+func (f *fakeControl) View() *controlclient.View     { return f.view.Load() }
+func (f *fakeControl) Changed() <-chan struct{}      { return *f.changes.Load() }
+func (f *fakeControl) Announce()                     { f.announced.Add(1) }
+func (f *fakeControl) Goodbye(context.Context) error { f.goodbyes.Add(1); return nil }
+
+func (f *fakeControl) drain(drained bool) {
+	f.view.Store(&controlclient.View{Index: 2, Drained: drained})
+	next := make(chan struct{})
+	close(*f.changes.Swap(&next))
+}
+
+// bench is a sidecar with its server, its target's URL and a client.
+type bench struct {
+	*Sidecar
+	control *fakeControl
+	client  rpc.Sidecar
+	server  *httptest.Server
+}
+
+func startSidecar(t testing.TB, options settings.Sidecar) *bench {
+	t.Helper()
+	if options.OutcomeMemoryMB == 0 {
+		options.OutcomeMemoryMB = 8
+	}
+	file := &settings.File{Node: settings.Node{ID: rand.Text(), DataCentre: "celje-a"}, Sidecar: &options}
+	made, err := newSidecar(file, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	control := newFakeControl()
+	made.follower = control
+	mux := http.NewServeMux()
+	made.Register(mux)
+	server := httptest.NewServer(mux)
+	if err := made.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	b := &bench{
+		Sidecar: made, control: control, server: server,
+		client: rpc.NewSidecarProtobufClient(server.URL, &http.Client{Transport: transport}),
+	}
+	t.Cleanup(func() {
+		b.kill()
+		transport.CloseIdleConnections()
+	})
+	return b
+}
+
+// kill ends a sidecar as a crash would: its connections break and its memory is gone.
+func (b *bench) kill() {
+	b.server.CloseClientConnections()
+	b.cancel()
+	b.work.Wait()
+	b.server.Close()
+}
+
+func startTarget(t testing.TB, knobs settings.StandIn) (target *standin.Target, ledger string) {
+	t.Helper()
+	if knobs.Listen == "" {
+		knobs.Listen = "127.0.0.1:0"
+	}
+	if knobs.Ledger == "" {
+		knobs.Ledger = filepath.Join(t.TempDir(), "ledger")
+	}
+	knobs.SlowFactor = max(knobs.SlowFactor, 1)
+	target, err := standin.New(knobs, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := target.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { stopTarget(target) })
+	return target, knobs.Ledger
+}
+
+// stopTarget closes a target's connections at once, as its death would.
+func stopTarget(target *standin.Target) {
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = target.Stop(over)
+}
+
+// startsInLedger counts the starts of each task.
+func startsInLedger(t testing.TB, path string) map[string]int {
+	t.Helper()
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	starts := map[string]int{}
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var line standin.LedgerLine
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			t.Fatal(err)
+		}
+		starts[line.Task]++
+	}
+	return starts
+}
+
+// levy returns a never-repeated request for tasks 0 to n-1 at their first attempt.
+func levy(b *bench, n int, payload string) *rpc.RunRequest {
+	request := &rpc.RunRequest{
+		EntryId: "entry-1", Incarnation: b.incarnation, JobId: testJob, Epoch: 1, CatalogueEntry: "levy/charge",
+		DeadlineMs: 10_000, HoldMs: 10_000,
+	}
+	for i := range n {
+		request.Tasks = append(request.Tasks, &rpc.TaskSpec{Index: uint32(i), Attempt: 1, Payload: []byte(payload)})
+	}
+	return request
+}
+
+// query returns a repeatable request.
+func query(b *bench, n int, payload string) *rpc.RunRequest {
+	request := levy(b, n, payload)
+	request.Epoch = 0
+	request.Repeatable = true
+	return request
+}
+
+func mustRun(t testing.TB, b *bench, request *rpc.RunRequest) *rpc.RunResponse {
+	t.Helper()
+	response, err := b.client.Run(t.Context(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
+
+// count returns how many outcomes are of a kind.
+func count(outcomes []*rpc.TaskOutcome, kind rpc.Outcome) int {
+	found := 0
+	for _, outcome := range outcomes {
+		if outcome.GetOutcome() == kind {
+			found++
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/node/sidecar/loop.go
@@ -0,0 +1,110 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"flamingohall.example/core/target"
+)
+
+// request is one event for the loop; reply is set when it is answered.
+type request struct {
+	event  target.Event
+	waiter uint64
+	reply  chan<- target.Answer
+}
+
+// attemptKey names a running attempt.
+type attemptKey struct {
+	job     target.JobID
+	index   uint32
+	attempt uint32
+}
+
+// call is one task on its way to the target.
+type call struct {
+	start target.Start
+	ctx   context.Context //nolint:containedctx // It is the call's own, made where its deadline is known.
+}
+
+// loop owns the aggregate. Calls to the target live under the context calls.
+func (s *Sidecar) loop(ctx, calls context.Context) {
+	defer close(s.stopped)
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case arrived := <-s.requests:
+			s.step(calls, arrived)
+		case <-ticker.C:
+			s.step(calls, request{event: target.Tick{}})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Sidecar) step(calls context.Context, arrived request) {
+	if arrived.reply != nil {
+		s.replies[arrived.waiter] = arrived.reply
+	}
+	if finished, ok := arrived.event.(target.Finished); ok {
+		s.forgetCall(attemptKey{finished.Job, finished.Index, finished.Attempt})
+	}
+	for _, effect := range s.core.Step(time.Since(s.began), arrived.event) {
+		s.carryOut(calls, effect)
+	}
+	s.publish()
+}
+
+func (s *Sidecar) carryOut(calls context.Context, effect target.Effect) {
+	switch effect := effect.(type) {
+	case target.Start:
+		ctx, cancel := context.WithDeadline(calls, s.began.Add(effect.Deadline))
+		s.running[attemptKey{effect.Job, effect.Index, effect.Attempt}] = cancel
+		s.metrics.Add("tasks_started", 1)
+		// Each call holds a slot, so that the ring never fills.
+		s.calls <- call{start: effect, ctx: ctx}
+	case target.Abort:
+		if cancel, found := s.running[attemptKey{effect.Job, effect.Index, effect.Attempt}]; found {
+			cancel()
+		}
+	case target.Answer:
+		if reply, found := s.replies[effect.Waiter]; found {
+			delete(s.replies, effect.Waiter)
+			reply <- effect
+		}
+	}
+}
+
+func (s *Sidecar) forgetCall(key attemptKey) {
+	if cancel, found := s.running[key]; found {
+		cancel()
+		delete(s.running, key)
+	}
+}
+
+// publish makes the state visible to the other goroutines.
+func (s *Sidecar) publish() {
+	load := s.core.Load()
+	tasks, bytes, dropped := s.core.Remembered()
+	s.snapshot.busy.Store(int64(load.Busy))
+	s.snapshot.queued.Store(int64(load.Queued))
+	s.snapshot.remembered.Store(int64(tasks))
+	s.snapshot.bytes.Store(int64(bytes))
+	s.snapshot.dropped.Store(int64(dropped))
+	s.snapshot.untold.Store(int64(s.core.Untold()))
+	s.snapshot.idle.Store(s.core.Idle())
+}
+
+// post hands a request to the loop and reports whether it was taken.
+func (s *Sidecar) post(ctx context.Context, sent request) bool {
+	select {
+	case s.requests <- sent:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-s.stopped:
+		return false
+	}
+}
