--- /dev/null
+++ b/core/raft/election.go
@@ -0,0 +1,116 @@
+package raft
+
+// campaign asks for votes, with a pre-vote first.
+func (r *Replica) campaign() {
+	if r.config.withoutPreVote {
+		r.stand(false)
+		return
+	}
+	r.resetElectionTimer()
+	r.role = PreCandidate
+	r.leader = None
+	r.votes = map[ID]bool{r.config.ID: true}
+	if r.wonVote() {
+		r.stand(false)
+		return
+	}
+	r.askVotes(Message{Type: PreVote, Term: r.hard.Term + 1})
+}
+
+// stand raises the term and asks for votes.
+func (r *Replica) stand(transfer bool) {
+	r.resetElectionTimer()
+	r.role = Candidate
+	r.leader = None
+	r.hard.Term++
+	r.hard.Vote = r.config.ID
+	r.votes = map[ID]bool{r.config.ID: true}
+	if r.wonVote() {
+		r.becomeLeader()
+		return
+	}
+	r.askVotes(Message{Type: Vote, Transfer: transfer})
+}
+
+func (r *Replica) askVotes(m Message) {
+	m.Index = r.log.last()
+	m.LogTerm = r.log.lastTerm()
+	for _, voter := range r.log.configuration().Voters() {
+		if voter != r.config.ID {
+			m.To = voter
+			r.send(m)
+		}
+	}
+}
+
+func (r *Replica) wonVote() bool {
+	voters := r.log.configuration().Voters()
+	granted := 0
+	for _, voter := range voters {
+		if r.votes[voter] {
+			granted++
+		}
+	}
+	return granted > len(voters)/2
+}
+
+func (r *Replica) lostVote() bool {
+	voters := r.log.configuration().Voters()
+	refused := 0
+	for _, voter := range voters {
+		if granted, answered := r.votes[voter]; answered && !granted {
+			refused++
+		}
+	}
+	return refused > (len(voters)-1)/2
+}
+
+func (r *Replica) handlePreVote(m *Message) {
+	if r.hearsLeader() {
+		return
+	}
+	if m.Term <= r.hard.Term || !r.log.isUpToDate(m.Index, m.LogTerm) {
+		r.send(Message{Type: PreVoteResponse, To: m.From, Reject: true})
+		return
+	}
+	r.send(Message{Type: PreVoteResponse, To: m.From, Term: m.Term})
+}
+
+func (r *Replica) handleVote(m *Message) {
+	free := r.hard.Vote == m.From || (r.hard.Vote == None && r.leader == None)
+	if !free || !r.log.isUpToDate(m.Index, m.LogTerm) {
+		r.send(Message{Type: VoteResponse, To: m.From, Reject: true})
+		return
+	}
+	r.hard.Vote = m.From
+	r.elapsed = 0
+	r.send(Message{Type: VoteResponse, To: m.From})
+}
+
+func (r *Replica) handleVoteResponse(m *Message) {
+	switch {
+	case r.role == PreCandidate && m.Type == PreVoteResponse:
+		if !m.Reject && m.Term != r.hard.Term+1 {
+			return
+		}
+	case r.role == Candidate && m.Type == VoteResponse:
+	default:
+		return
+	}
+	r.votes[m.From] = !m.Reject
+	switch {
+	case r.wonVote() && r.role == PreCandidate:
+		r.stand(false)
+	case r.wonVote():
+		r.becomeLeader()
+	case r.lostVote():
+		r.becomeFollower(r.hard.Term, None)
+	}
+}
+
+// handleTimeoutNow stands at once, since the leader has asked for it and has stopped taking proposals.
+func (r *Replica) handleTimeoutNow() {
+	if r.isVoter() {
+		r.stand(true)
+	}
+}
--- /dev/null
+++ b/node/replica/cluster_test.go
@@ -0,0 +1,256 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/testr"
+
+	"flamingohall.example/core/raft"
+	"flamingohall.example/node/metrics"
+	"flamingohall.example/node/settings"
+	"flamingohall.example/node/wal"
+)
+
+// listMachine keeps every command in order.
+type listMachine struct {
+	mutex    sync.Mutex
+	Commands []string
+}
+
+func (m *listMachine) Apply(index uint64, command []byte) []byte {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.Commands = append(m.Commands, string(command))
+	return fmt.Appendf(nil, "%d:%s", index, command)
+}
+
+func (m *listMachine) Snapshot() ([]byte, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return json.Marshal(m.Commands)
+}
+
+func (m *listMachine) Restore(_ uint64, snapshot []byte) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.Commands = nil
+	return json.Unmarshal(snapshot, &m.Commands)
+}
+
+func (m *listMachine) list() []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return append([]string(nil), m.Commands...)
+}
+
+// node is one VM of a cluster: it can be stopped, and started again with or without its disk.
+type node struct {
+	cluster *cluster
+	id      string
+	address string
+	folder  string
+	files   wal.Files
+	machine *listMachine
+	group   *Group
+	server  *http.Server
+}
+
+type cluster struct {
+	t             testing.TB
+	logger        logr.Logger
+	members       []settings.Member
+	nodes         []*node
+	snapshotEvery int
+}
+
+func newCluster(t testing.TB, size int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, logger: logr.Discard(), snapshotEvery: 1000}
+	if plain, isTest := t.(*testing.T); isTest && testing.Verbose() {
+		c.logger = testr.New(plain)
+	}
+	for i := range size {
+		c.addNode(i)
+	}
+	for _, n := range c.nodes {
+		c.members = append(c.members, settings.Member{ID: n.id, Address: n.address, DataCentre: "test"})
+	}
+	t.Cleanup(c.stop)
+	return c
+}
+
+func (c *cluster) addNode(number int) *node {
+	c.t.Helper()
+	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n := &node{
+		cluster: c, id: fmt.Sprintf("control-%d", number+1), address: reserved.Addr().String(),
+		folder: filepath.Join(c.t.TempDir(), "data"),
+	}
+	_ = reserved.Close()
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+func (c *cluster) start() {
+	c.t.Helper()
+	for _, n := range c.nodes {
+		n.start()
+	}
+}
+
+func (c *cluster) stop() {
+	for _, n := range c.nodes {
+		if n.group != nil {
+			n.kill()
+		}
+	}
+}
+
+func (n *node) open() error {
+	n.machine = &listMachine{}
+	group, err := New(Options{
+		ID: n.id, Address: n.address, DataCentre: "test", DataFolder: n.folder,
+		InitialMembers: n.cluster.members, SnapshotEvery: n.cluster.snapshotEvery, Machine: n.machine,
+		Logger: n.cluster.logger.WithName(n.id), Metrics: metrics.NewRole("test", n.address), files: n.files,
+	})
+	n.group = group
+	return err
+}
+
+func (n *node) start() {
+	n.cluster.t.Helper()
+	if err := n.open(); err != nil {
+		n.cluster.t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	n.group.Register(mux)
+	listener, err := net.Listen("tcp", n.address)
+	if err != nil {
+		n.cluster.t.Fatal(err)
+	}
+	n.server = &http.Server{Handler: mux}
+	go func() { _ = n.server.Serve(listener) }()
+	if err := n.group.Start(context.Background()); err != nil {
+		n.cluster.t.Fatal(err)
+	}
+}
+
+// kill ends the VM without a hand-over.
+func (n *node) kill() {
+	n.group.stop()
+	_ = n.server.Close()
+	_ = n.group.Stop(context.Background())
+	n.group = nil
+}
+
+func testContext(t testing.TB) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// leader waits until all running nodes agree on a leader that runs.
+func (c *cluster) leader() *node {
+	c.t.Helper()
+	for ctx := testContext(c.t); ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		if found := c.agreedLeader(); found != nil {
+			return found
+		}
+	}
+	c.t.Fatal("no leader")
+	return nil
+}
+
+func (c *cluster) agreedLeader() *node {
+	var leader *node
+	for _, n := range c.nodes {
+		if n.group == nil {
+			continue
+		}
+		if n.group.Status().IsLeader {
+			leader = n
+		}
+	}
+	for _, n := range c.nodes {
+		if leader == nil || (n.group != nil && n.group.Status().Leader != leader.id) {
+			return nil
+		}
+	}
+	return leader
+}
+
+func (c *cluster) follower() *node {
+	c.t.Helper()
+	leader := c.leader()
+	for _, n := range c.nodes {
+		if n != leader && n.group != nil {
+			return n
+		}
+	}
+	c.t.Fatal("no follower")
+	return nil
+}
+
+// propose proposes until it is certain that the command is in force.
+func (n *node) propose(command string) {
+	n.cluster.t.Helper()
+	index, result, err := n.group.Propose(testContext(n.cluster.t), []byte(command))
+	if err != nil {
+		n.cluster.t.Fatalf("propose %q at %s: %v", command, n.id, err)
+	}
+	if want := fmt.Appendf(nil, "%d:%s", index, command); !bytes.Equal(result, want) {
+		n.cluster.t.Fatalf("result %q, want %q", result, want)
+	}
+}
+
+// wantList checks a confirmed read.
+func (n *node) wantList(want ...string) {
+	n.cluster.t.Helper()
+	if _, err := n.group.Confirm(testContext(n.cluster.t)); err != nil {
+		n.cluster.t.Fatalf("confirm at %s: %v", n.id, err)
+	}
+	if got := n.machine.list(); fmt.Sprint(got) != fmt.Sprint(want) {
+		n.cluster.t.Fatalf("%s holds %v, want %v", n.id, got, want)
+	}
+}
+
+// waitMembers waits until the group has that many members and all of them count.
+func waitMembers(t *testing.T, c *cluster, count int) {
+	t.Helper()
+	for ctx := testContext(t); ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		voters := 0
+		members := c.leader().group.Status().Members
+		for _, member := range members {
+			if !member.Learner {
+				voters++
+			}
+		}
+		if voters == count && len(members) == count {
+			return
+		}
+	}
+	t.Fatalf("members are %v, want %d voters", c.leader().group.Status().Members, count)
+}
+
+func findMember(c *cluster, id raft.ID) (raft.MemberStatus, bool) {
+	for _, member := range c.leader().group.view.Load().Members {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return raft.MemberStatus{}, false
+}
--- /dev/null
+++ b/node/replica/loop.go
@@ -0,0 +1,308 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"flamingohall.example/core/raft"
+	"flamingohall.example/node/events"
+	"flamingohall.example/node/wal"
+)
+
+// input is one thing for the raft loop to take in. Exactly one field is set.
+type input struct {
+	messages    []raft.Message
+	proposal    *proposal
+	read        *readRequest
+	change      *changeRequest
+	found       *founding
+	unreachable raft.ID
+	transfer    bool
+}
+
+// proposal is a command on its way into the log.
+type proposal struct {
+	command []byte
+	result  chan outcome
+}
+
+// readRequest waits for a confirmed index.
+type readRequest struct {
+	// result gets the index, or is closed when this VM does not lead.
+	result chan uint64
+}
+
+// changeRequest changes one member.
+type changeRequest struct {
+	member raft.Member
+	remove bool
+	result chan error
+}
+
+// founding begins a group from its first snapshot.
+type founding struct {
+	group    uint64
+	snapshot raft.Snapshot
+	result   chan error
+}
+
+// compaction is the application's state up to an index.
+type compaction struct {
+	index uint64
+	data  []byte
+}
+
+// applyJob is work for the apply loop.
+type applyJob struct {
+	restore *raft.Snapshot
+	entries []raft.Entry
+}
+
+// raftLoop owns the state machine. It never waits for the other loops: what they can't take yet gathers here.
+type raftLoop struct {
+	group    *Group
+	core     *raft.Replica
+	toStore  []raft.Ready
+	toApply  []applyJob
+	reads    map[uint64]*readRequest
+	nextRead uint64
+	last     raft.Status
+}
+
+func (g *Group) raftLoop(ctx context.Context) {
+	loop := &raftLoop{group: g, core: g.core, reads: map[uint64]*readRequest{}, last: g.core.Status()}
+	defer loop.end()
+	ticker := time.NewTicker(TickPeriod)
+	defer ticker.Stop()
+	for {
+		store, apply := loop.outputs()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			loop.core.Tick()
+		case in := <-g.inputs:
+			loop.take(in)
+		case <-g.synced:
+			loop.core.Synced(g.syncedTo.Load())
+		case made := <-g.compacts:
+			loop.core.Compact(made.index, made.data)
+		case store <- loop.toStore:
+			loop.toStore = nil
+		case apply <- loop.toApply:
+			loop.toApply = nil
+		}
+		loop.drain()
+		loop.handOut()
+		loop.publish()
+	}
+}
+
+// outputs returns the channels for which there is work; a nil channel is never ready.
+func (l *raftLoop) outputs() (chan<- []raft.Ready, chan<- []applyJob) {
+	var store chan<- []raft.Ready
+	var apply chan<- []applyJob
+	if len(l.toStore) > 0 {
+		store = l.group.store
+	}
+	if len(l.toApply) > 0 {
+		apply = l.group.applies
+	}
+	return store, apply
+}
+
+// drain takes what else waits, so that one batch serves many proposals and reads.
+func (l *raftLoop) drain() {
+	for range inputBatch {
+		select {
+		case in := <-l.group.inputs:
+			l.take(in)
+		default:
+			return
+		}
+	}
+}
+
+func (l *raftLoop) take(in input) {
+	switch {
+	case in.messages != nil:
+		for _, message := range in.messages {
+			l.core.Step(message)
+		}
+	case in.proposal != nil:
+		l.propose(in.proposal)
+	case in.read != nil:
+		l.read(in.read)
+	case in.change != nil:
+		in.change.result <- l.change(in.change)
+	case in.found != nil:
+		in.found.result <- l.found(in.found)
+	case in.transfer:
+		if successor := l.core.Successor(); successor != raft.None {
+			_ = l.core.Transfer(successor)
+		}
+	case in.unreachable != raft.None:
+		l.core.Unreachable(in.unreachable)
+	}
+}
+
+func (l *raftLoop) propose(p *proposal) {
+	index, term, err := l.core.Propose(p.command)
+	if err != nil {
+		p.result <- outcome{err: errNotLeader}
+		return
+	}
+	l.group.waiters.add(index, term, p.result)
+}
+
+func (l *raftLoop) read(request *readRequest) {
+	l.nextRead++
+	if err := l.core.Read(l.nextRead); err != nil {
+		close(request.result)
+		return
+	}
+	l.reads[l.nextRead] = request
+}
+
+func (l *raftLoop) change(request *changeRequest) error {
+	var err error
+	if request.remove {
+		_, _, err = l.core.Remove(request.member.ID)
+	} else {
+		_, _, err = l.core.AddLearner(request.member)
+	}
+	return err
+}
+
+// handOut passes on everything that the state machine wants done.
+func (l *raftLoop) handOut() {
+	for l.core.HasReady() {
+		ready := l.core.Ready()
+		l.group.peers.send(ready.Immediate)
+		if ready.NeedsSync() || len(ready.Messages) > 0 {
+			l.toStore = append(l.toStore, ready)
+		}
+		if ready.Restore != nil || len(ready.Committed) > 0 {
+			l.toApply = append(l.toApply, applyJob{restore: ready.Restore, entries: ready.Committed})
+		}
+		l.answerReads(&ready)
+	}
+}
+
+func (l *raftLoop) answerReads(ready *raft.Ready) {
+	for _, read := range ready.Reads {
+		if request := l.reads[read.Request]; request != nil {
+			request.result <- read.Index
+			delete(l.reads, read.Request)
+		}
+	}
+	for _, number := range ready.FailedReads {
+		if request := l.reads[number]; request != nil {
+			close(request.result)
+			delete(l.reads, number)
+		}
+	}
+}
+
+// end answers those who wait. What is still in the queue was never looked at.
+func (l *raftLoop) end() {
+	l.group.waiters.failAll()
+	close(l.group.ended)
+	for _, request := range l.reads {
+		close(request.result)
+	}
+}
+
+// publish makes the new status visible and logs what changed.
+func (l *raftLoop) publish() {
+	status := l.core.Status()
+	before := l.last
+	l.last = status
+	wasLeader := before.Role == raft.Leader
+	if wasLeader && (status.Role != raft.Leader || status.Term != before.Term) {
+		l.group.waiters.failAbove(status.Commit)
+	}
+	l.group.publish()
+	if before.Leader != status.Leader || before.Group != status.Group || !sameMembers(before, status) {
+		l.logChange(before, status)
+		l.group.changed.fire()
+	}
+}
+
+func sameMembers(a, b raft.Status) bool {
+	if len(a.Members) != len(b.Members) {
+		return false
+	}
+	for i := range a.Members {
+		if a.Members[i].Member != b.Members[i].Member {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *raftLoop) logChange(before, status raft.Status) {
+	logger := l.group.options.Logger
+	if !sameMembers(before, status) {
+		var configuration raft.Configuration
+		for _, member := range status.Members {
+			configuration.Members = append(configuration.Members, member.Member)
+		}
+		events.ReplicaMembers.Log(logger, "members", configuration.Names(), "learners", learners(status))
+	}
+	if before.Leader == status.Leader {
+		return
+	}
+	leader := l.group.Status().Leader
+	switch {
+	case status.Role == raft.Leader:
+		events.ReplicaLeading.Log(logger, "term", status.Term)
+	case before.Role == raft.Leader:
+		events.ReplicaStoppedLead.Log(logger, "term", status.Term)
+	case status.Leader == raft.None:
+		events.ReplicaNoLeader.Log(logger, "term", status.Term)
+	default:
+		events.ReplicaFollowing.Log(logger, "leader", leader, "term", status.Term)
+	}
+}
+
+func learners(status raft.Status) int {
+	count := 0
+	for _, member := range status.Members {
+		if member.Learner {
+			count++
+		}
+	}
+	return count
+}
+
+// put hands an input to the raft loop and reports whether it was taken before ctx ended.
+func (g *Group) put(ctx context.Context, in input) bool {
+	select {
+	case g.inputs <- in:
+		return true
+	case <-g.ended:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// found begins a group, unless a leader has written to this VM meanwhile. Nothing was stored before.
+func (l *raftLoop) found(request *founding) error {
+	if l.core.Status().Group != 0 {
+		return nil
+	}
+	hard := raft.HardState{Group: request.group, Term: request.snapshot.Term}
+	if err := l.group.log.SaveSnapshot(&request.snapshot); err != nil {
+		return err
+	}
+	if err := l.group.log.Write([]wal.Batch{{HardState: &hard}}); err != nil {
+		return err
+	}
+	if err := l.group.build(raft.Restart{HardState: hard, Snapshot: &request.snapshot}); err != nil {
+		return err
+	}
+	l.core = l.group.core
+	return nil
+}
--- /dev/null
+++ b/node/replica/service.go
@@ -0,0 +1,122 @@
+package replica
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/core/raft"
+	"flamingohall.example/node/raftwire"
+	"flamingohall.example/node/rpc"
+)
+
+// service answers the other control VMs.
+type service struct {
+	group *Group
+}
+
+// Step implements rpc.Replica. Messages that find no room are dropped.
+func (s *service) Step(_ context.Context, request *rpc.StepRequest) (*rpc.StepResponse, error) {
+	messages := make([]raft.Message, 0, len(request.GetMessages()))
+	for _, wire := range request.GetMessages() {
+		message := raftwire.ToMessage(wire)
+		s.group.peers.hear(message.From, request.GetAddress())
+		messages = append(messages, message)
+	}
+	if len(messages) == 0 {
+		return &rpc.StepResponse{}, nil
+	}
+	select {
+	case s.group.inputs <- input{messages: messages}:
+	default:
+		s.group.options.Metrics.Add("replica_messages_dropped", int64(len(messages)))
+	}
+	return &rpc.StepResponse{}, nil
+}
+
+// Forward implements rpc.Replica.
+func (s *service) Forward(ctx context.Context, request *rpc.ForwardRequest) (*rpc.ForwardResponse, error) {
+	done := s.group.proposeHere(ctx, request.GetCommand())
+	if errors.Is(done.err, errNotLeader) {
+		return &rpc.ForwardResponse{Leader: s.group.Status().Leader}, nil
+	}
+	if done.err != nil {
+		return nil, toTwirp(done.err)
+	}
+	return &rpc.ForwardResponse{Index: done.index, Result: done.result}, nil
+}
+
+// Confirm implements rpc.Replica.
+func (s *service) Confirm(ctx context.Context, _ *rpc.ConfirmRequest) (*rpc.ConfirmResponse, error) {
+	index, err := s.group.confirmHere(ctx)
+	if err != nil {
+		return &rpc.ConfirmResponse{Leader: s.group.Status().Leader}, nil //nolint:nilerr // The answer says so.
+	}
+	return &rpc.ConfirmResponse{Index: index}, nil
+}
+
+// Identify implements rpc.Replica.
+func (s *service) Identify(context.Context, *rpc.IdentifyRequest) (*rpc.IdentifyResponse, error) {
+	view := s.group.view.Load()
+	response := &rpc.IdentifyResponse{
+		Name: s.group.options.ID, Replica: uint64(view.ID), Group: view.Group,
+		Configuration: &rpc.ReplicaConfiguration{},
+	}
+	for _, member := range view.Members {
+		response.Configuration.Members = append(response.Configuration.Members, raftwire.Member(member.Member))
+	}
+	return response, nil
+}
+
+// ChangeReplica implements rpc.Replica.
+func (s *service) ChangeReplica(
+	ctx context.Context, request *rpc.ChangeReplicaRequest,
+) (*rpc.ChangeReplicaResponse, error) {
+	change := memberChange{
+		member: raftwire.ToMember(request.GetMember()), remove: request.GetRemove(), replace: request.GetReplace(),
+	}
+	err := s.group.changeHere(ctx, change)
+	if errors.Is(err, errNotLeader) {
+		return &rpc.ChangeReplicaResponse{Leader: s.group.Status().LeaderAddress}, nil
+	}
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return &rpc.ChangeReplicaResponse{Changed: true}, nil
+}
+
+// Twirp codes carry the kinds of faults that callers tell apart.
+var codes = map[fault.Kind]twirp.ErrorCode{
+	fault.Unavailable: twirp.Aborted,
+	fault.Conflict:    twirp.AlreadyExists,
+	fault.NotFound:    twirp.NotFound,
+	fault.Invalid:     twirp.InvalidArgument,
+	fault.Unknown:     twirp.DataLoss,
+}
+
+const remedyMeta = "remedy"
+
+func toTwirp(err error) error {
+	found := fault.Of(err)
+	code, known := codes[found.Kind]
+	if !known {
+		code = twirp.Internal
+	}
+	return twirp.NewError(code, found.Message).WithMeta(remedyMeta, found.Remedy)
+}
+
+// fromTwirp turns a failed call into a fault. What is not known to have been refused is fault.Unknown.
+func fromTwirp(err error) *fault.Error {
+	var answer twirp.Error
+	if errors.As(err, &answer) && answer.Meta(remedyMeta) != "" {
+		for kind, code := range codes {
+			if answer.Code() == code {
+				return fault.New(kind, answer.Meta(remedyMeta), "%s", answer.Msg())
+			}
+		}
+	}
+	return fault.New(fault.Unknown, "send the same change again: it takes effect once",
+		"the leader did not answer: %v", err)
+}
--- /dev/null
+++ b/node/replica/status.go
@@ -0,0 +1,99 @@
+package replica
+
+import (
+	"sync"
+	"time"
+
+	"flamingohall.example/core/raft"
+	"flamingohall.example/node/settings"
+)
+
+// publish turns the state machine's view into the one for readers. Only the raft loop calls it once loops run.
+func (g *Group) publish() {
+	view := g.core.Status()
+	g.view.Store(&view)
+	status := &Status{
+		Term: view.Term, CommitIndex: view.Commit, AppliedIndex: g.applied.load(),
+		IsLeader: view.Role == raft.Leader,
+	}
+	for _, member := range view.Members {
+		status.Members = append(status.Members, Member{
+			Member:  settings.Member{ID: member.Name, Address: member.Address, DataCentre: member.DataCentre},
+			Learner: member.Learner, MatchIndex: member.MatchIndex,
+		})
+		if member.ID == view.Leader {
+			status.Leader = member.Name
+			status.LeaderAddress = member.Address
+		}
+	}
+	if view.Leader != raft.None {
+		status.ConfirmedAt = time.Now().Add(-time.Duration(view.QuorumAge) * TickPeriod)
+	} else if before := g.status.Load(); before != nil {
+		status.ConfirmedAt = before.ConfirmedAt
+	}
+	g.status.Store(status)
+}
+
+// changeSignal lets many goroutines wait for the next change.
+type changeSignal struct {
+	mutex sync.Mutex
+	next  chan struct{}
+}
+
+func (c *changeSignal) init() {
+	c.next = make(chan struct{})
+}
+
+// wait returns a channel that is closed at the next change. Take it before looking at the state.
+func (c *changeSignal) wait() <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.next
+}
+
+func (c *changeSignal) fire() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	close(c.next)
+	c.next = make(chan struct{})
+}
+
+// progressMark is the applied index, for which goroutines wait.
+type progressMark struct {
+	mutex  sync.Mutex
+	index  uint64
+	failed bool
+	signal changeSignal
+}
+
+func (p *progressMark) init() {
+	p.signal.init()
+}
+
+func (p *progressMark) load() uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.index
+}
+
+func (p *progressMark) advance(index uint64) {
+	p.mutex.Lock()
+	p.index = max(p.index, index)
+	p.mutex.Unlock()
+	p.signal.fire()
+}
+
+// fail wakes those who wait for an index that this VM won't apply any more.
+func (p *progressMark) fail() {
+	p.mutex.Lock()
+	p.failed = true
+	p.mutex.Unlock()
+	p.signal.fire()
+}
+
+// reached reports whether the index is applied, and whether it can still be.
+func (p *progressMark) reached(index uint64) (done, failed bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.index >= index, p.failed
+}
--- /dev/null
+++ b/node/replica/storage.go
@@ -0,0 +1,64 @@
+package replica
+
+import (
+	"context"
+
+	"flamingohall.example/core/raft"
+	"flamingohall.example/node/events"
+	"flamingohall.example/node/wal"
+)
+
+// storageLoop syncs whatever has gathered while it was busy, and then lets the messages go that vouch for it.
+func (g *Group) storageLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case batch := <-g.store:
+			if err := g.storeAll(batch); err != nil {
+				g.stopWith(err)
+				return
+			}
+		}
+	}
+}
+
+func (g *Group) storeAll(batch []raft.Ready) error {
+	pending := make([]wal.Batch, 0, len(batch))
+	for i := range batch {
+		ready := &batch[i]
+		if !ready.NeedsSync() {
+			continue
+		}
+		if ready.Snapshot != nil {
+			if err := g.log.SaveSnapshot(ready.Snapshot); err != nil {
+				return err
+			}
+			events.ReplicaSnapshot.Log(g.options.Logger, "index", ready.Snapshot.Index, "bytes", len(ready.Snapshot.Data))
+		}
+		pending = append(pending, stored(ready))
+	}
+	if len(pending) > 0 {
+		if err := g.log.Write(pending); err != nil {
+			return err
+		}
+		g.options.Metrics.Add("replica_syncs", 1)
+	}
+	for i := range batch {
+		g.peers.send(batch[i].Messages)
+	}
+	g.syncedTo.Store(batch[len(batch)-1].Number)
+	select {
+	case g.synced <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func stored(ready *raft.Ready) wal.Batch {
+	batch := wal.Batch{HardState: ready.HardState, Entries: ready.Entries}
+	if ready.Discard {
+		batch.Reset = ready.Snapshot.Index
+	}
+	return batch
+}
--- /dev/null
+++ b/node/wal/load.go
@@ -0,0 +1,263 @@
+package wal
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/core/raft"
+	"flamingohall.example/node/raftwire"
+	"flamingohall.example/node/rpc"
+)
+
+// loader gathers what the segments say.
+type loader struct {
+	entries []raft.Entry
+	hard    raft.HardState
+	// reset is the index of the snapshot that last replaced everything.
+	reset uint64
+}
+
+// damaged is the error for contents that can't be trusted.
+func (l *Log) damaged(name, format string, args ...any) error {
+	err := fault.New(fault.Storage, remedyReplace, format, args...)
+	err.Message = "data folder " + l.options.Folder + ": " + name + ": " + err.Message
+	return err
+}
+
+// load reads everything, removes leftovers and begins a new last segment.
+func (l *Log) load() (*Found, error) {
+	names, err := l.files.List(l.options.Folder)
+	if err != nil {
+		return nil, fault.New(fault.Storage, remedyDisk, "data folder %s: %v", l.options.Folder, err)
+	}
+	found := &Found{}
+	if err := l.loadIdentity(names, found); err != nil {
+		return nil, err
+	}
+	if err := l.loadSnapshot(names, found); err != nil {
+		return nil, err
+	}
+	state := &loader{}
+	tail, err := l.loadSegments(names, state, found)
+	if err != nil {
+		return nil, err
+	}
+	if err := l.connect(state, found); err != nil {
+		return nil, err
+	}
+	l.hard = state.hard
+	if err := l.resume(names, tail); err != nil {
+		return nil, l.fail("open", err)
+	}
+	return found, nil
+}
+
+func (l *Log) loadIdentity(names []string, found *Found) error {
+	if !slices.Contains(names, identityName) {
+		for _, name := range names {
+			if strings.HasSuffix(name, segmentEnd) || strings.HasSuffix(name, snapshotEnd) {
+				return l.damaged(identityName, "the file is missing beside %s", name)
+			}
+		}
+		return nil
+	}
+	stored := &rpc.StoredIdentity{}
+	if err := l.readOne(identityName, stored); err != nil {
+		return l.damaged(identityName, "%v", err)
+	}
+	found.Identity = &Identity{Name: stored.GetName(), ID: raft.ID(stored.GetReplica())}
+	return nil
+}
+
+// readOne reads a file that holds one frame.
+func (l *Log) readOne(name string, into proto.Message) error {
+	data, err := l.files.Read(l.path(name))
+	if err != nil {
+		return err
+	}
+	payload, rest, err := nextFrame(data)
+	if err != nil {
+		return err
+	}
+	if len(rest) > 0 {
+		return errDamaged
+	}
+	return proto.Unmarshal(payload, into)
+}
+
+// numbered returns the numbers of the files with the ending, in order.
+func numbered(names []string, end string) []uint64 {
+	var numbers []uint64
+	for _, name := range names {
+		stem, isOne := strings.CutSuffix(name, end)
+		number, err := strconv.ParseUint(stem, 10, 64)
+		if isOne && err == nil {
+			numbers = append(numbers, number)
+		}
+	}
+	slices.Sort(numbers)
+	return numbers
+}
+
+// loadSnapshot takes the latest snapshot that can be read.
+func (l *Log) loadSnapshot(names []string, found *Found) error {
+	indexes := numbered(names, snapshotEnd)
+	for _, index := range slices.Backward(indexes) {
+		stored := &rpc.ReplicaSnapshot{}
+		if err := l.readOne(snapshotFile(index), stored); err != nil {
+			found.IgnoredSnapshots = append(found.IgnoredSnapshots, snapshotFile(index))
+			continue
+		}
+		if found.Restart.Snapshot == nil {
+			found.Restart.Snapshot = raftwire.ToSnapshot(stored)
+		}
+		l.snapshots = append([]uint64{index}, l.snapshots...)
+	}
+	if len(indexes) > 0 && found.Restart.Snapshot == nil {
+		return l.damaged(snapshotFile(indexes[len(indexes)-1]), "no snapshot can be read")
+	}
+	return nil
+}
+
+// loadSegments replays all segments and returns the good frames of the last one behind its first record.
+func (l *Log) loadSegments(names []string, state *loader, found *Found) ([]byte, error) {
+	numbers := numbered(names, segmentEnd)
+	var tail []byte
+	for i, number := range numbers {
+		if i > 0 && number != numbers[i-1]+1 {
+			return nil, l.damaged(segmentFile(number), "the segment before it is missing")
+		}
+		data, err := l.files.Read(l.path(segmentFile(number)))
+		if err != nil {
+			return nil, l.damaged(segmentFile(number), "%v", err)
+		}
+		isLast := i == len(numbers)-1
+		good, err := l.replaySegment(number, data, isLast, state)
+		if err != nil {
+			return nil, err
+		}
+		tail = data[:good]
+		found.TornBytes += len(data) - good
+	}
+	return tail, nil
+}
+
+// replaySegment applies the frames of one segment and returns how many bytes are good.
+func (l *Log) replaySegment(number uint64, data []byte, isLast bool, state *loader) (int, error) {
+	current := segment{number: number}
+	rest := data
+	for len(rest) > 0 {
+		payload, next, err := nextFrame(rest)
+		offset := len(data) - len(rest)
+		if errors.Is(err, errTorn) && isLast {
+			break
+		}
+		if err != nil {
+			return 0, l.damaged(segmentFile(number), "%v at byte %d", err, offset)
+		}
+		record := &rpc.StoredBatch{}
+		if err := proto.Unmarshal(payload, record); err != nil {
+			return 0, l.damaged(segmentFile(number), "%v at byte %d", err, offset)
+		}
+		if err := state.apply(record, &current); err != nil {
+			return 0, l.damaged(segmentFile(number), "%v at byte %d", err, offset)
+		}
+		rest = next
+	}
+	l.segments = append(l.segments, current)
+	return len(data) - len(rest), nil
+}
+
+func (s *loader) apply(record *rpc.StoredBatch, current *segment) error {
+	if record.GetSegment() != 0 && record.GetSegment() != current.number {
+		return errors.Errorf("it is segment %d", record.GetSegment())
+	}
+	if record.GetHardState() != nil {
+		s.hard = raftwire.ToHardState(record.GetHardState())
+	}
+	if record.GetResetIndex() != 0 {
+		s.reset = record.GetResetIndex()
+		s.entries = nil
+	}
+	for _, entry := range raftwire.ToEntries(record.GetEntries()) {
+		if err := s.add(entry); err != nil {
+			return err
+		}
+		current.last = max(current.last, entry.Index)
+	}
+	return nil
+}
+
+// add stores an entry in the place of all from its index on.
+func (s *loader) add(entry raft.Entry) error {
+	if len(s.entries) == 0 {
+		s.entries = append(s.entries, entry)
+		return nil
+	}
+	first := s.entries[0].Index
+	if entry.Index > first+uint64(len(s.entries)) {
+		return errors.Errorf("entry %d follows a gap", entry.Index)
+	}
+	if entry.Index < first {
+		s.entries = append(s.entries[:0], entry)
+		return nil
+	}
+	s.entries = append(s.entries[:entry.Index-first], entry)
+	return nil
+}
+
+// connect joins the snapshot and the entries that follow it.
+func (l *Log) connect(state *loader, found *Found) error {
+	found.Restart.HardState = state.hard
+	var base raft.Snapshot
+	if found.Restart.Snapshot != nil {
+		base = *found.Restart.Snapshot
+	}
+	if state.reset > base.Index {
+		return l.damaged(snapshotFile(state.reset), "the log needs this snapshot")
+	}
+	if len(state.entries) == 0 {
+		return nil
+	}
+	first := state.entries[0].Index
+	if first > base.Index+1 {
+		return l.damaged(segmentFile(l.segments[0].number), "entries from %d to %d are missing", base.Index+1, first-1)
+	}
+	last := state.entries[len(state.entries)-1].Index
+	if last <= base.Index {
+		return nil
+	}
+	if first <= base.Index && state.entries[base.Index-first].Term != base.Term {
+		// The snapshot was saved, and the crash came before the record that drops the log that differs from it.
+		return nil
+	}
+	found.Restart.Entries = state.entries[base.Index+1-first:]
+	return nil
+}
+
+// resume removes leftovers and writes the last segment anew. Its last bytes may be in memory only, when the process
+// ended on a failed sync.
+func (l *Log) resume(names []string, tail []byte) error {
+	for _, name := range names {
+		if strings.HasSuffix(name, temporaryEnd) {
+			if err := l.files.Remove(l.path(name)); err != nil {
+				return err
+			}
+		}
+	}
+	if len(l.segments) == 0 {
+		return l.begin(1, nil)
+	}
+	current := l.segments[len(l.segments)-1]
+	l.segments = l.segments[:len(l.segments)-1]
+	if err := l.begin(current.number, tail); err != nil {
+		return err
+	}
+	l.segments[len(l.segments)-1].last = current.last
+	return nil
+}
