Serve submissions: the job aggregate, placement and the entry role

Cause: a submission had no way from a caller to targets and back. Ruled out: one goroutine for each job with locks around a shared board (placement needs one view of all targets and of all waiting jobs); one Run per task always (twice the messages where a job has slots to itself). Change: core/job settles every task and answers whole or failed; core/placement picks targets with late binding; node/entry joins them in one loop and serves the callers' API through iris; node/link keeps pooled connections. Conclusion: repeatable and never-repeated jobs of 1, 7 and 300 tasks are answered whole over fakes; every bad input of the contract gets its status and remedy.

--- /dev/null
+++ b/core/placement/board.go
@@ -0,0 +1,245 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"flamingohall.example/core/job"
+)
+
+// Target is a target as control records it.
+type Target struct {
+	ID          string
+	Incarnation string
+	Address     string
+	DataCentre  string
+	Rack        string
+	Pool        string
+	Slots       int
+	Leaving     bool
+	Drained     bool
+}
+
+// Load is a sidecar's own count, carried on an answer.
+type Load struct {
+	Incarnation string
+	Slots       int
+	Busy        int
+	Queued      int
+	Leaving     bool
+	// Sequence grows with each answer of an incarnation; an older one changes nothing.
+	Sequence uint64
+}
+
+// loadHalfLife is how long it takes until a report of other entries' tasks counts half.
+const loadHalfLife = 100 * time.Millisecond
+
+// State is what the board knows of one target.
+type State struct {
+	Target
+	// own counts slots taken by this entry's attempts.
+	own int
+	// others is the number of slots and queue places that other entries took at reportedAt.
+	others       float64
+	reportedAt   time.Time
+	sequence     uint64
+	suspectUntil time.Time
+	ejected      bool
+	trial        bool
+}
+
+// Board is an entry's scoreboard of targets. It is not safe for concurrent use.
+type Board struct {
+	dataCentre string
+	policy     Policy
+	// lookahead is how many slots beyond a target's own may be filled when no target has a free one.
+	lookahead int
+	random    *rand.Rand
+	targets   map[string]*State
+	pools     map[string]*Pool
+}
+
+// Pool holds the targets that serve the same entries, the nearest first.
+type Pool struct {
+	local  []*State
+	remote []*State
+	slots  int
+	widest int
+}
+
+// Options are the parameters of a Board.
+type Options struct {
+	DataCentre string
+	Policy     Policy
+	Lookahead  int
+	Seed       uint64
+}
+
+// NewBoard returns an empty board.
+func NewBoard(options Options) *Board {
+	return &Board{
+		dataCentre: options.DataCentre, policy: options.Policy, lookahead: options.Lookahead,
+		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)), //nolint:gosec // Placement needs no secrecy.
+		targets: map[string]*State{}, pools: map[string]*Pool{},
+	}
+}
+
+// Lost is a target that has gone.
+type Lost struct {
+	Target job.Target
+	// Replaced is true when a new process has its place.
+	Replaced bool
+}
+
+// Update takes a whole view of the targets and returns those that were lost.
+func (b *Board) Update(targets []Target) []Lost {
+	var lost []Lost
+	seen := make(map[string]bool, len(targets))
+	for _, target := range targets {
+		seen[target.ID] = true
+		state, known := b.targets[target.ID]
+		if known && state.Incarnation != target.Incarnation {
+			lost = append(lost, Lost{Target: state.Name(), Replaced: true})
+			known = false
+		}
+		if !known {
+			b.targets[target.ID] = &State{Target: target}
+			continue
+		}
+		leaving := state.Leaving || target.Leaving
+		state.Target = target
+		state.Leaving = leaving
+	}
+	for id, state := range b.targets {
+		if !seen[id] {
+			lost = append(lost, Lost{Target: state.Name()})
+			delete(b.targets, id)
+		}
+	}
+	b.group()
+	return lost
+}
+
+// group rebuilds the pools.
+func (b *Board) group() {
+	b.pools = map[string]*Pool{}
+	for _, state := range b.sorted() {
+		pool := b.pools[state.Pool]
+		if pool == nil {
+			pool = &Pool{}
+			b.pools[state.Pool] = pool
+		}
+		pool.add(state, state.DataCentre == b.dataCentre)
+	}
+}
+
+func (p *Pool) add(state *State, isLocal bool) {
+	p.slots += state.Slots
+	p.widest = max(p.widest, state.Slots)
+	if isLocal {
+		p.local = append(p.local, state)
+		return
+	}
+	p.remote = append(p.remote, state)
+}
+
+// Slots returns the slots of a pool's targets.
+func (b *Board) Slots(pool string) int {
+	if p := b.pools[pool]; p != nil {
+		return p.slots
+	}
+	return 0
+}
+
+// Widest returns the slots of a pool's largest target.
+func (b *Board) Widest(pool string) int {
+	if p := b.pools[pool]; p != nil {
+		return p.widest
+	}
+	return 0
+}
+
+// Target returns what is known of a target.
+func (b *Board) Target(id string) (*State, bool) {
+	state, known := b.targets[id]
+	return state, known
+}
+
+// Name returns the target with its incarnation.
+func (s *State) Name() job.Target {
+	return job.Target{ID: s.ID, Incarnation: s.Incarnation}
+}
+
+// Report takes a sidecar's load in. Answers that were overtaken by a later one change nothing.
+func (b *Board) Report(now time.Time, id string, load Load) {
+	state, known := b.targets[id]
+	if !known || state.Incarnation != load.Incarnation || load.Sequence <= state.sequence {
+		return
+	}
+	state.sequence = load.Sequence
+	state.reportedAt = now
+	state.others = math.Max(0, float64(load.Busy+load.Queued-state.own))
+	state.Leaving = state.Leaving || load.Leaving
+	if load.Slots > 0 && load.Slots != state.Slots {
+		state.Slots = load.Slots
+		b.group()
+	}
+}
+
+// Started counts an attempt of this entry.
+func (b *Board) Started(target job.Target, slots int) {
+	if state := b.current(target); state != nil {
+		state.own += slots
+	}
+}
+
+// Ended counts the end of an attempt of this entry.
+func (b *Board) Ended(target job.Target, slots int) {
+	if state := b.current(target); state != nil {
+		state.own = max(0, state.own-slots)
+	}
+}
+
+func (b *Board) current(target job.Target) *State {
+	state, known := b.targets[target.ID]
+	if !known || state.Incarnation != target.Incarnation {
+		return nil
+	}
+	return state
+}
+
+// Suspect keeps new work from a target that could not be reached, until a time.
+func (b *Board) Suspect(target job.Target, until time.Time) {
+	if state := b.current(target); state != nil {
+		state.suspectUntil = until
+	}
+}
+
+// SetEjected sets a target aside, or lets it back. On trial it gets one repeatable task at a time.
+func (b *Board) SetEjected(id string, ejected, trial bool) {
+	if state, known := b.targets[id]; known {
+		state.ejected = ejected
+		state.trial = trial
+	}
+}
+
+// Taken returns the slots thought taken at a target.
+func (s *State) Taken(now time.Time) float64 {
+	if s.others == 0 {
+		return float64(s.own)
+	}
+	age := float64(now.Sub(s.reportedAt)) / float64(loadHalfLife)
+	return float64(s.own) + s.others*math.Exp2(-age)
+}
+
+// Own returns the slots taken by this entry.
+func (s *State) Own() int { return s.own }
+
+// Targets returns the number of a pool's targets.
+func (b *Board) Targets(pool string) int {
+	if p := b.pools[pool]; p != nil {
+		return len(p.local) + len(p.remote)
+	}
+	return 0
+}
--- /dev/null
+++ b/core/placement/policy.go
@@ -0,0 +1,137 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"flamingohall.example/core/fault"
+)
+
+// Policy picks one of the targets that fit, or nil.
+type Policy interface {
+	Pick(now time.Time, targets []*State, fits func(*State) bool, random *rand.Rand) *State
+	// UsesReports is false for a policy that knows its own attempts only.
+	UsesReports() bool
+}
+
+// Names of the policies.
+const (
+	PolicyTwoChoices = "two_choices"
+	PolicyOwn        = "own"
+	PolicyRandom     = "random"
+	PolicyRoundRobin = "round_robin"
+)
+
+// NewPolicy returns the policy of that name.
+func NewPolicy(name string) (Policy, error) {
+	switch name {
+	case PolicyTwoChoices:
+		return twoChoices{}, nil
+	case PolicyOwn:
+		return ownKnowledge{}, nil
+	case PolicyRandom:
+		return randomChoice{}, nil
+	case PolicyRoundRobin:
+		return &roundRobin{}, nil
+	}
+	return nil, fault.New(fault.Invalid, "use two_choices, own, random or round_robin", "policy %q is not known", name)
+}
+
+// twoChoices takes the less loaded of two random targets that fit.
+type twoChoices struct{}
+
+func (twoChoices) UsesReports() bool { return true }
+
+func (twoChoices) Pick(now time.Time, targets []*State, fits func(*State) bool, random *rand.Rand) *State {
+	first, at := scan(targets, fits, random)
+	if first == nil {
+		return nil
+	}
+	second := next(targets, fits, at, random)
+	if second != nil && second.share(now) < first.share(now) {
+		return second
+	}
+	return first
+}
+
+// probes is how many targets are drawn at random before the list is searched.
+const probes = 4
+
+// scan returns a target that fits and its position: by a few random probes, then by a search from a random place.
+func scan(targets []*State, fits func(*State) bool, random *rand.Rand) (*State, int) {
+	if len(targets) == 0 {
+		return nil, 0
+	}
+	for range probes {
+		at := random.IntN(len(targets))
+		if fits(targets[at]) {
+			return targets[at], at
+		}
+	}
+	start := random.IntN(len(targets))
+	for i := range targets {
+		at := (start + i) % len(targets)
+		if fits(targets[at]) {
+			return targets[at], at
+		}
+	}
+	return nil, 0
+}
+
+// next returns another target that fits, or nil when a few random probes find none.
+func next(targets []*State, fits func(*State) bool, taken int, random *rand.Rand) *State {
+	for range probes {
+		at := random.IntN(len(targets))
+		if at != taken && fits(targets[at]) {
+			return targets[at]
+		}
+	}
+	return nil
+}
+
+// ownKnowledge takes the target with the fewest of this entry's own attempts.
+type ownKnowledge struct{}
+
+func (ownKnowledge) UsesReports() bool { return false }
+
+func (ownKnowledge) Pick(_ time.Time, targets []*State, fits func(*State) bool, random *rand.Rand) *State {
+	if len(targets) == 0 {
+		return nil
+	}
+	var best *State
+	start := random.IntN(len(targets))
+	for i := range targets {
+		s := targets[(start+i)%len(targets)]
+		if fits(s) && (best == nil || s.own*best.Slots < best.own*s.Slots) {
+			best = s
+		}
+	}
+	return best
+}
+
+// randomChoice takes any target that fits.
+type randomChoice struct{}
+
+func (randomChoice) UsesReports() bool { return false }
+
+func (randomChoice) Pick(_ time.Time, targets []*State, fits func(*State) bool, random *rand.Rand) *State {
+	found, _ := scan(targets, fits, random)
+	return found
+}
+
+// roundRobin takes the next target in turn that fits.
+type roundRobin struct {
+	turn int
+}
+
+func (*roundRobin) UsesReports() bool { return false }
+
+func (r *roundRobin) Pick(_ time.Time, targets []*State, fits func(*State) bool, _ *rand.Rand) *State {
+	for range targets {
+		r.turn++
+		if s := targets[r.turn%len(targets)]; fits(s) {
+			return s
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/entry/api.go
@@ -0,0 +1,302 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/kataras/iris/v12"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/node/link"
+	"flamingohall.example/node/rpc"
+)
+
+const (
+	submissionsPath = "/v1/submissions/"
+	cancelSuffix    = "/cancel"
+	contentJSON     = "application/json; charset=utf-8"
+	// peerTimeout bounds a question to another entry.
+	peerTimeout = 500 * time.Millisecond
+)
+
+// handler builds the callers' API.
+func (e *Entry) handler() (http.Handler, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutStartupLog, iris.WithoutPathCorrection, iris.WithoutBodyConsumptionOnUnmarshal,
+		iris.WithOptimizations)
+	app.Post("/v1/submissions", e.serveSubmit)
+	app.Get("/v1/submissions", e.serveStatus)
+	app.Get(submissionsPath+"{rest:path}", e.serveStatus)
+	app.Post(submissionsPath+"{rest:path}", e.serveCancel)
+	app.Get("/healthz", func(ctx iris.Context) { _, _ = ctx.WriteString("alive\n") })
+	app.Get("/readyz", e.serveReady)
+	app.OnErrorCode(http.StatusNotFound, func(ctx iris.Context) {
+		writeFault(ctx, fault.New(fault.NotFound, "see docs/API.md for the paths", "no such path"))
+	})
+	app.OnErrorCode(http.StatusMethodNotAllowed, func(ctx iris.Context) {
+		writeFault(ctx, fault.New(fault.NotFound, "see docs/API.md for the paths", "no such method here"))
+	})
+	if err := app.Build(); err != nil {
+		return nil, errors.Wrap(err, "callers' API")
+	}
+	return app, nil
+}
+
+func (e *Entry) serveReady(ctx iris.Context) {
+	if err := e.Ready(); err != nil {
+		writeFault(ctx, fault.Of(err).After(noTargetRetryAfter))
+		return
+	}
+	_, _ = ctx.WriteString("ready\n")
+}
+
+// serveSubmit takes a submission; with wait=false it answers at once.
+func (e *Entry) serveSubmit(ctx iris.Context) {
+	wait, err := waitWanted(ctx.URLParam("wait"))
+	if err != nil {
+		writeFault(ctx, fault.Of(err))
+		return
+	}
+	a, err := e.readSubmission(ctx)
+	if err != nil {
+		writeFault(ctx, fault.Of(err))
+		return
+	}
+	r, refusal := e.loop.submit(ctx.Request().Context(), a)
+	if refusal != nil {
+		writeFault(ctx, refusal)
+		return
+	}
+	if !wait {
+		e.writeState(ctx, a.id, r)
+		return
+	}
+	select {
+	case <-r.done:
+		writeRecord(ctx, r)
+	case <-ctx.Request().Context().Done():
+	}
+}
+
+func waitWanted(text string) (bool, error) {
+	if text == "" {
+		return true, nil
+	}
+	wait, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, fault.New(fault.Invalid, "write wait=true or wait=false", "wait is %q", text)
+	}
+	return wait, nil
+}
+
+// readSubmission reads, decodes and checks a body.
+func (e *Entry) readSubmission(ctx iris.Context) (*accepted, error) {
+	limit := int64(e.file.Entry.MaxBodyBytes)
+	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault.New(fault.TooLarge, "split the job", "the body exceeds %d bytes", limit)
+	}
+	if err != nil {
+		return nil, fault.New(fault.Malformed, "send the whole body", "body: %v", err)
+	}
+	s, err := decodeSubmission(body)
+	if err != nil {
+		return nil, err
+	}
+	view := e.follower.View()
+	if view == nil {
+		return nil, fault.New(fault.Unavailable, "use another entry, or come back later",
+			"this entry has no confirmed catalogue yet; nothing was started").After(noTargetRetryAfter)
+	}
+	return s.accept(view.Catalogue, view.Revision)
+}
+
+// serveStatus tells what is known of a submission, here or at another entry.
+func (e *Entry) serveStatus(ctx iris.Context) {
+	name, err := submissionName(ctx, "")
+	if err != nil {
+		writeFault(ctx, fault.Of(err))
+		return
+	}
+	id := jobID(name.owner, name.key)
+	found := e.loop.look(ctx.Request().Context(), id)
+	if found.record != nil {
+		writeLooked(ctx, found, http.StatusOK)
+		return
+	}
+	for _, peer := range e.peers() {
+		request := &rpc.AwaitRequest{JobId: id}
+		response, err := link.Call(ctx.Request().Context(), peerTimeout, e.links.Peer(peer).Await, request)
+		if err != nil || !response.GetKnown() {
+			continue
+		}
+		if response.GetFinished() {
+			writeJSON(ctx, http.StatusOK, response.GetAnswer())
+			return
+		}
+		running := &answer{Job: id, Owner: name.owner, Key: name.key, State: stateRunning, Tasks: []taskAnswer{}}
+		writeJSON(ctx, http.StatusOK, running.encode())
+		return
+	}
+	writeFault(ctx, unknownKey(name))
+}
+
+func unknownKey(name submissionID) *fault.Error {
+	return fault.New(fault.NotFound, "check owner and key, or submit it: the key is free, or its answer was forgotten",
+		"no submission of owner %q under key %q is known here", name.owner, name.key)
+}
+
+// serveCancel cancels a submission, here or at another entry.
+func (e *Entry) serveCancel(ctx iris.Context) {
+	name, err := submissionName(ctx, cancelSuffix)
+	if err != nil {
+		writeFault(ctx, fault.Of(err))
+		return
+	}
+	id := jobID(name.owner, name.key)
+	if r := e.loop.cancel(ctx.Request().Context(), id); r != nil {
+		e.writeState(ctx, id, r)
+		return
+	}
+	for _, peer := range e.peers() {
+		request := &rpc.CancelJobRequest{JobId: id}
+		response, err := link.Call(ctx.Request().Context(), peerTimeout, e.links.Peer(peer).CancelJob, request)
+		if err == nil && response.GetKnown() {
+			running := &answer{Job: id, Owner: name.owner, Key: name.key, State: stateRunning, Tasks: []taskAnswer{}}
+			writeJSON(ctx, http.StatusAccepted, running.encode())
+			return
+		}
+	}
+	writeFault(ctx, unknownKey(name))
+}
+
+// peers returns the addresses of the other entries.
+func (e *Entry) peers() []string {
+	view := e.follower.View()
+	if view == nil {
+		return nil
+	}
+	var addresses []string
+	for _, node := range view.Nodes {
+		if node.GetRole() == rpc.Role_ROLE_ENTRY && node.GetId() != e.file.Node.ID {
+			addresses = append(addresses, node.GetAddress())
+		}
+	}
+	return addresses
+}
+
+// submissionID names a submission as callers do.
+type submissionID struct {
+	owner string
+	key   string
+}
+
+// submissionName reads owner and key from the path, whose segments are escaped, or from the query.
+func submissionName(ctx iris.Context, suffix string) (submissionID, error) {
+	query := ctx.Request().URL.Query()
+	path := strings.TrimPrefix(ctx.Request().URL.EscapedPath(), strings.TrimSuffix(submissionsPath, "/"))
+	rest, isSuffixed := strings.CutSuffix(path, suffix)
+	if !isSuffixed {
+		return submissionID{}, fault.New(fault.NotFound, "see docs/API.md for the paths", "no such path")
+	}
+	name := submissionID{owner: query.Get("owner"), key: query.Get("key")}
+	if rest != "" && rest != "/" {
+		owner, key, _ := strings.Cut(strings.TrimPrefix(rest, "/"), "/")
+		var ownerErr, keyErr error
+		name.owner, ownerErr = url.PathUnescape(owner)
+		name.key, keyErr = url.PathUnescape(key)
+		if ownerErr != nil || keyErr != nil || strings.Contains(key, "/") {
+			return name, fault.New(fault.Malformed, "escape slashes in owner and key as %2F", "path: can't be read")
+		}
+	}
+	if name.owner == "" || name.key == "" {
+		return name, fault.New(fault.Invalid, "name both, in the path or as ?owner=&key=", "owner or key is missing")
+	}
+	return name, nil
+}
+
+// writeState writes the final answer if there is one, else the state so far as accepted.
+func (e *Entry) writeState(ctx iris.Context, id string, r *record) {
+	found := e.loop.look(ctx.Request().Context(), id)
+	if found.record == nil {
+		found.record = r
+	}
+	writeLooked(ctx, found, http.StatusAccepted)
+}
+
+// writeLooked writes a state; a final answer has status 200.
+func writeLooked(ctx iris.Context, found looked, status int) {
+	if found.answer != nil {
+		writeJSON(ctx, status, found.answer.encode())
+		return
+	}
+	writeRecord(ctx, found.record)
+}
+
+// writeRecord writes the outcome of a record that is done.
+func writeRecord(ctx iris.Context, r *record) {
+	<-r.done
+	if r.failure != nil {
+		writeFault(ctx, r.failure)
+		return
+	}
+	writeJSON(ctx, http.StatusOK, r.result.bytes())
+}
+
+func writeJSON(ctx iris.Context, status int, body []byte) {
+	header := ctx.ResponseWriter().Header()
+	header.Set("Content-Type", contentJSON)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	ctx.StatusCode(status)
+	_, _ = ctx.Write(body)
+}
+
+// errorBody is the body of every answer that is an error.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Kind         fault.Kind `json:"kind"`
+	Message      string     `json:"message"`
+	Remedy       string     `json:"remedy"`
+	RetryAfterMS int64      `json:"retry_after_ms,omitempty"`
+}
+
+// statuses maps kinds of faults to HTTP statuses.
+var statuses = map[fault.Kind]int{
+	fault.Malformed:   http.StatusBadRequest,
+	fault.Invalid:     http.StatusUnprocessableEntity,
+	fault.TooLarge:    http.StatusRequestEntityTooLarge,
+	fault.NotFound:    http.StatusNotFound,
+	fault.Conflict:    http.StatusConflict,
+	fault.Expired:     http.StatusGone,
+	fault.Overloaded:  http.StatusTooManyRequests,
+	fault.Unavailable: http.StatusServiceUnavailable,
+	fault.Unknown:     http.StatusBadGateway,
+	fault.Fenced:      http.StatusConflict,
+}
+
+func writeFault(ctx iris.Context, found *fault.Error) {
+	status, known := statuses[found.Kind]
+	if !known {
+		status = http.StatusInternalServerError
+	}
+	if found.RetryAfter > 0 {
+		seconds := int64((found.RetryAfter + time.Second - 1) / time.Second)
+		ctx.ResponseWriter().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	body, _ := json.Marshal(errorBody{Error: errorDetail{
+		Kind: found.Kind, Message: found.Message, Remedy: found.Remedy,
+		RetryAfterMS: found.RetryAfter.Milliseconds(),
+	}})
+	writeJSON(ctx, status, body)
+}
--- /dev/null
+++ b/node/entry/calls.go
@@ -0,0 +1,279 @@
+package entry
+
+import (
+	"time"
+
+	"flamingohall.example/core/job"
+	"flamingohall.example/node/events"
+	"flamingohall.example/node/link"
+	"flamingohall.example/node/rpc"
+)
+
+// Times of calls to sidecars.
+const (
+	// minHold is the least time for which a sidecar may hold a Run.
+	minHold = 400 * time.Millisecond
+	// holdFactor is how many expected run times a sidecar may hold a Run.
+	holdFactor = 4
+	// answerSlack is what an answer may take beyond the hold before the connection counts as silent.
+	answerSlack = 200 * time.Millisecond
+	// statusTimeout bounds a question on a fresh connection.
+	statusTimeout = 500 * time.Millisecond
+	// callBackoff keeps a call that fails at once from being repeated at once.
+	callBackoff = 20 * time.Millisecond
+	// sealBackoff is the pause between seals of a target that does not answer.
+	sealBackoff = 100 * time.Millisecond
+)
+
+// call holds what a goroutine needs to carry an effect out; the loop owns everything else.
+type call struct {
+	record   *record
+	accepted *accepted
+	effect   job.Effect
+	epoch    uint64
+	address  string
+	replaced bool
+	hold     time.Duration
+}
+
+// newCall looks the target up.
+func (l *loop) newCall(r *record, now time.Time, effect job.Effect) call {
+	c := call{
+		record: r, accepted: r.accepted, effect: effect, epoch: r.job.Epoch(), address: l.addresses[effect.Target],
+	}
+	if state, known := l.board.Target(effect.Target.ID); known {
+		c.replaced = state.Incarnation != effect.Target.Incarnation
+	}
+	expected := time.Duration(0)
+	for _, ref := range effect.Refs {
+		expected = max(expected, r.job.Spec(ref.Index).ExpectedRun)
+	}
+	c.hold = min(max(minHold, holdFactor*expected), max(0, r.job.Deadline().Sub(now)))
+	return c
+}
+
+// answered carries an event of a job, and the load that came with it, to the loop.
+type answered struct {
+	record *record
+	event  job.Event
+	target job.Target
+	load   *rpc.Load
+	// suspect is true when the target could not be reached.
+	suspect bool
+	reports []job.Report
+}
+
+func (m answered) apply(l *loop, now time.Time) {
+	if m.load != nil {
+		l.board.Report(now, m.target.ID, loadOf(m.load, m.target.Incarnation))
+	}
+	if m.suspect {
+		l.board.Suspect(m.target, now.Add(suspectPeriod))
+	}
+	l.observe(m, now)
+	l.step(m.record, now, m.event)
+	l.dirty[m.record.accepted.entry.Pool] = true
+}
+
+func (l *loop) callRun(c call) {
+	target, refs := c.effect.Target, c.effect.Refs
+	l.entry.metrics.Add("runs_sent", 1)
+	if c.effect.Again {
+		l.entry.metrics.Add("wasted_status", 1)
+	}
+	started := time.Now()
+	client := l.entry.links.Sidecar(c.address)
+	response, err := link.Call(l.life, c.hold+answerSlack, client.Run, c.runRequest(l.entry.file.Node.ID))
+	if err != nil {
+		l.runFailed(c, err, time.Since(started))
+		return
+	}
+	reports := reportsOf(response.GetOutcomes())
+	if time.Since(started) < callBackoff && !anyFinal(reports) {
+		sleep(l.life, callBackoff)
+	}
+	l.post(answered{
+		record: c.record, target: target, load: response.GetLoad(), reports: reports,
+		event: job.RunAnswered{Target: target, Asked: refs, Reports: reports},
+	})
+}
+
+func (l *loop) runFailed(c call, err error, took time.Duration) {
+	target, refs := c.effect.Target, c.effect.Refs
+	if link.IsNotSent(err) && !c.effect.Again {
+		reports := notSent(refs, err)
+		l.post(answered{
+			record: c.record, target: target, suspect: true, reports: reports,
+			event: job.RunAnswered{Target: target, Asked: refs, Reports: reports},
+		})
+		return
+	}
+	if took < callBackoff {
+		sleep(l.life, callBackoff)
+	}
+	l.post(answered{record: c.record, target: target, event: job.RunSilent{Target: target, Asked: refs}})
+}
+
+// notSent reports attempts whose request found no connection.
+func notSent(refs []job.Ref, err error) []job.Report {
+	reports := make([]job.Report, len(refs))
+	for i, ref := range refs {
+		reports[i] = job.Report{Ref: ref, Outcome: job.NotRun, Cause: job.CauseTarget, Reason: err.Error()}
+	}
+	return reports
+}
+
+func anyFinal(reports []job.Report) bool {
+	for i := range reports {
+		if reports[i].Outcome.Final() {
+			return true
+		}
+	}
+	return false
+}
+
+func (c call) runRequest(entryID string) *rpc.RunRequest {
+	a := c.accepted
+	request := &rpc.RunRequest{
+		EntryId: entryID, Incarnation: c.effect.Target.Incarnation, JobId: a.id, Epoch: c.epoch,
+		Repeatable: a.isRepeatable(), Owner: a.Owner, CatalogueEntry: a.Entry,
+		DeadlineMs: time.Until(c.record.deadline).Milliseconds(), HoldMs: c.hold.Milliseconds(),
+		Slots: uint32(a.entry.Slots), Tasks: make([]*rpc.TaskSpec, len(c.effect.Refs)),
+	}
+	if request.Repeatable {
+		request.Incarnation = ""
+	}
+	for i, ref := range c.effect.Refs {
+		task := a.Tasks[ref.Index]
+		request.Tasks[i] = &rpc.TaskSpec{
+			Index: uint32(ref.Index), Attempt: uint32(ref.Attempt), Payload: task.Payload,
+			ExpectedRunMs: uint32(task.ExpectedRunMS),
+		}
+	}
+	return request
+}
+
+// callStatus asks on a fresh connection. An answer shows that the old connection was at fault, not the target.
+func (l *loop) callStatus(c call) {
+	target, refs := c.effect.Target, c.effect.Refs
+	l.entry.metrics.Add("wasted_status", 1)
+	if c.replaced {
+		l.post(answered{record: c.record, event: job.TargetLost{Target: target, Replaced: true}, target: target})
+		return
+	}
+	request := &rpc.StatusRequest{JobId: c.accepted.id, Indexes: indexesOf(refs)}
+	response, err := link.Call(l.life, statusTimeout, l.entry.links.Fresh(c.address).Status, request)
+	if err != nil {
+		events.TargetSuspected.LogError(l.entry.logger, err, "target", target.ID)
+		l.post(answered{
+			record: c.record, target: target, suspect: true,
+			event: job.StatusSilent{Target: target, Asked: refs},
+		})
+		return
+	}
+	events.ConnectionSilent.Log(l.entry.logger, "target", target.ID)
+	l.entry.links.Retire(c.address)
+	if response.GetIncarnation() != target.Incarnation {
+		l.post(answered{record: c.record, event: job.TargetLost{Target: target, Replaced: true}, target: target})
+		return
+	}
+	reports := reportsOf(response.GetOutcomes())
+	l.post(answered{
+		record: c.record, target: target, load: response.GetLoad(), reports: reports,
+		event: job.StatusAnswered{Target: target, Asked: refs, Reports: reports},
+	})
+}
+
+// callSeal fences attempts, on a fresh connection. Refs without attempts seal the whole job, as a takeover does.
+func (l *loop) callSeal(c call) {
+	target, refs := c.effect.Target, c.effect.Refs
+	l.entry.metrics.Add("wasted_seal", 1)
+	if c.replaced {
+		l.post(answered{record: c.record, event: job.TargetLost{Target: target, Replaced: true}, target: target})
+		return
+	}
+	request := &rpc.SealRequest{
+		JobId: c.accepted.id, Epoch: c.epoch, Indexes: indexesOf(refs), Incarnation: target.Incarnation,
+		All: len(refs) > 0 && refs[0].Attempt == 0,
+	}
+	response, err := link.Call(l.life, statusTimeout, l.entry.links.Fresh(c.address).Seal, request)
+	if err != nil {
+		sleep(l.life, sealBackoff)
+		l.post(answered{
+			record: c.record, target: target, suspect: true,
+			event: job.SealSilent{Target: target, Asked: refs},
+		})
+		return
+	}
+	reports := reportsOf(response.GetOutcomes())
+	l.post(answered{
+		record: c.record, target: target, load: response.GetLoad(), reports: reports,
+		event: job.SealAnswered{Target: target, Asked: refs, Reports: reports},
+	})
+}
+
+// cancelBatch collects what is to be cancelled at one target, so that a wave costs one message at a time.
+type cancelBatch struct {
+	jobs   map[string]*rpc.CancelledJob
+	isSent bool
+}
+
+func (l *loop) addCancel(r *record, effect job.Effect) {
+	batch := l.cancels[effect.Target]
+	if batch == nil {
+		batch = &cancelBatch{jobs: map[string]*rpc.CancelledJob{}}
+		l.cancels[effect.Target] = batch
+	}
+	id := r.accepted.id
+	cancelled := batch.jobs[id]
+	if cancelled == nil {
+		cancelled = &rpc.CancelledJob{JobId: id}
+		batch.jobs[id] = cancelled
+	}
+	cancelled.Indexes = append(cancelled.Indexes, indexesOf(effect.Refs)...)
+}
+
+// flushCancels sends one call to each target that has none on its way.
+func (l *loop) flushCancels() {
+	for target, batch := range l.cancels {
+		if batch.isSent {
+			continue
+		}
+		if len(batch.jobs) == 0 {
+			delete(l.cancels, target)
+			continue
+		}
+		request := &rpc.CancelRequest{}
+		for _, cancelled := range batch.jobs {
+			request.Jobs = append(request.Jobs, cancelled)
+		}
+		batch.jobs = map[string]*rpc.CancelledJob{}
+		batch.isSent = true
+		go l.callCancel(target, l.addresses[target], request)
+	}
+}
+
+func (l *loop) callCancel(target job.Target, address string, request *rpc.CancelRequest) {
+	l.entry.metrics.Add("wasted_cancel", 1)
+	response, err := link.Call(l.life, statusTimeout, l.entry.links.Sidecar(address).Cancel, request)
+	m := cancelEnded{target: target}
+	if err == nil {
+		m.load = response.GetLoad()
+	}
+	l.post(m)
+}
+
+// cancelEnded lets the next batch for a target go.
+type cancelEnded struct {
+	target job.Target
+	load   *rpc.Load
+}
+
+func (m cancelEnded) apply(l *loop, now time.Time) {
+	if batch := l.cancels[m.target]; batch != nil {
+		batch.isSent = false
+	}
+	if m.load != nil {
+		l.board.Report(now, m.target.ID, loadOf(m.load, m.target.Incarnation))
+	}
+}
--- /dev/null
+++ b/node/entry/record.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"container/list"
+	"crypto/sha256"
+	"sync"
+	"time"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/core/job"
+	"flamingohall.example/core/placement"
+)
+
+// record is one submission that this entry knows: in progress, or answered and kept for resubmissions. The loop alone
+// touches it, but for done and the fields that are set before done is closed.
+type record struct {
+	accepted  *accepted
+	job       *job.Job
+	createdAt time.Time
+	deadline  time.Time
+	claimTime time.Duration
+	waitTime  time.Duration
+	isPlaced  bool
+	// retryAfter is when a new submission may succeed, told with a failure.
+	retryAfter time.Duration
+
+	waiting *placement.Waiting
+	// cursor is where the search for the next waiting task begins.
+	cursor int
+	// candidates are the targets that the claim names; nil allows all.
+	candidates  map[string]bool
+	isExtending bool
+	timer       *time.Timer
+	wake        time.Time
+
+	// done is closed once result or failure is set.
+	done    chan struct{}
+	result  *result
+	failure *fault.Error
+	// isPinned keeps an answered record until its answer is stored with control.
+	isPinned bool
+	// isStored is true once control has the answer, or once the storing has failed for good.
+	isStored bool
+}
+
+// result is a final answer, encoded once by whoever needs it first.
+type result struct {
+	once    sync.Once
+	answer  *answer
+	encoded []byte
+	// size is about how many bytes the answer takes.
+	size int
+}
+
+// answerOverheadBytes is what an answer takes beside its results, for each task.
+const answerOverheadBytes = 256
+
+func newResult(a *answer) *result {
+	size := answerOverheadBytes
+	for i := range a.Tasks {
+		size += answerOverheadBytes + len(a.Tasks[i].Result)
+	}
+	return &result{answer: a, size: size}
+}
+
+func encodedResult(encoded []byte) *result {
+	return &result{encoded: encoded, size: answerOverheadBytes + len(encoded)}
+}
+
+func (r *result) bytes() []byte {
+	r.once.Do(func() {
+		if r.encoded == nil {
+			r.encoded = r.answer.encode()
+			r.answer = nil
+		}
+	})
+	return r.encoded
+}
+
+// isAnswered reports whether the record has its final answer.
+func (r *record) isAnswered() bool {
+	return r.result != nil || r.failure != nil
+}
+
+func (r *record) sameBody(digest [sha256.Size]byte) bool {
+	return r.accepted.digest == digest
+}
+
+// forgetWork drops what an answered record needs no more, payloads above all.
+func (r *record) forgetWork() {
+	slim := *r.accepted
+	slim.Tasks = nil
+	r.accepted = &slim
+	r.job = nil
+	r.waiting = nil
+	r.candidates = nil
+	r.timer = nil
+}
+
+// store holds the records by job id and bounds the memory of the answered ones.
+type store struct {
+	byID     map[string]*record
+	answered *list.List
+	size     int
+	limit    int
+	// active counts the records without a final answer, or with one that is not stored yet.
+	active int
+}
+
+func newStore(limitBytes int) *store {
+	return &store{byID: map[string]*record{}, answered: list.New(), limit: limitBytes}
+}
+
+func (s *store) add(r *record) {
+	s.byID[r.accepted.id] = r
+	s.active++
+}
+
+// drop forgets a record in progress, as after a refusal.
+func (s *store) drop(r *record) {
+	delete(s.byID, r.accepted.id)
+	s.active--
+}
+
+// keep remembers an answered record, and forgets the oldest ones beyond the limit.
+func (s *store) keep(r *record) {
+	s.active--
+	r.forgetWork()
+	s.answered.PushBack(r)
+	s.size += r.result.size
+	for s.size > s.limit && s.answered.Len() > 0 {
+		oldest, _ := s.answered.Remove(s.answered.Front()).(*record)
+		s.size -= oldest.result.size
+		delete(s.byID, oldest.accepted.id)
+	}
+}
--- /dev/null
+++ b/node/entry/submission.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"time"
+
+	"flamingohall.example/core/catalogue"
+	"flamingohall.example/core/fault"
+	"flamingohall.example/core/job"
+)
+
+// Limits of a submission.
+const (
+	maxNameBytes = 256
+	// jobIDBytes is how much of the digest of owner and key makes a job's id.
+	jobIDBytes = 16
+)
+
+// submission is the body of POST /v1/submissions.
+type submission struct {
+	Owner string `json:"owner"`
+	Entry string `json:"entry"`
+	Key   string `json:"key"`
+	// DeadlineMS is the time that the caller gives, in milliseconds; 0 or none takes the catalogue entry's.
+	DeadlineMS *int64           `json:"deadline_ms"`
+	Tasks      []taskSubmission `json:"tasks"`
+}
+
+type taskSubmission struct {
+	Payload json.RawMessage `json:"payload"`
+	// ExpectedRunMS is the caller's guess of the run time, in milliseconds; 0 takes the catalogue entry's.
+	ExpectedRunMS int64 `json:"expected_run_ms"`
+}
+
+// accepted is a submission that passed every check.
+type accepted struct {
+	submission
+	id       string
+	digest   [sha256.Size]byte
+	entry    catalogue.Entry
+	owner    catalogue.Owner
+	revision uint64
+	deadline time.Duration
+}
+
+// decodeSubmission reads a body. Its errors are *fault.Error.
+func decodeSubmission(body []byte) (submission, error) {
+	var s submission
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return s, fault.New(fault.Malformed, "see docs/API.md for the shape of a submission", "body: %v", err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return s, fault.New(fault.Malformed, "send one JSON object", "body: something follows the JSON object")
+	}
+	return s, s.check()
+}
+
+// check applies the rules that need no catalogue.
+func (s *submission) check() error {
+	switch {
+	case s.Owner == "" || s.Entry == "":
+		return fault.New(fault.Invalid, "name the owner and the catalogue entry", "owner or entry is missing")
+	case s.Key == "":
+		return fault.New(fault.Invalid, "give each submission a key of its own and use it again to resubmit",
+			"key is missing")
+	case len(s.Owner) > maxNameBytes || len(s.Entry) > maxNameBytes || len(s.Key) > maxNameBytes:
+		return fault.New(fault.Invalid, "shorten it", "owner, entry or key exceeds %d bytes", maxNameBytes)
+	case len(s.Tasks) == 0:
+		return fault.New(fault.Invalid, "send one task or more", "tasks is empty")
+	case len(s.Tasks) > catalogue.MaxTasksPerJob:
+		return fault.New(fault.Invalid, "split the job", "%d tasks exceed the bound of %d",
+			len(s.Tasks), catalogue.MaxTasksPerJob)
+	}
+	return s.checkTimes()
+}
+
+func (s *submission) checkTimes() error {
+	if s.DeadlineMS != nil && *s.DeadlineMS <= 0 {
+		return fault.New(fault.Expired, "give deadline_ms as milliseconds from now",
+			"the deadline has passed; nothing was started")
+	}
+	if s.DeadlineMS != nil && *s.DeadlineMS > catalogue.MaxDeadlineMS {
+		return fault.New(fault.Invalid, "shorten it", "deadline_ms exceeds %d", catalogue.MaxDeadlineMS)
+	}
+	for i := range s.Tasks {
+		if ms := s.Tasks[i].ExpectedRunMS; ms < 0 || ms > catalogue.MaxDeadlineMS {
+			return fault.New(fault.Invalid, "give milliseconds, or leave it out",
+				"task %d: expected_run_ms is out of range", i)
+		}
+	}
+	return nil
+}
+
+// accept checks a submission against the catalogue in force.
+func (s submission) accept(doc catalogue.Document, revision uint64) (*accepted, error) {
+	a := &accepted{submission: s, revision: revision}
+	var known bool
+	if a.owner, known = doc.Owner(s.Owner); !known {
+		return nil, fault.New(fault.NotFound, "have an operator add it to the catalogue", "owner %q is not known", s.Owner)
+	}
+	if a.entry, known = doc.Entry(s.Entry); !known {
+		return nil, fault.New(fault.NotFound, "have an operator add it to the catalogue", "entry %q is not known", s.Entry)
+	}
+	if a.entry.Owner != s.Owner {
+		return nil, fault.New(fault.Invalid, "submit it as that owner, or name an entry of your own",
+			"entry %q belongs to owner %q", s.Entry, a.entry.Owner)
+	}
+	if len(s.Tasks) > a.entry.MaxTasks {
+		return nil, fault.New(fault.Invalid, "split the job", "%d tasks exceed the entry's bound of %d",
+			len(s.Tasks), a.entry.MaxTasks)
+	}
+	a.deadline = time.Duration(a.entry.DeadlineMS) * time.Millisecond
+	if s.DeadlineMS != nil {
+		a.deadline = time.Duration(*s.DeadlineMS) * time.Millisecond
+	}
+	a.id = jobID(s.Owner, s.Key)
+	a.seal()
+	return a, nil
+}
+
+// seal compacts the payloads and digests them, so that white space does not make another body.
+func (a *accepted) seal() {
+	hash := sha256.New()
+	writeField(hash, []byte(a.Owner))
+	writeField(hash, []byte(a.Entry))
+	var compact bytes.Buffer
+	for i := range a.Tasks {
+		compact.Reset()
+		if err := json.Compact(&compact, a.Tasks[i].Payload); err == nil {
+			a.Tasks[i].Payload = bytes.Clone(compact.Bytes())
+		}
+		writeField(hash, a.Tasks[i].Payload)
+	}
+	hash.Sum(a.digest[:0])
+}
+
+// isRepeatable reports whether the tasks may be started more than once.
+func (a *accepted) isRepeatable() bool {
+	return a.entry.Class == catalogue.Repeatable
+}
+
+// taskSpecs returns the tasks for the aggregate.
+func (a *accepted) taskSpecs() []job.TaskSpec {
+	specs := make([]job.TaskSpec, len(a.Tasks))
+	for i, task := range a.Tasks {
+		expected := task.ExpectedRunMS
+		if expected == 0 {
+			expected = int64(a.entry.ExpectedRunMS)
+		}
+		specs[i] = job.TaskSpec{Payload: task.Payload, ExpectedRun: time.Duration(expected) * time.Millisecond}
+	}
+	return specs
+}
+
+// jobID returns the id that owner and key stand for.
+func jobID(owner, key string) string {
+	hash := sha256.New()
+	writeField(hash, []byte(owner))
+	writeField(hash, []byte(key))
+	return hex.EncodeToString(hash.Sum(nil)[:jobIDBytes])
+}
+
+// writeField writes a field with its length before it, so that no two lists of fields look alike.
+func writeField(out io.Writer, field []byte) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+	_, _ = out.Write(length[:])
+	_, _ = out.Write(field)
+}
--- a/node/settings/entry.go
+++ b/node/settings/entry.go
@@ -1,5 +1,7 @@
 package settings
 
+import "flamingohall.example/core/placement"
+
 // Entry is the section of the role that serves callers.
 type Entry struct {
 	// CallersListen is the host:port of the callers' HTTP API.
@@ -10,6 +12,10 @@
 	MaxWaiting int `json:"max_waiting"`
 	// AnswerMemoryMB bounds the finished answers kept for resubmissions, in MiB.
 	AnswerMemoryMB int `json:"answer_memory_mb"`
+	// Policy chooses among targets: "two_choices", "own", "random" or "round_robin".
+	Policy string `json:"policy"`
+	// Lookahead is how many slots beyond a target's own may be filled from here when no target has a free one.
+	Lookahead int `json:"lookahead"`
 }
 
 const (
@@ -19,12 +25,14 @@
 	maxMaxWaiting         = 1_000_000
 	defaultAnswerMemoryMB = 32
 	maxAnswerMemoryMB     = 4096
+	maxLookahead          = 64
 )
 
 func (e *Entry) fillDefaults() {
 	setDefault(&e.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&e.MaxWaiting, defaultMaxWaiting)
 	setDefault(&e.AnswerMemoryMB, defaultAnswerMemoryMB)
+	setDefault(&e.Policy, placement.PolicyTwoChoices)
 }
 
 func (e *Entry) check(c *checker) {
@@ -32,4 +40,7 @@
 	c.between("/entry/max_body_bytes", e.MaxBodyBytes, 1, maxMaxBodyBytes)
 	c.between("/entry/max_waiting", e.MaxWaiting, 1, maxMaxWaiting)
 	c.between("/entry/answer_memory_mb", e.AnswerMemoryMB, 1, maxAnswerMemoryMB)
+	c.oneOf("/entry/policy", e.Policy, placement.PolicyTwoChoices, placement.PolicyOwn,
+		placement.PolicyRandom, placement.PolicyRoundRobin)
+	c.between("/entry/lookahead", e.Lookahead, 0, maxLookahead)
 }
