--- a/node/events/sidecar.go
+++ b/node/events/sidecar.go
@@ -9,7 +9,7 @@
 	SidecarDrained = define(3004, Info, "target drained or taken back", "an operator's drain changed", "none")
 	TargetAway     = define(3101, Warn, "target away", "no connection to the target can be opened; work is refused",
 		"start the target")
-	TargetBack       = define(3102, Info, "target back", "the target accepts connections again", "none")
+	TargetReachable  = define(3102, Info, "target back", "the target accepts connections again", "none")
 	StandInListening = define(3901, Info, "stand-in target listening", "a stand-in target serves", "none")
 	StandInBehaviour = define(3902, Info, "stand-in behaviour changed", "its knobs were changed", "none")
 	StandInFailed    = define(3903, Error, "stand-in target failed", "its listener broke", "start the process again")
--- a/node/sidecar/work.go
+++ b/node/sidecar/work.go
@@ -43,7 +43,7 @@
 	}
 	s.post(ctx, request{event: target.Reach{Up: up}})
 	if up {
-		events.TargetBack.Log(s.logger, "target", s.options.TargetURL)
+		events.TargetReachable.Log(s.logger, "target", s.options.TargetURL)
 		return
 	}
 	events.TargetAway.Log(s.logger, "target", s.options.TargetURL)
