Name targets apart from nodes, end an entry's planned stop cleanly

A process that is entry and sidecar announced both under one id, so each replaced the other; and an entry's stop ended with an error though nothing failed, since Wrap of go-faster/errors returns an error for nil. Ruled out: keying the registry by role and id (two records of one name would stand in every listing). Change: sidecar.target names the target; the wrap is guarded. The test of a deleted data folder asked for a match index of 0, which is wrong once the VM is back under its new identity; it now asks for more: it must vote again, whole, and the group must stand the loss of another VM right after.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -202,7 +202,10 @@
 	if unanswered > 0 {
 		return fault.New(fault.Unknown, "give node.stop_grace_ms more time", "stopped with %d jobs unanswered", unanswered)
 	}
-	return errors.Wrap(err, "callers' listener")
+	if err != nil {
+		return errors.Wrap(err, "callers' listener")
+	}
+	return nil
 }
 
 // sleep returns false when ctx ends first.
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -112,7 +112,7 @@
 		f.Entry.fillDefaults()
 	}
 	if f.Sidecar != nil {
-		f.Sidecar.fillDefaults(f.Node)
+		f.Sidecar.fillDefaults(f.Node, f.Entry != nil)
 	}
 	if f.Control != nil {
 		f.Control.fillDefaults()
@@ -141,6 +141,8 @@
 	}
 	if f.Sidecar != nil {
 		f.Sidecar.check(c)
+		distinct := f.Entry == nil || f.Sidecar.Target != f.Node.ID
+		c.require(distinct, "/sidecar/target", "is the entry's id too", "give the target a name of its own")
 	}
 	if f.Control != nil {
 		f.Control.check(c)
--- a/node/settings/sidecar.go
+++ b/node/settings/sidecar.go
@@ -4,6 +4,9 @@
 
 // Sidecar is the section of the role that runs beside a target.
 type Sidecar struct {
+	// Target is the target's name, unique among the nodes of the system. It defaults to the node's id, or to
+	// "<id>-target" in a process that is an entry too.
+	Target string `json:"target"`
 	// TargetURL is the base URL of the target, reached over HTTP.
 	TargetURL string `json:"target_url"`
 	// Worker names the machine that the target runs on; it defaults to the node's id.
@@ -30,7 +33,11 @@
 	maxOutcomeMemoryMB     = 1024
 )
 
-func (s *Sidecar) fillDefaults(node Node) {
+func (s *Sidecar) fillDefaults(node Node, isEntry bool) {
+	if isEntry {
+		setDefault(&s.Target, node.ID+"-target")
+	}
+	setDefault(&s.Target, node.ID)
 	setDefault(&s.Worker, node.ID)
 	setDefault(&s.Slots, defaultSlots)
 	setDefault(&s.Queue, defaultQueue)
--- a/node/sidecar/harness_test.go
+++ b/node/sidecar/harness_test.go
@@ -64,7 +64,8 @@
 	if options.OutcomeMemoryMB == 0 {
 		options.OutcomeMemoryMB = 8
 	}
-	file := &settings.File{Node: settings.Node{ID: rand.Text(), DataCentre: "celje-a"}, Sidecar: &options}
+	options.Target = rand.Text()
+	file := &settings.File{Node: settings.Node{ID: options.Target, DataCentre: "celje-a"}, Sidecar: &options}
 	made, err := newSidecar(file, logr.Discard())
 	if err != nil {
 		t.Fatal(err)
--- a/node/sidecar/service.go
+++ b/node/sidecar/service.go
@@ -105,7 +105,7 @@
 func (s *Sidecar) await(ctx context.Context, event target.Event, waiter uint64, hold time.Duration) (target.Answer, error) {
 	reply := make(chan target.Answer, 1)
 	if !s.post(ctx, request{event: event, waiter: waiter, reply: reply}) {
-		return target.Answer{}, stoppedError(s.file.Node.ID)
+		return target.Answer{}, stoppedError(s.file.Sidecar.Target)
 	}
 	timer := time.NewTimer(max(hold, 0))
 	defer timer.Stop()
@@ -121,7 +121,7 @@
 	case answer := <-reply:
 		return answer, nil
 	case <-s.stopped:
-		return target.Answer{}, lostError(s.file.Node.ID)
+		return target.Answer{}, lostError(s.file.Sidecar.Target)
 	}
 }
 
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -152,7 +152,7 @@
 // Ready returns nil once the target accepts connections and control knows of it, until Stop.
 func (s *Sidecar) Ready() error {
 	if s.leaving.Load() {
-		return fault.New(fault.Unavailable, "use another target", "sidecar %s is stopping", s.file.Node.ID)
+		return fault.New(fault.Unavailable, "use another target", "sidecar %s is stopping", s.file.Sidecar.Target)
 	}
 	if !s.client.seen.Load() || !s.reachable.Load() {
 		return fault.New(fault.Unavailable, "start the target at "+s.options.TargetURL, "the target can't be reached")
@@ -212,7 +212,7 @@
 // self is this node's own record.
 func (s *Sidecar) self() *rpc.Node {
 	return &rpc.Node{
-		Id: s.file.Node.ID, Role: rpc.Role_ROLE_SIDECAR, Incarnation: s.incarnation,
+		Id: s.file.Sidecar.Target, Role: rpc.Role_ROLE_SIDECAR, Incarnation: s.incarnation,
 		DataCentre: s.file.Node.DataCentre, Address: s.file.Node.Advertise, Leaving: s.leaving.Load(),
 		Target: &rpc.TargetInfo{
 			Worker: s.options.Worker, Rack: s.options.Rack, Pool: s.options.Pool, Slots: uint32(s.options.Slots),
--- a/tools/systemtest/failures_test.go
+++ b/tools/systemtest/failures_test.go
@@ -198,7 +198,9 @@
 	c.awaitRevisionEverywhere(1)
 }
 
-func TestSystem_DeletedDataFolderLosesItsVote(t *testing.T) {
+// A VM whose folder was lost comes back under a new identity. Once it votes again it is whole: the group then stands
+// the loss of another VM.
+func TestSystem_DeletedDataFolderComesBackWhole(t *testing.T) {
 	c := newCluster(t, ordinary)
 	lost := (c.leader() + 1) % len(c.control)
 	c.control[lost].kill()
@@ -207,16 +209,24 @@
 	}
 	c.control[lost].start()
 	c.applyCatalogue(catalogueText)
-	c.awaitCatalogueAt(c.leader(), 2)
-	members, err := c.operator(c.leader()).Members(context.Background(), &rpc.MembersRequest{})
+	eventually(t, "the VM votes again", func() bool { return c.isCaughtUpVoter(lost) })
+	c.control[c.leader()].kill()
+	c.applyCatalogue(catalogueText)
+	c.awaitCatalogueAt(lost, 3)
+}
+
+// isCaughtUpVoter reports whether the leader counts the VM as a voter that has every committed entry.
+func (c *cluster) isCaughtUpVoter(i int) bool {
+	answer, err := c.operator(c.leader()).Members(context.Background(), &rpc.MembersRequest{})
 	if err != nil {
-		t.Fatal(err)
+		return false
 	}
-	for _, member := range members.Members {
-		if member.Id == c.control[lost].id && member.MatchIndex != 0 {
-			t.Errorf("%s lost its disk and is still counted: %v", member.Id, member)
+	for _, member := range answer.Members {
+		if member.Id == c.control[i].id {
+			return !member.Learner && member.MatchIndex >= answer.CommitIndex
 		}
 	}
+	return false
 }
 
 func TestSystem_PlannedStopsCutNothing(t *testing.T) {
