Hold the gate under any requests: properties, tombstones with a floor, regressions

Cause: forgetting outcomes must not open the gate. Properties over histories of copies, late and reordered requests, seals, cancels, restarts and a memory for two jobs found five ways through it (each is a regression test now): a new attempt number under a later epoch after the job's tombstone was dropped, a record that a cancel or a seal made of a dropped job, a cancelled task whose tombstone forgot its attempt. Ruled out: tombstones alone, which are bounded; sealing by time, since a copy may wait in a socket for any time. Change: the highest epoch of a dropped job is kept (epochs are log indexes, ordered over all jobs); Run and Seal carry first_epoch so that a takeover can be told from a new job.

--- a/core/target/doc.go
+++ b/core/target/doc.go
@@ -16,8 +16,8 @@
 //
 // Outcomes are kept until they are too old or too large together. Repeatable work goes first and leaves nothing. A
 // never-repeated job leaves a tombstone: its fence and attempt when nothing of it was started, else the mere fact
-// that something was. Tombstones are bounded in number; once the oldest are dropped, a job that is not known can't be
-// told from one that was forgotten, and seals of it are answered UNKNOWN. Memory is about 200 bytes for a job of one
+// that something was. Tombstones are bounded in number. Epochs are ordered over all jobs, so that of the dropped ones
+// the highest epoch stays: work at or below it that is not known is answered UNKNOWN, as it may have been dropped. Memory is about 200 bytes for a job of one
 // task, 90 for each further one, plus results; 40 for a tombstone.
 //
 // # Use
--- a/core/target/gate.go
+++ b/core/target/gate.go
@@ -49,11 +49,15 @@
 	if t.otherIncarnation(event) {
 		return nil, otherProcess, false
 	}
+	if !event.Repeatable && event.firstEpoch() <= t.stones.floor && !t.known(event.Job) && !t.off.tombstones {
+		return nil, forgotten, false
+	}
 	j, how := t.open(event.Job)
 	if j == nil {
 		return nil, how, false
 	}
 	j.repeatable = j.repeatable && event.Repeatable
+	j.lost = j.lost || t.mayBeLost(j, event)
 	if event.Epoch > j.fence {
 		j.raise(event.Epoch, 0)
 	}
@@ -67,6 +71,12 @@
 	return event.Incarnation != t.options.Incarnation
 }
 
+// known reports whether anything is left of what was known of a job.
+func (t *Target) known(id JobID) bool {
+	_, buried := t.stones.stones[id]
+	return buried || t.jobs[id] != nil
+}
+
 // open returns the record of a job, a new one when nothing is known of it, or none and the reason when it was
 // forgotten and nothing of it may start.
 func (t *Target) open(id JobID) (*job, ending) {
@@ -86,6 +96,9 @@
 		}
 	}
 	j := &job{id: id, repeatable: !buried, fence: stone.fence, fenceAttempt: stone.attempt}
+	if !buried {
+		j.floor = t.stones.floor
+	}
 	t.jobs[id] = j
 	t.charge(j, jobBytes)
 	return j, ending{}
@@ -95,6 +108,9 @@
 func (t *Target) admitTask(j *job, event Run, spec Spec, w *waiter) {
 	each := j.find(spec.Index)
 	switch {
+	case (each == nil || each.attempt == 0) && j.lost && !event.Repeatable:
+		w.settle(forgotten.told(spec.Index, spec.Attempt))
+		return
 	case each != nil && spec.Attempt <= each.attempt:
 		t.attach(j, each, spec, w)
 		return
@@ -104,9 +120,6 @@
 	case each != nil && each.sealed:
 		w.settle(ending{each.outcome, each.cause, each.reason}.told(spec.Index, spec.Attempt))
 		return
-	case each == nil && j.lost:
-		w.settle(forgotten.told(spec.Index, spec.Attempt))
-		return
 	case !t.off.fence && j.fenced(event.Epoch, spec.Attempt):
 		w.settle(t.fencedEnding(j, event).told(spec.Index, spec.Attempt))
 		return
@@ -124,6 +137,12 @@
 	t.pump()
 }
 
+// mayBeLost reports whether tasks without a record may have been started by what was forgotten before the job's record
+// was made.
+func (t *Target) mayBeLost(j *job, event Run) bool {
+	return !event.Repeatable && event.firstEpoch() <= j.floor && !t.off.tombstones
+}
+
 // attach answers a copy, or an attempt older than the latest. A never-repeated task has a later attempt only when the
 // older ones did not start.
 func (t *Target) attach(j *job, each *task, spec Spec, w *waiter) {
--- a/core/target/job.go
+++ b/core/target/job.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -11,6 +12,8 @@
 	// Nothing starts under an epoch below fence, nor under fence itself up to fenceAttempt.
 	fence        uint64
 	fenceAttempt uint32
+	// floor is the highest epoch of a job that had been dropped when this record was made.
+	floor uint64
 	// tasks are ordered by index.
 	tasks []*task
 	// live counts the tasks that have not ended.
@@ -118,11 +121,14 @@
 	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.started })
 }
 
-// highestAttempt returns the highest attempt seen of any task.
+// highestAttempt returns the highest attempt of any task that may not start under the fence.
 func (j *job) highestAttempt() uint32 {
 	highest := j.fenceAttempt
 	for _, t := range j.tasks {
 		highest = max(highest, t.attempt)
+		if t.sealed {
+			return math.MaxUint32
+		}
 	}
 	return highest
 }
--- a/core/target/memory.go
+++ b/core/target/memory.go
@@ -66,8 +66,10 @@
 	stones map[JobID]tombstone
 	ring   []JobID
 	next   int
-	// dropped counts the jobs of which nothing is left.
+	// dropped counts the jobs of which nothing is left. Epochs are ordered over all jobs; floor is the highest one of
+	// a job that was dropped.
 	dropped uint64
+	floor   uint64
 }
 
 func (s *tombstones) add(id JobID, stone tombstone, limit int) {
@@ -86,6 +88,7 @@
 	if old, present := s.stones[oldest]; present && old.slot == stone.slot {
 		delete(s.stones, oldest)
 		s.dropped++
+		s.floor = max(s.floor, old.fence, 1)
 	}
 	s.ring[s.next] = id
 	s.next = (s.next + 1) % limit
@@ -166,7 +169,7 @@
 	}
 	stone := tombstone{fence: j.fence, attempt: j.highestAttempt()}
 	switch {
-	case j.started():
+	case j.started() || j.lost:
 		stone.fate = fateStarted
 	case j.cancelled:
 		stone.fate = fateCancelled
--- a/core/target/message.go
+++ b/core/target/message.go
@@ -83,6 +83,14 @@
 	Sequence            uint64
 }
 
+// firstEpoch is the oldest epoch under which the job may have been here.
+func (r Run) firstEpoch() uint64 {
+	if r.FirstEpoch == 0 {
+		return r.Epoch
+	}
+	return r.FirstEpoch
+}
+
 // Event is something that happens to a target: one of the types below.
 type Event interface{ isEvent() }
 
@@ -94,7 +102,9 @@
 	// Incarnation is the process meant; empty accepts any, for repeatable work only.
 	Incarnation string
 	Epoch       uint64
-	Repeatable  bool
+	// FirstEpoch is that of the job's first claim; 0 stands for Epoch.
+	FirstEpoch uint64
+	Repeatable bool
 	// Entry is the catalogue entry's name.
 	Entry string
 	// Deadline counts from the start of the process, as the time given to Step does.
@@ -124,6 +134,8 @@
 	Attempt     uint32
 	Indexes     []uint32
 	All         bool
+	// FirstEpoch is that of the job's first claim; 0 stands for Epoch, and with All for not known.
+	FirstEpoch uint64
 }
 
 // Cancel ends queued tasks and asks running ones to stop.
--- /dev/null
+++ b/core/target/regression_test.go
@@ -0,0 +1,160 @@
+package target
+
+import (
+	"testing"
+	"time"
+)
+
+// driver sends events to a target and counts its starts.
+type driver struct {
+	*Target
+	now    time.Duration
+	waiter uint64
+	starts []Start
+}
+
+func newDriver(options Options) *driver {
+	options.Incarnation = "here"
+	return &driver{Target: New(options)}
+}
+
+func (d *driver) send(event Event) []TaskOutcome {
+	var told []TaskOutcome
+	for _, effect := range d.Step(d.now, event) {
+		switch effect := effect.(type) {
+		case Start:
+			d.starts = append(d.starts, effect)
+		case Answer:
+			told = effect.Outcomes
+		}
+	}
+	return told
+}
+
+// run sends a never-repeated task 0 and returns what is told of it at once.
+func (d *driver) run(job byte, epoch uint64, attempt uint32) TaskOutcome {
+	d.waiter++
+	told := d.send(Run{
+		Waiter: d.waiter, Job: JobID{job}, Incarnation: "here", Epoch: epoch, Deadline: d.now + time.Minute,
+		Tasks: []Spec{{Index: 0, Attempt: attempt}},
+	})
+	if len(told) == 0 {
+		told = d.send(HoldOver{Waiter: d.waiter})
+	}
+	return told[0]
+}
+
+func (d *driver) finish(outcome Outcome) {
+	last := d.starts[len(d.starts)-1]
+	d.send(Finished{Job: last.Job, Index: last.Index, Attempt: last.Attempt, Outcome: outcome})
+}
+
+// forgetAll lets every outcome grow too old.
+func (d *driver) forgetAll() {
+	d.now += tight.OutcomeAge + time.Millisecond
+	d.send(Tick{})
+}
+
+func wantOutcome(t *testing.T, got TaskOutcome, want Outcome, cause Cause) {
+	t.Helper()
+	if got.Outcome != want || got.Cause != cause {
+		t.Errorf("outcome %d cause %d %q, want %d cause %d", got.Outcome, got.Cause, got.Reason, want, cause)
+	}
+}
+
+// dropped returns a driver that ran job 1 under epoch 1 and has nothing left of it.
+func dropped() *driver {
+	d := newDriver(tight)
+	for job := range byte(2) {
+		d.run(job+1, uint64(job)+1, 1)
+		d.finish(Done)
+		d.forgetAll()
+	}
+	return d
+}
+
+func TestForgotten_TombstoneTellsUnknown(t *testing.T) {
+	d := newDriver(tight)
+	d.run(1, 1, 1)
+	d.finish(Done)
+	d.forgetAll()
+	wantOutcome(t, d.run(1, 1, 1), Unknown, CauseLost)
+	wantOutcome(t, d.run(1, 5, 2), Unknown, CauseLost)
+}
+
+func TestForgotten_RefusalStaysNotRun(t *testing.T) {
+	d := newDriver(tight)
+	d.send(Drain{Drained: true})
+	wantOutcome(t, d.run(1, 1, 1), NotRun, CauseLeaving)
+	d.send(Drain{})
+	d.forgetAll()
+	wantOutcome(t, d.run(1, 1, 1), NotRun, CauseSealed)
+	wantOutcome(t, d.run(1, 1, 2), Running, CauseNone)
+}
+
+func TestDropped_CopyAfterCancelDoesNotStart(t *testing.T) {
+	d := dropped()
+	d.send(Cancel{Waiter: 100, Jobs: []CancelledJob{{Job: JobID{1}, Indexes: []uint32{0}}}})
+	wantOutcome(t, d.run(1, 1, 1), Unknown, CauseLost)
+	d.forgetAll()
+	wantOutcome(t, d.run(1, 1, 1), Unknown, CauseLost)
+}
+
+func TestDropped_SealTellsUnknownUnlessTheClaimIsNewer(t *testing.T) {
+	d := dropped()
+	seal := Seal{Waiter: 100, Job: JobID{9}, Incarnation: "here", Epoch: 9, Indexes: []uint32{0}, All: true}
+	wantOutcome(t, d.send(seal)[0], Unknown, CauseLost)
+	seal.Job = JobID{10}
+	seal.FirstEpoch = 8
+	wantOutcome(t, d.send(seal)[0], NotRun, CauseSealed)
+}
+
+func TestForgotten_CancelledBeforeItCameStaysSo(t *testing.T) {
+	d := newDriver(tight)
+	d.send(Cancel{Waiter: 100, Jobs: []CancelledJob{{Job: JobID{1}, Indexes: []uint32{0}}}})
+	wantOutcome(t, d.run(1, 1, 1), Cancelled, CauseCancelled)
+	d.forgetAll()
+	wantOutcome(t, d.run(1, 1, 1), NotRun, CauseSealed)
+}
+
+// takeOver seals a job at epoch 2 before the first holder's request, sent under epoch 1, arrives.
+func takeOver(off safeguardsOff) (*driver, TaskOutcome, TaskOutcome) {
+	d := newDriver(roomy)
+	d.off = off
+	sealed := d.send(Seal{Waiter: 100, Job: JobID{1}, Incarnation: "here", Epoch: 2, Indexes: []uint32{0}, All: true})
+	return d, sealed[0], d.run(1, 1, 1)
+}
+
+func TestFence_DelayedRequestOfOldHolderStartsNothing(t *testing.T) {
+	d, sealed, late := takeOver(safeguardsOff{})
+	wantOutcome(t, sealed, NotRun, CauseSealed)
+	wantOutcome(t, late, NotRun, CauseFenced)
+	wantOutcome(t, d.run(1, 2, 1), Running, CauseNone)
+	if _, _, late := takeOver(safeguardsOff{fence: true}); late.Outcome != Running {
+		t.Errorf("without the fence the delayed request ended as %d: the test proves nothing", late.Outcome)
+	}
+}
+
+func TestSeal_OwnEpochStopsTheDelayedAttempt(t *testing.T) {
+	d := newDriver(roomy)
+	seal := Seal{Waiter: 100, Job: JobID{1}, Incarnation: "here", Epoch: 1, Indexes: []uint32{0}, Attempt: 1}
+	wantOutcome(t, d.send(seal)[0], NotRun, CauseSealed)
+	wantOutcome(t, d.run(1, 1, 1), NotRun, CauseSealed)
+	wantOutcome(t, d.run(1, 1, 2), Running, CauseNone)
+	wantOutcome(t, d.send(seal)[0], Running, CauseNone)
+}
+
+func TestSeal_OfAnotherProcessTellsUnknown(t *testing.T) {
+	d := newDriver(roomy)
+	seal := Seal{Waiter: 100, Job: JobID{1}, Incarnation: "earlier", Epoch: 2, Indexes: []uint32{0}, All: true}
+	wantOutcome(t, d.send(seal)[0], Unknown, CauseLost)
+}
+
+func TestSeal_StaleHolderLearnsNothingIsFree(t *testing.T) {
+	d := newDriver(roomy)
+	d.run(1, 3, 1)
+	seal := Seal{Waiter: 100, Job: JobID{1}, Incarnation: "here", Epoch: 2, Indexes: []uint32{0, 1}, All: true}
+	told := d.send(seal)
+	wantOutcome(t, told[0], Running, CauseNone)
+	wantOutcome(t, told[1], Unknown, CauseFenced)
+}
--- a/core/target/seal.go
+++ b/core/target/seal.go
@@ -35,20 +35,26 @@
 
 // openSealed returns the record of the job, which is never-repeated from now on.
 func (t *Target) openSealed(event Seal) (*job, ending) {
-	_, buried := t.stones.stones[event.Job]
-	known := buried || t.jobs[event.Job] != nil
 	j, how := t.open(event.Job)
 	if j == nil {
 		return nil, how
 	}
 	j.repeatable = false
-	// Once tombstones were dropped, a job without one may be among them.
-	if !known && t.stones.dropped > 0 && !t.off.tombstones {
+	if j.mayHaveBeenDropped(event) && !t.off.tombstones {
 		j.lost = true
 	}
 	return j, ending{}
 }
 
+// mayHaveBeenDropped reports whether the job may have been here before its record was made.
+func (j *job) mayHaveBeenDropped(event Seal) bool {
+	first := event.FirstEpoch
+	if first == 0 && !event.All {
+		first = event.Epoch
+	}
+	return j.floor > 0 && first <= j.floor
+}
+
 // shut raises the fence and ends what is queued behind it.
 func (t *Target) shut(j *job, event Seal, unseen ending) {
 	if event.All {
--- a/node/sidecar/service.go
+++ b/node/sidecar/service.go
@@ -49,7 +49,7 @@
 	s.sidecar.metrics.Add("wasted_seal", 1)
 	event := target.Seal{
 		Waiter: s.sidecar.waiters.Add(1), Job: job, Incarnation: in.GetIncarnation(), Epoch: in.GetEpoch(),
-		Attempt: in.GetAttempt(), Indexes: in.GetIndexes(), All: in.GetAll(),
+		Attempt: in.GetAttempt(), Indexes: in.GetIndexes(), All: in.GetAll(), FirstEpoch: in.GetFirstEpoch(),
 	}
 	answer, err := s.sidecar.await(ctx, event, event.Waiter, maxHold)
 	if err != nil {
@@ -160,7 +160,7 @@
 	}
 	event := target.Run{
 		Waiter: s.sidecar.waiters.Add(1), Job: job, Incarnation: in.GetIncarnation(), Epoch: in.GetEpoch(),
-		Repeatable: in.GetRepeatable(), Entry: in.GetCatalogueEntry(), Slots: int(in.GetSlots()),
+		FirstEpoch: in.GetFirstEpoch(), Repeatable: in.GetRepeatable(), Entry: in.GetCatalogueEntry(), Slots: int(in.GetSlots()),
 		Deadline: time.Since(s.sidecar.began) + time.Duration(in.GetDeadlineMs())*time.Millisecond,
 		Tasks:    make([]target.Spec, 0, len(in.GetTasks())),
 	}
