Prove the job aggregate over random histories; settle no task before its claim is known

Cause: a job that was cancelled or given up while its claim was asked for settled its tasks as not run, though the claim could turn out to take over tasks that an earlier holder had started. Also, a claim whose answer was lost could be granted again later and would have skipped the seals. Ruled out: sealing on every grant (one call per named target for each job). Conclusion: each of three safeguards switched off is noticed within 3,000 histories.

--- a/core/job/job.go
+++ b/core/job/job.go
@@ -144,9 +144,11 @@
 		j.beginTakeover(e.Earlier)
 		return
 	}
-	if j.waiting > 0 {
-		j.emit(Effect{Kind: EffectWait})
+	if j.stopping {
+		j.settleWaiting()
+		return
 	}
+	j.emit(Effect{Kind: EffectWait})
 }
 
 // claimLost ends a job that never held its claim: nothing was started, and nothing is to be stored.
@@ -156,6 +158,7 @@
 	}
 	j.phase = phaseOpen
 	j.stop(CauseClaim, e.Reason)
+	j.settleWaiting()
 }
 
 func (j *Job) place(e Place) {
@@ -207,7 +210,8 @@
 	j.stopping = true
 	j.stopCause = cause
 	j.stopReason = reason
-	if j.phase == phaseTakeover {
+	if j.phase == phaseClaiming || j.phase == phaseTakeover {
+		// An earlier holder may have started tasks: nothing is settled before that is known.
 		return
 	}
 	j.settleWaiting()
@@ -282,6 +286,8 @@
 		return
 	}
 	if j.phase == phaseClaiming {
+		j.phase = phaseOpen
+		j.settleWaiting()
 		j.unstored("the deadline came while the claim was asked for")
 		return
 	}
--- /dev/null
+++ b/core/job/job_test.go
@@ -0,0 +1,138 @@
+package job
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// drain lets the world come to rest: what is on its way arrives or times out, and time passes the deadline.
+func (w *world) drain() {
+	for range 60 {
+		for _, c := range slices.Clone(w.calls) {
+			if c.gone || c.ended {
+				continue
+			}
+			if rapid.IntRange(0, 3).Draw(w.t, "drain") == 0 {
+				w.silenceCall(c)
+				continue
+			}
+			w.deliverCall(c)
+			w.replyCall(c)
+		}
+		w.finishTask()
+		w.advance(60)
+	}
+	for _, c := range slices.Clone(w.calls) {
+		if !c.gone {
+			w.deliverCall(c)
+		}
+	}
+}
+
+// check states what must hold of any history; it returns what does not.
+func (w *world) check() error {
+	for i := range w.tasks {
+		if !w.repeatable && w.starts[i] > 1 {
+			return fmt.Errorf("task %d was started %d times", i, w.starts[i])
+		}
+	}
+	for at, e := range w.entries {
+		if e.alive && e.answers != 1 {
+			return fmt.Errorf("entry %d answered %d times", at, e.answers)
+		}
+		if e.answers == 0 {
+			continue
+		}
+		for i := range w.tasks {
+			if err := w.checkTask(e.job.Task(i), i); err != nil {
+				return fmt.Errorf("entry %d: %w", at, err)
+			}
+		}
+	}
+	return nil
+}
+
+func (w *world) checkTask(task TaskState, i int) error {
+	// Entries run repeatable work independently of each other.
+	isAlone := !w.repeatable || len(w.entries) == 1
+	neverRan := task.Outcome == NotRun || (task.Outcome == Cancelled && !w.repeatable)
+	switch {
+	case !task.Outcome.Final():
+		return fmt.Errorf("task %d is answered as %s", i, task.Outcome)
+	case neverRan && w.starts[i] > 0 && isAlone:
+		return fmt.Errorf("task %d is answered as %s and was started", i, task.Outcome)
+	case task.Outcome == Done && w.starts[i] == 0:
+		return fmt.Errorf("task %d is answered as done and was not started", i)
+	case task.Outcome == Done && string(task.Result) != fmt.Sprint("result ", i):
+		return fmt.Errorf("task %d got result %q", i, task.Result)
+	case task.Outcome != Done && task.Cause == CauseNone:
+		return fmt.Errorf("task %d is %s without a cause", i, task.Outcome)
+	}
+	return nil
+}
+
+func history(t *rapid.T, repeatable bool, off safeguards) *world {
+	w := newWorld(t, repeatable)
+	w.off = off
+	for range rapid.IntRange(10, 120).Draw(t, "acts") {
+		w.act()
+	}
+	w.drain()
+	return w
+}
+
+func TestJob_AnyHistory(t *testing.T) {
+	for name, repeatable := range map[string]bool{"never repeated": false, "repeatable": true} {
+		t.Run(name, rapid.MakeCheck(func(t *rapid.T) {
+			if err := history(t, repeatable, safeguards{}).check(); err != nil {
+				t.Fatal(err)
+			}
+		}))
+	}
+}
+
+// The check above must notice when a safeguard is missing.
+func TestJob_HistoriesNoticeMissingSafeguards(t *testing.T) {
+	const histories = 3000
+	for name, off := range map[string]safeguards{
+		"seal after silence":          {seal: true},
+		"seal before takeover":        {takeover: true},
+		"unknown after a replacement": {replaced: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			generator := rapid.Custom(func(t *rapid.T) error { return history(t, false, off).check() })
+			for seed := range histories {
+				if generator.Example(seed) != nil {
+					return
+				}
+			}
+			t.Fatalf("none of %d histories noticed", histories)
+		})
+	}
+}
+
+func TestJob_RetriesWithinAttempts(t *testing.T) {
+	j := New(Spec{ID: "j", Repeatable: true, Attempts: 2, Deadline: time.Unix(10, 0), Tasks: make([]TaskSpec, 1)})
+	target := Target{ID: "a", Incarnation: "1"}
+	failed := func(attempt int) []Effect {
+		ref := Ref{0, attempt}
+		return j.Step(time.Unix(0, 0), RunAnswered{Target: target, Asked: []Ref{ref}, Reports: []Report{
+			{Ref: ref, Outcome: Failed, Cause: CauseTarget, Reason: "broken"},
+		}})
+	}
+	j.Step(time.Unix(0, 0), Begin{})
+	j.Step(time.Unix(0, 0), Place{Target: target, Indexes: []int{0}})
+	failed(1)
+	if !j.IsWaiting() {
+		t.Fatal("a repeatable task with attempts left waits for another target")
+	}
+	j.Step(time.Unix(0, 0), Place{Target: target, Indexes: []int{0}})
+	failed(2)
+	if !j.IsAnswered() || j.Task(0).Outcome != Failed {
+		t.Fatalf("task is %+v", j.Task(0))
+	}
+}
--- a/node/entry/claims.go
+++ b/node/entry/claims.go
@@ -28,7 +28,7 @@
 // startClaim names the targets that the job may use and asks control for the claim.
 func (l *loop) startClaim(r *record, now time.Time) {
 	targets := l.moreCandidates(r, now)
-	go l.claim(r, l.claimRequest(r, targets), targets)
+	go l.claim(r, l.claimRequest(r, targets), targets, l.doubtful.has(r.accepted.id))
 }
 
 // moreCandidates adds targets to those that the job may use.
@@ -47,21 +47,31 @@
 }
 
 // claim asks until the job has a holder: this entry, or another one whose answer is then awaited.
-func (l *loop) claim(r *record, request *rpc.ClaimRequest, targets []job.Target) {
+func (l *loop) claim(r *record, request *rpc.ClaimRequest, targets []job.Target, mustSeal bool) {
 	ctx, cancel := context.WithDeadline(l.life, r.deadline)
 	defer cancel()
+	asked := &claiming{record: r, request: request, targets: targets, mustSeal: mustSeal}
 	for ctx.Err() == nil {
 		response, err := l.entry.follower.Control().Claim(ctx, request)
 		if err != nil {
-			l.claimFailed(r, err)
+			l.claimFailed(asked, err)
 			return
 		}
-		if l.claimSettled(ctx, r, request, response, targets) {
+		if l.claimSettled(ctx, asked, response) {
 			return
 		}
 	}
 }
 
+// claiming is a claim that is being asked for.
+type claiming struct {
+	record  *record
+	request *rpc.ClaimRequest
+	targets []job.Target
+	// mustSeal is true when a grant may be that of an earlier try, so that targets of an earlier holder may be in use.
+	mustSeal bool
+}
+
 func (l *loop) claimRequest(r *record, targets []job.Target) *rpc.ClaimRequest {
 	return &rpc.ClaimRequest{
 		JobId: r.accepted.id, Holder: l.entry.file.Node.ID, HolderIncarnation: l.entry.incarnation,
@@ -70,44 +80,48 @@
 	}
 }
 
-// claimSettled reports whether the answer ends the asking; otherwise request is ready for the next try.
-func (l *loop) claimSettled(
-	ctx context.Context, r *record, request *rpc.ClaimRequest, response *rpc.ClaimResponse, targets []job.Target,
-) bool {
+// claimSettled reports whether the answer ends the asking; otherwise the request is ready for the next try.
+func (l *loop) claimSettled(ctx context.Context, c *claiming, response *rpc.ClaimResponse) bool {
 	switch response.GetStatus() {
 	case rpc.ClaimStatus_CLAIM_STATUS_GRANTED:
-		granted := claimGranted{record: r, epoch: response.GetEpoch(), allowed: targets}
-		if request.GetTakeOverEpoch() > 0 {
+		granted := claimGranted{record: c.record, epoch: response.GetEpoch(), allowed: c.targets}
+		if c.mustSeal || c.request.GetTakeOverEpoch() > 0 {
 			granted.earlier = jobTargets(response.GetTargets())
 		}
 		l.post(granted)
 		return true
 	case rpc.ClaimStatus_CLAIM_STATUS_FINISHED:
-		l.post(answeredElsewhere{record: r, encoded: response.GetAnswer()})
+		l.post(answeredElsewhere{record: c.record, encoded: response.GetAnswer()})
 		return true
 	case rpc.ClaimStatus_CLAIM_STATUS_CONFLICT:
-		l.post(claimRefused{record: r, failure: keyReused()})
+		l.post(claimRefused{record: c.record, failure: keyReused()})
 		return true
 	case rpc.ClaimStatus_CLAIM_STATUS_HELD:
-		return l.awaitHolder(ctx, r, request, response)
+		return l.awaitHolder(ctx, c, response)
 	default:
+		c.request.TakeOverEpoch = 0
 		sleep(ctx, claimBackoff)
 		return false
 	}
 }
 
 // awaitHolder waits for the holder's answer while it lives; a dead holder's claim is taken over with the next try.
-func (l *loop) awaitHolder(ctx context.Context, r *record, request *rpc.ClaimRequest, held *rpc.ClaimResponse) bool {
-	request.TakeOverEpoch = 0
+func (l *loop) awaitHolder(ctx context.Context, c *claiming, held *rpc.ClaimResponse) bool {
+	c.request.TakeOverEpoch = 0
+	if held.GetHolderIncarnation() == l.entry.incarnation {
+		// An earlier try of this process took the job over, and its answer was lost.
+		c.mustSeal = true
+		return false
+	}
 	if !held.GetHolderLive() {
-		request.TakeOverEpoch = held.GetEpoch()
+		c.request.TakeOverEpoch = held.GetEpoch()
 		return false
 	}
 	l.entry.metrics.Add("wasted_resubmission", 1)
-	call := &rpc.AwaitRequest{JobId: request.GetJobId(), HoldMs: awaitHold.Milliseconds()}
+	call := &rpc.AwaitRequest{JobId: c.request.GetJobId(), HoldMs: awaitHold.Milliseconds()}
 	response, err := link.Call(ctx, awaitHold+answerSlack, l.entry.links.Peer(held.GetHolderAddress()).Await, call)
 	if err == nil && response.GetFinished() {
-		l.post(answeredElsewhere{record: r, encoded: response.GetAnswer()})
+		l.post(answeredElsewhere{record: c.record, encoded: response.GetAnswer()})
 		return true
 	}
 	if err != nil {
@@ -120,15 +134,46 @@
 }
 
 // claimFailed ends a job whose claim was certainly not committed. Otherwise the job's deadline settles it.
-func (l *loop) claimFailed(r *record, err error) {
+func (l *loop) claimFailed(c *claiming, err error) {
 	found := fault.Of(err)
 	if found.Kind == fault.Unknown {
+		l.post(claimInDoubt{id: c.request.GetJobId()})
 		return
 	}
 	if found.RetryAfter == 0 && found.Kind == fault.Unavailable {
 		found = found.After(claimRetryAfter)
 	}
-	l.post(claimRefused{record: r, failure: found})
+	l.post(claimRefused{record: c.record, failure: found})
+}
+
+// doubt remembers the jobs whose claim this process may hold without knowing. A later grant may then be the earlier
+// one, and the targets that it names have to be sealed first.
+type doubt struct {
+	jobs map[string]bool
+	// all is set once there were too many to tell apart.
+	all bool
+}
+
+// maxDoubtful bounds the jobs remembered by id.
+const maxDoubtful = 10_000
+
+func (d *doubt) add(id string) {
+	if len(d.jobs) >= maxDoubtful {
+		d.all = true
+		return
+	}
+	d.jobs[id] = true
+}
+
+func (d *doubt) has(id string) bool {
+	return d.all || d.jobs[id]
+}
+
+// claimInDoubt says that a claim may have been granted.
+type claimInDoubt struct{ id string }
+
+func (m claimInDoubt) apply(l *loop, _ time.Time) {
+	l.doubtful.add(m.id)
 }
 
 // claimGranted makes this entry the holder.
@@ -184,6 +229,11 @@
 		return
 	}
 	l.measure(m.record, now, true)
+	if len(m.encoded) == 0 {
+		l.conclude(m.record, nil, fault.New(fault.Expired, "look the outcome up where the tasks left it",
+			"the job was answered before, and its answer is not kept any more; nothing was started again"))
+		return
+	}
 	l.conclude(m.record, encodedResult(m.encoded), nil)
 }
 
--- a/node/entry/loop.go
+++ b/node/entry/loop.go
@@ -44,6 +44,7 @@
 	cancels map[job.Target]*cancelBatch
 	// addresses holds where each incarnation of a target was last known to be.
 	addresses map[job.Target]string
+	doubtful  doubt
 	// pending collects the Runs of one pass.
 	pending []pendingRun
 	// active mirrors store.active for a planned stop.
@@ -64,6 +65,7 @@
 		}),
 		queues: map[string]*placement.Queue{}, dirty: map[string]bool{},
 		cancels: map[job.Target]*cancelBatch{}, addresses: map[job.Target]string{},
+		doubtful: doubt{jobs: map[string]bool{}},
 	}, nil
 }
 
