--- /dev/null
+++ b/core/admission/budget.go
@@ -0,0 +1,29 @@
+package admission
+
+// Budget limits extra starts to a share of the recent successes, so that retries can't multiply a failure. It
+// implements job.Budget.
+type Budget struct {
+	// share is what each success adds, burst what may be saved up.
+	share  float64
+	burst  float64
+	tokens float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget(share, burst float64) *Budget {
+	return &Budget{share: share, burst: burst, tokens: burst}
+}
+
+// Succeeded counts successes.
+func (b *Budget) Succeeded(count int) {
+	b.tokens = min(b.burst, b.tokens+b.share*float64(count))
+}
+
+// Take takes one extra start and reports whether there was one left.
+func (b *Budget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
