Learn run times, admit by them, order fairly, hedge and set bad targets aside

Cause: a burst queued past its deadline, a slow task held its job, a target that fails fast drew all work. Ruled out: hedging from the declared time (often far off); judging in the board (it can't see who else succeeded). Change: the entry's loop uses core/admission and core/health; settings order, hedging and ejection switch each off to compare. GET /v1/burn serves core/burn's report of this entry.

--- a/core/job/view.go
+++ b/core/job/view.go
@@ -47,6 +47,24 @@
 // Task returns what is known of a task.
 func (j *Job) Task(index int) TaskState { return j.tasks[index].TaskState }
 
+// LoneAttempt returns the number of a task's attempt when it has exactly one on its way, else 0.
+func (j *Job) LoneAttempt(index int) int {
+	if tries := j.tasks[index].tries; len(tries) == 1 && !j.stopping {
+		return tries[0].attempt
+	}
+	return 0
+}
+
+// RanToEnd reports whether each task is done or failed by its own fault.
+func (j *Job) RanToEnd() bool {
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.Outcome != Done && t.Cause != CauseTask && t.Cause != CauseJob {
+			return false
+		}
+	}
+	return true
+}
+
 // IsComplete reports whether every task is done.
 func (j *Job) IsComplete() bool {
 	for i := range j.tasks {
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -16,8 +16,9 @@
 	// Cost is the expected slot time of one task.
 	Cost time.Duration
 	// order breaks ties by arrival.
-	order uint64
-	place int
+	order     uint64
+	place     int
+	byArrival bool
 }
 
 // remaining returns the expected slot time of the tasks that wait.
@@ -31,6 +32,8 @@
 	// virtual is the service time, divided by weight, of the owner served last: owners that come back start there.
 	virtual float64
 	orders  uint64
+	// byArrival orders by arrival only, as a baseline to compare with.
+	byArrival bool
 }
 
 type ownerQueue struct {
@@ -39,9 +42,9 @@
 	jobs    jobHeap
 }
 
-// NewQueue returns an empty queue.
-func NewQueue() *Queue {
-	return &Queue{owners: map[string]*ownerQueue{}}
+// NewQueue returns an empty queue. With byArrival, the order is that of arrival: a baseline to compare with.
+func NewQueue(byArrival bool) *Queue {
+	return &Queue{owners: map[string]*ownerQueue{}, byArrival: byArrival}
 }
 
 // Push adds a job; one that is queued already keeps its place.
@@ -54,6 +57,7 @@
 	if w.order == 0 {
 		w.order = q.orders
 	}
+	w.byArrival = q.byArrival
 	owner := q.owner(w.Owner)
 	if len(owner.jobs) == 0 {
 		owner.virtual = max(owner.virtual, q.virtual)
@@ -75,7 +79,7 @@
 		if len(owner.jobs) == 0 || isBlocked(owner.name) {
 			continue
 		}
-		if best == nil || owner.isBefore(best) {
+		if best == nil || q.isBefore(owner, best) {
 			best = owner
 		}
 	}
@@ -85,7 +89,10 @@
 	return best.jobs[0]
 }
 
-func (o *ownerQueue) isBefore(other *ownerQueue) bool {
+func (q *Queue) isBefore(o, other *ownerQueue) bool {
+	if q.byArrival {
+		return o.jobs[0].order < other.jobs[0].order
+	}
 	if o.virtual != other.virtual {
 		return o.virtual < other.virtual
 	}
@@ -107,21 +114,6 @@
 	heap.Fix(&owner.jobs, w.place-1)
 }
 
-// Work returns the expected slot time that waits: of one owner, and of all.
-func (q *Queue) Work(owner string) (own, all time.Duration) {
-	for name, o := range q.owners {
-		sum := time.Duration(0)
-		for _, w := range o.jobs {
-			sum += w.remaining()
-		}
-		all += sum
-		if name == owner {
-			own = sum
-		}
-	}
-	return own, all
-}
-
 // Len returns the number of waiting jobs.
 func (q *Queue) Len() int {
 	count := 0
@@ -155,7 +147,7 @@
 func (h jobHeap) Len() int { return len(h) }
 
 func (h jobHeap) Less(i, k int) bool {
-	if a, b := h[i].remaining(), h[k].remaining(); a != b {
+	if a, b := h[i].remaining(), h[k].remaining(); a != b && !h[i].byArrival {
 		return a < b
 	}
 	return h[i].order < h[k].order
@@ -182,3 +174,44 @@
 	last.place = 0
 	return last
 }
+
+// Ahead returns the expected slot time that is served before a new job of that owner and size has all its tasks
+// placed: the owner's shorter jobs, and what the fair share gives to the other owners meanwhile.
+func (q *Queue) Ahead(owner string, weight int, work time.Duration) time.Duration {
+	var own, others time.Duration
+	otherWeights := 0
+	for name, o := range q.owners {
+		if len(o.jobs) == 0 {
+			continue
+		}
+		if name != owner {
+			otherWeights += max(1, o.jobs[0].Weight)
+		}
+		for _, w := range o.jobs {
+			remaining := w.remaining()
+			switch {
+			case name != owner:
+				others += remaining
+			case remaining <= work:
+				own += remaining
+			}
+		}
+	}
+	share := float64(own+work) * float64(otherWeights) / float64(max(1, weight))
+	return own + min(others, time.Duration(share))
+}
+
+// Tasks returns how many tasks wait: of one owner, and of all.
+func (q *Queue) Tasks(owner string) (own, all int) {
+	for name, o := range q.owners {
+		count := 0
+		for _, w := range o.jobs {
+			count += w.Job.Waiting()
+		}
+		all += count
+		if name == owner {
+			own = count
+		}
+	}
+	return own, all
+}
--- a/node/entry/api.go
+++ b/node/entry/api.go
@@ -35,6 +35,7 @@
 	app.Get("/v1/submissions", e.serveStatus)
 	app.Get(submissionsPath+"{rest:path}", e.serveStatus)
 	app.Post(submissionsPath+"{rest:path}", e.serveCancel)
+	app.Get("/v1/burn", e.serveBurn)
 	app.Get("/healthz", func(ctx iris.Context) { _, _ = ctx.WriteString("alive\n") })
 	app.Get("/readyz", e.serveReady)
 	app.OnErrorCode(http.StatusNotFound, func(ctx iris.Context) {
@@ -57,6 +58,25 @@
 	_, _ = ctx.WriteString("ready\n")
 }
 
+// serveBurn tells how the service levels are kept, as seen by this entry.
+func (e *Entry) serveBurn(ctx iris.Context) {
+	view := e.follower.View()
+	if view == nil {
+		writeFault(ctx, fault.Of(e.Ready()).After(noTargetRetryAfter))
+		return
+	}
+	report, found := e.loop.burnReport(ctx.Request().Context(), view.Catalogue)
+	if !found {
+		return
+	}
+	body, err := json.Marshal(report)
+	if err != nil {
+		writeFault(ctx, fault.Of(err))
+		return
+	}
+	writeJSON(ctx, http.StatusOK, body)
+}
+
 // serveSubmit takes a submission; with wait=false it answers at once.
 func (e *Entry) serveSubmit(ctx iris.Context) {
 	wait, err := waitWanted(ctx.URLParam("wait"))
--- a/node/entry/calls.go
+++ b/node/entry/calls.go
@@ -46,7 +46,8 @@
 	}
 	expected := time.Duration(0)
 	for _, ref := range effect.Refs {
-		expected = max(expected, r.job.Spec(ref.Index).ExpectedRun)
+		declared := r.job.Spec(ref.Index).ExpectedRun
+		expected = max(expected, l.times.Quantile(r.accepted.Entry, declared, high))
 	}
 	c.hold = min(max(minHold, holdFactor*expected), max(0, r.job.Deadline().Sub(now)))
 	return c
--- a/node/entry/claims.go
+++ b/node/entry/claims.go
@@ -214,7 +214,7 @@
 		return
 	}
 	l.unqueue(m.record)
-	l.measure(m.record, now, false)
+	l.burn.Record(now, m.record.accepted.Entry, m.record.accepted.Owner, false)
 	l.conclude(m.record, nil, m.failure)
 }
 
@@ -224,11 +224,10 @@
 	encoded []byte
 }
 
-func (m answeredElsewhere) apply(l *loop, now time.Time) {
+func (m answeredElsewhere) apply(l *loop, _ time.Time) {
 	if m.record.isAnswered() {
 		return
 	}
-	l.measure(m.record, now, true)
 	if len(m.encoded) == 0 {
 		l.conclude(m.record, nil, fault.New(fault.Expired, "look the outcome up where the tasks left it",
 			"the job was answered before, and its answer is not kept any more; nothing was started again"))
--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -3,11 +3,13 @@
 import (
 	"time"
 
+	"flamingohall.example/core/admission"
 	"flamingohall.example/core/job"
 	"flamingohall.example/core/placement"
 	"flamingohall.example/node/controlclient"
 	"flamingohall.example/node/events"
 	"flamingohall.example/node/rpc"
+	"flamingohall.example/node/settings"
 )
 
 const (
@@ -41,7 +43,7 @@
 func (l *loop) queue(pool string) *placement.Queue {
 	queue := l.queues[pool]
 	if queue == nil {
-		queue = placement.NewQueue()
+		queue = placement.NewQueue(l.entry.file.Entry.Order == settings.OrderArrival)
 		l.queues[pool] = queue
 	}
 	return queue
@@ -130,6 +132,7 @@
 func (l *loop) place(now time.Time, r *record, state *placement.State, index int) {
 	target := state.Name()
 	l.board.Started(target, r.accepted.entry.Slots)
+	l.quotas.Started(r.accepted.Owner)
 	for _, effect := range r.job.Step(now, job.Place{Target: target, Indexes: []int{index}}) {
 		if effect.Kind == job.EffectRun {
 			l.pending = append(l.pending, pendingRun{record: r, effect: effect})
@@ -137,6 +140,7 @@
 		}
 		l.carryOut(r, now, effect)
 	}
+	l.watchSlow(now, r, index)
 }
 
 // sendRun sends a Run that no pass has made: an attachment to attempts that were sent before.
@@ -176,9 +180,10 @@
 	return grouped
 }
 
-// isAtBound reports whether an owner has reached its quota of tasks in progress.
-func (l *loop) isAtBound(string) bool {
-	return false
+// isAtBound reports whether an owner has reached this entry's part of its quota of tasks in progress.
+func (l *loop) isAtBound(owner string) bool {
+	bound := admission.Part(l.bounds[owner], l.entries)
+	return bound > 0 && l.quotas.Running(owner) >= bound
 }
 
 // viewChanged brings a new view of catalogue and nodes.
@@ -187,8 +192,16 @@
 func (m viewChanged) apply(l *loop, now time.Time) {
 	var targets []placement.Target
 	inUse := map[string]bool{}
+	l.entries = 0
+	l.bounds = map[string]int{}
+	for _, owner := range m.view.Catalogue.Owners {
+		l.bounds[owner.Name] = owner.Running
+	}
 	for _, node := range m.view.Nodes {
 		inUse[node.GetAddress()] = true
+		if node.GetRole() == rpc.Role_ROLE_ENTRY && !node.GetLeaving() {
+			l.entries++
+		}
 		if node.GetRole() != rpc.Role_ROLE_SIDECAR {
 			continue
 		}
@@ -196,9 +209,11 @@
 		targets = append(targets, target)
 		l.remember(target)
 	}
+	l.entries = max(1, l.entries)
 	lost := l.board.Update(targets)
 	l.entry.links.Keep(inUse)
 	for _, gone := range lost {
+		l.judge.Forget(gone.Target.ID)
 		events.TargetLost.Log(l.entry.logger, "target", gone.Target.ID, "replaced", gone.Replaced)
 	}
 	if len(lost) > 0 {
--- a/node/entry/loop.go
+++ b/node/entry/loop.go
@@ -18,6 +18,8 @@
 	batchSize = 256
 	// retryPeriod is how often placement is tried again while tasks wait: reports of load fade with time.
 	retryPeriod = 5 * time.Millisecond
+	// reviewPeriod is how often targets set aside and jobs that can't meet their deadline are looked at.
+	reviewPeriod = 50 * time.Millisecond
 	// suspectPeriod is how long a target that could not be reached gets no new work.
 	suspectPeriod = 500 * time.Millisecond
 	// sealMargin is how long before the deadline a never-repeated job seals what has not started.
@@ -45,6 +47,7 @@
 	// addresses holds where each incarnation of a target was last known to be.
 	addresses map[job.Target]string
 	doubtful  doubt
+	learned
 	// pending collects the Runs of one pass.
 	pending []pendingRun
 	// active mirrors store.active for a planned stop.
@@ -65,7 +68,7 @@
 		}),
 		queues: map[string]*placement.Queue{}, dirty: map[string]bool{},
 		cancels: map[job.Target]*cancelBatch{}, addresses: map[job.Target]string{},
-		doubtful: doubt{jobs: map[string]bool{}},
+		doubtful: doubt{jobs: map[string]bool{}}, learned: newLearned(),
 	}, nil
 }
 
@@ -81,6 +84,8 @@
 func (l *loop) run() {
 	ticker := time.NewTicker(retryPeriod)
 	defer ticker.Stop()
+	review := time.NewTicker(reviewPeriod)
+	defer review.Stop()
 	for {
 		select {
 		case <-l.life.Done():
@@ -89,6 +94,8 @@
 			l.batch(m)
 		case <-ticker.C:
 			l.retry()
+		case <-review.C:
+			l.review(time.Now())
 		}
 		l.active.Store(int64(l.store.active))
 	}
@@ -111,8 +118,9 @@
 	l.flushCancels()
 }
 
-// retry marks the pools in which tasks wait.
+// retry marks the pools in which tasks wait, and hedges what is slow.
 func (l *loop) retry() {
+	l.hedgeDue(time.Now())
 	for pool, queue := range l.queues {
 		if queue.Len() > 0 {
 			l.dirty[pool] = true
@@ -155,9 +163,11 @@
 		l.answer(r, now)
 	case job.EffectEnded:
 		l.board.Ended(effect.Target, r.accepted.entry.Slots)
+		l.quotas.Ended(r.accepted.Owner)
 		l.dirty[r.accepted.entry.Pool] = true
 	case job.EffectAdopted:
 		l.board.Started(effect.Target, r.accepted.entry.Slots)
+		l.quotas.Started(r.accepted.Owner)
 	}
 }
 
@@ -192,7 +202,7 @@
 	l.unqueue(r)
 	isComplete := r.job.IsComplete()
 	r.isPinned = r.job.Epoch() > 0 && !r.isStored
-	l.measure(r, now, isComplete)
+	l.measure(r, now)
 	l.conclude(r, newResult(newAnswer(r, now).final(isComplete)), nil)
 }
 
--- a/node/entry/submit.go
+++ b/node/entry/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"flamingohall.example/core/admission"
 	"flamingohall.example/core/fault"
 	"flamingohall.example/core/job"
 	"flamingohall.example/core/placement"
@@ -42,6 +43,7 @@
 		return known, nil
 	}
 	if refusal := l.admit(a, now); refusal != nil {
+		l.burn.Record(now, a.Entry, a.Owner, false)
 		return nil, refusal
 	}
 	return l.begin(a, now), nil
@@ -54,16 +56,16 @@
 	r.job = job.New(job.Spec{
 		ID: a.id, Repeatable: a.isRepeatable(), Attempts: a.entry.Attempts, Deadline: r.deadline,
 		SealMargin: min(sealMargin, a.deadline/10), FinishGrace: finishGrace, Tasks: a.taskSpecs(),
+		Budget: l.retries,
 	})
-	cost := time.Duration(a.entry.ExpectedRunMS*a.entry.Slots) * time.Millisecond
-	r.waiting = &placement.Waiting{Job: r.job, Owner: a.Owner, Weight: a.owner.Weight, Cost: cost}
+	r.waiting = &placement.Waiting{Job: r.job, Owner: a.Owner, Weight: a.owner.Weight, Cost: l.taskCost(a)}
 	l.store.add(r)
 	l.step(r, now, job.Begin{})
 	return r
 }
 
 // admit refuses what can't be served.
-func (l *loop) admit(a *accepted, _ time.Time) *fault.Error {
+func (l *loop) admit(a *accepted, now time.Time) *fault.Error {
 	if l.entry.refusing.Load() {
 		return fault.New(fault.Unavailable, "send it again: the balancer knows another entry",
 			"this entry is stopping; nothing was started").After(noTargetRetryAfter)
@@ -76,9 +78,32 @@
 		return fault.New(fault.Invalid, "have an operator mend the entry's slots",
 			"a task needs %d slots and the largest target of pool %q has %d", a.entry.Slots, a.entry.Pool, widest)
 	}
+	if refusal := admission.Admit(l.admissionRequest(a)); refusal != nil {
+		return refusal
+	}
+	perSecond := a.owner.StartsPerSecond / float64(l.entries)
+	if wait := l.quotas.TakeStarts(now, a.Owner, len(a.Tasks), perSecond); wait > 0 {
+		return admission.OverQuota(wait)
+	}
 	return nil
 }
 
+// admissionRequest gathers what admission goes by. Each entry reckons with its even part of the slots.
+func (l *loop) admissionRequest(a *accepted) admission.Request {
+	queue := l.queue(a.entry.Pool)
+	ownerWaiting, waiting := queue.Tasks(a.Owner)
+	work := time.Duration(len(a.Tasks)) * l.taskCost(a)
+	slots := float64(l.board.Slots(a.entry.Pool)) / float64(l.entries)
+	if bound := admission.Part(a.owner.Running, l.entries); bound > 0 {
+		slots = min(slots, float64(bound*a.entry.Slots))
+	}
+	return admission.Request{
+		Owner: a.Owner, Tasks: len(a.Tasks), Work: work, Run: l.taskTime(a, median), Left: a.deadline,
+		Ahead: queue.Ahead(a.Owner, a.owner.Weight, work), Slots: slots,
+		Waiting: waiting, OwnerWaiting: ownerWaiting, MaxWaiting: l.entry.file.Entry.MaxWaiting,
+	}
+}
+
 // submit hands a submission to the loop.
 func (l *loop) submit(ctx context.Context, a *accepted) (*record, *fault.Error) {
 	reply := make(chan submitted, 1)
@@ -151,19 +176,3 @@
 	}
 	return nil
 }
-
-// measure records how a submission went.
-func (l *loop) measure(*record, time.Time, bool) {}
-
-// observe learns from what targets report.
-func (l *loop) observe(m answered, _ time.Time) {
-	for i := range m.reports {
-		report := &m.reports[i]
-		switch {
-		case report.Outcome == job.NotRun:
-			l.entry.metrics.Add("wasted_refusal", 1)
-		case report.Outcome.Final():
-			l.entry.metrics.Add("tasks_started", 1)
-		}
-	}
-}
--- a/node/settings/entry.go
+++ b/node/settings/entry.go
@@ -16,8 +16,22 @@
 	Policy string `json:"policy"`
 	// Lookahead is how many slots beyond a target's own may be filled from here when no target has a free one.
 	Lookahead int `json:"lookahead"`
+	// Order is how waiting jobs are served: "fair" or "arrival".
+	Order string `json:"order"`
+	// Hedging starts slow repeatable tasks a second time elsewhere: "on" or "off".
+	Hedging string `json:"hedging"`
+	// Ejection sets targets aside that fail what succeeds elsewhere: "on" or "off".
+	Ejection string `json:"ejection"`
 }
 
+// Values of the entry's choices.
+const (
+	OrderFair    = "fair"
+	OrderArrival = "arrival"
+	On           = "on"
+	Off          = "off"
+)
+
 const (
 	defaultMaxBodyBytes   = 8 << 20
 	maxMaxBodyBytes       = 64 << 20
@@ -33,6 +47,9 @@
 	setDefault(&e.MaxWaiting, defaultMaxWaiting)
 	setDefault(&e.AnswerMemoryMB, defaultAnswerMemoryMB)
 	setDefault(&e.Policy, placement.PolicyTwoChoices)
+	setDefault(&e.Order, OrderFair)
+	setDefault(&e.Hedging, On)
+	setDefault(&e.Ejection, On)
 }
 
 func (e *Entry) check(c *checker) {
@@ -42,5 +59,8 @@
 	c.between("/entry/answer_memory_mb", e.AnswerMemoryMB, 1, maxAnswerMemoryMB)
 	c.oneOf("/entry/policy", e.Policy, placement.PolicyTwoChoices, placement.PolicyOwn,
 		placement.PolicyRandom, placement.PolicyRoundRobin)
+	c.oneOf("/entry/order", e.Order, OrderFair, OrderArrival)
+	c.oneOf("/entry/hedging", e.Hedging, On, Off)
+	c.oneOf("/entry/ejection", e.Ejection, On, Off)
 	c.between("/entry/lookahead", e.Lookahead, 0, maxLookahead)
 }
