Count each message once in the bench and the waste report

Ruled out: Entries' counters alone: refusals are counted there per task, not per message. Change: client.MessagesOf takes starts and refusals from sidecars, and the larger count of the two ends for the rest; repeated runs are a kind of status question. The waste report and the bench share it.

--- a/tools/bench/compare.go
+++ b/tools/bench/compare.go
@@ -56,8 +56,8 @@
 	if len(a.Classes) > 0 && len(comparison.Rows) == len(figures) {
 		return nil, fault.New(fault.Invalid, "compare results of one scenario", "the results have no class in common")
 	}
-	comparison.add("all", "wasted a task", a.Messages.WastedPerTask, b.Messages.WastedPerTask)
-	comparison.add("all", "runs sent a task", a.Messages.RunsPerTask, b.Messages.RunsPerTask)
+	comparison.add("all", "wasted a task", a.Messages.WastedPerTask(), b.Messages.WastedPerTask())
+	comparison.add("all", "runs sent a task", a.Messages.RunsPerTask(), b.Messages.RunsPerTask())
 	return comparison, nil
 }
 
--- a/tools/bench/messages.go
+++ b/tools/bench/messages.go
@@ -8,25 +8,6 @@
 	"flamingohall.example/tools/client"
 )
 
-// newMessages returns what the counters grew by.
-func newMessages(before, after []client.Process) Messages {
-	first, last := client.Sum(before), client.Sum(after)
-	for name := range last {
-		last[name] -= first[name]
-	}
-	messages := Messages{
-		Known: len(after) > 0, TasksStarted: last[client.TasksStarted], RunsSent: last[client.RunsSent],
-		Wasted: client.Wasted(last), ControlMessages: last[client.ControlMessages], ControlBytes: last[client.ControlBytes],
-	}
-	if messages.TasksStarted > 0 {
-		for _, count := range messages.Wasted {
-			messages.WastedPerTask += float64(count) / float64(messages.TasksStarted)
-		}
-		messages.RunsPerTask = float64(messages.RunsSent) / float64(messages.TasksStarted)
-	}
-	return messages
-}
-
 // newNodeControls returns each node's control traffic between two readings.
 func newNodeControls(before, after []client.Process, elapsed time.Duration) []NodeControl {
 	list := []NodeControl{}
--- a/tools/bench/result.go
+++ b/tools/bench/result.go
@@ -1,5 +1,7 @@
 package bench
 
+import "flamingohall.example/tools/client"
+
 // Result is what a run measured.
 type Result struct {
 	Scenario string `json:"scenario"`
@@ -16,13 +18,14 @@
 	All        ClassResult   `json:"all"`
 	Classes    []ClassResult `json:"classes"`
 	Seconds    []Second      `json:"seconds"`
-	Messages   Messages      `json:"messages"`
-	Callers    Callers       `json:"callers"`
-	Nodes      []NodeControl `json:"nodes"`
-	Processes  []ProcessCost `json:"processes"`
-	Faults     []FaultResult `json:"faults"`
-	Ledger     *LedgerResult `json:"ledger,omitempty"`
-	Machine    Machine       `json:"machine"`
+	// Messages are the processes' counters over the whole run; zeros when no process was named.
+	Messages  client.Messages `json:"messages"`
+	Callers   Callers         `json:"callers"`
+	Nodes     []NodeControl   `json:"nodes"`
+	Processes []ProcessCost   `json:"processes"`
+	Faults    []FaultResult   `json:"faults"`
+	Ledger    *LedgerResult   `json:"ledger,omitempty"`
+	Machine   Machine         `json:"machine"`
 }
 
 // ClassResult is what the callers of one class saw of the submissions that are measured.
@@ -72,20 +75,6 @@
 	SlowdownP99 float64 `json:"slowdown_p99"`
 }
 
-// Messages are the counters of the system's processes over the whole run.
-type Messages struct {
-	// Known is false when no process was named whose counters could be read.
-	Known        bool  `json:"known"`
-	TasksStarted int64 `json:"tasks_started"`
-	RunsSent     int64 `json:"runs_sent"`
-	// Wasted counts wasted messages by kind.
-	Wasted          map[string]int64 `json:"wasted"`
-	WastedPerTask   float64          `json:"wasted_per_task"`
-	RunsPerTask     float64          `json:"runs_per_task"`
-	ControlMessages int64            `json:"control_messages"`
-	ControlBytes    int64            `json:"control_bytes"`
-}
-
 // Callers are the messages on the callers' side, which are counted apart.
 type Callers struct {
 	Submissions   int64 `json:"submissions"`
--- a/tools/bench/run.go
+++ b/tools/bench/run.go
@@ -121,7 +121,7 @@
 	}
 	result.measure(options.Scenario, observations)
 	result.Processes = costs(e.processes, usedBefore, usedAfter)
-	result.Messages = newMessages(countersBefore, countersAfter)
+	result.Messages = client.MessagesOf(countersAfter).Since(client.MessagesOf(countersBefore))
 	result.Nodes = newNodeControls(countersBefore, countersAfter, elapsed)
 	result.Machine.LoadAfter = readLoad()
 	return result, e.checkLedgers(result, observations)
--- a/tools/cli/bench.go
+++ b/tools/cli/bench.go
@@ -170,9 +170,9 @@
 	_, _ = fmt.Fprintf(out, "callers: %d submissions, %d resubmissions, %d cancellations, %d not sent, bench late by p99 %.2f ms\n",
 		callers.Submissions, callers.Resubmissions, callers.Cancellations, callers.NotSent,
 		milliseconds(int64(callers.SendDelayUS.P99)))
-	if messages := result.Messages; messages.Known {
-		_, _ = fmt.Fprintf(out, "messages: %d tasks started, %.4f runs sent and %.4f wasted a task %v\n",
-			messages.TasksStarted, messages.RunsPerTask, messages.WastedPerTask, messages.Wasted)
+	if messages := result.Messages; messages.TasksStarted > 0 {
+		_, _ = fmt.Fprintf(out, "messages: %d tasks started, %.4f runs sent and %.4f wasted a task %+v\n",
+			messages.TasksStarted, messages.RunsPerTask(), messages.WastedPerTask(), messages.Wasted)
 	}
 	for _, process := range result.Processes {
 		const bytesPerMB = 1 << 20
--- a/tools/client/processes.go
+++ b/tools/client/processes.go
@@ -4,20 +4,10 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strings"
 
 	"flamingohall.example/core/fault"
 )
 
-// Names of the counters that all roles publish.
-const (
-	TasksStarted    = "tasks_started"
-	RunsSent        = "runs_sent"
-	ControlMessages = "control_messages"
-	ControlBytes    = "control_bytes"
-	wastedPrefix    = "wasted_"
-)
-
 // Processes reads the metrics of processes at their internal addresses.
 type Processes struct {
 	urls []string
@@ -97,29 +87,3 @@
 	}
 	return kept
 }
-
-// Sum adds up the counters of all processes by name.
-func Sum(processes []Process) map[string]int64 {
-	sums := map[string]int64{}
-	for _, process := range processes {
-		for _, byNode := range process.Counters {
-			for _, counters := range byNode {
-				for name, value := range counters {
-					sums[name] += value
-				}
-			}
-		}
-	}
-	return sums
-}
-
-// Wasted returns the counters of wasted messages.
-func Wasted(sums map[string]int64) map[string]int64 {
-	wasted := map[string]int64{}
-	for name, value := range sums {
-		if strings.HasPrefix(name, wastedPrefix) {
-			wasted[name] = value
-		}
-	}
-	return wasted
-}
--- a/tools/page/bench.go
+++ b/tools/page/bench.go
@@ -90,14 +90,10 @@
 	}
 	add("tasks started", messages.TasksStarted)
 	add("runs sent", messages.RunsSent)
-	kinds := make([]string, 0, len(messages.Wasted))
-	for kind := range messages.Wasted {
-		kinds = append(kinds, kind)
-	}
-	sort.Strings(kinds)
-	for _, kind := range kinds {
-		add(kind, messages.Wasted[kind])
+	for _, kind := range messages.Wasted.Kinds() {
+		add("wasted: "+kind.Name, kind.Count)
 	}
+	add("wasted in all", messages.Wasted.Total())
 	add("control messages", messages.ControlMessages)
 	add("control bytes", messages.ControlBytes)
 	add("callers' submissions", result.Callers.Submissions)
