Run control over the real replicated log in tests

Cause: the role was proved against the in-memory log only. Change: Status and Member are those of node/replica; tests with one and three members: restart by stop and kill after hundreds of changes, loss of the leader, minority refuses first Sync and claims, batching.

--- a/node/control/group.go
+++ b/node/control/group.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/node/metrics"
+	"flamingohall.example/node/replica"
 	"flamingohall.example/node/settings"
 )
 
@@ -24,21 +27,16 @@
 }
 
 // Status is what a member knows of its group.
-type Status struct {
-	Leader        string
-	LeaderAddress string
-	IsLeader      bool
-	Term          uint64
-	CommitIndex   uint64
-	AppliedIndex  uint64
-	Members       []Member
-	// ConfirmedAt is when this VM last knew itself in touch with a leader that had a majority.
-	ConfirmedAt time.Time
-}
+type Status = replica.Status
 
 // Member is one control VM of a group.
-type Member struct {
-	settings.Member
-	Learner    bool
-	MatchIndex uint64
+type Member = replica.Member
+
+// openReplica opens the replicated log in the role's data folder. The error is a *fault.Error of kind Storage.
+func openReplica(file *settings.File, logger logr.Logger, m *machine) (Group, error) {
+	return replica.New(replica.Options{
+		ID: file.Node.ID, Address: file.Node.Advertise, DataCentre: file.Node.DataCentre,
+		DataFolder: file.Control.DataFolder, InitialMembers: file.Control.InitialMembers,
+		SnapshotEvery: file.Control.SnapshotEvery, Machine: m, Logger: logger, Metrics: metrics.NewRole("replica", file.Node.ID),
+	})
 }
--- a/node/control/machine.go
+++ b/node/control/machine.go
@@ -50,7 +50,6 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.state = restored
-	m.state.Index = max(m.state.Index, index)
 	m.wake(true)
 	return nil
 }
--- /dev/null
+++ b/node/control/replica_test.go
@@ -0,0 +1,286 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/node/faultrpc"
+	"flamingohall.example/node/rpc"
+	"flamingohall.example/node/settings"
+)
+
+// vm is one control VM with the real replicated log, on loopback and a folder of the test.
+type vm struct {
+	t       testing.TB
+	file    *settings.File
+	role    *Role
+	server  *http.Server
+	endLife context.CancelFunc
+}
+
+// newVMs reserves addresses and starts a group of that size.
+func newVMs(t testing.TB, size int, lease time.Duration) []*vm {
+	t.Helper()
+	var members []settings.Member
+	var listeners []net.Listener
+	for number := range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, listener)
+		members = append(members, settings.Member{
+			ID: fmt.Sprint("control-", number), Address: listener.Addr().String(), DataCentre: "celje-a",
+		})
+	}
+	var made []*vm
+	for number, member := range members {
+		one := &vm{t: t, file: &settings.File{
+			Node: settings.Node{ID: member.ID, Listen: member.Address, Advertise: member.Address, DataCentre: "celje-a"},
+			Control: &settings.Control{
+				DataFolder: t.TempDir(), InitialMembers: members, SnapshotEvery: 50,
+				TargetLeaseMS: int(lease.Milliseconds()),
+			},
+		}}
+		one.serve(listeners[number])
+		made = append(made, one)
+	}
+	t.Cleanup(func() {
+		for _, one := range made {
+			one.kill()
+		}
+	})
+	for _, one := range made {
+		eventuallyTB(t, one.file.Node.ID+" gets ready", func() bool { return one.role.Ready() == nil })
+	}
+	return made
+}
+
+func (v *vm) serve(listener net.Listener) {
+	v.t.Helper()
+	role, err := New(v.file, logr.Discard())
+	if err != nil {
+		v.t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	role.Register(mux)
+	server := &http.Server{Handler: mux}
+	go func() { _ = server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	if err := role.Start(ctx); err != nil {
+		v.t.Fatal(err)
+	}
+	v.role, v.server, v.endLife = role, server, cancel
+}
+
+// stop is a planned stop.
+func (v *vm) stop() {
+	v.t.Helper()
+	if err := v.role.Stop(context.Background()); err != nil {
+		v.t.Error(err)
+	}
+	v.kill()
+}
+
+// kill ends the VM without a word.
+func (v *vm) kill() {
+	if v.role == nil {
+		return
+	}
+	_ = v.server.Close()
+	v.endLife()
+	// Stop with an ended context frees the folder for the next process.
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := v.role.Stop(ended); err != nil && !errors.Is(err, context.Canceled) {
+		v.t.Log(err)
+	}
+	v.role = nil
+}
+
+// restart starts the VM again on its folder and address.
+func (v *vm) restart() {
+	v.t.Helper()
+	var listener net.Listener
+	eventuallyTB(v.t, "the address is free", func() bool {
+		var err error
+		listener, err = net.Listen("tcp", v.file.Node.Listen)
+		return err == nil
+	})
+	v.serve(listener)
+	eventuallyTB(v.t, v.file.Node.ID+" gets ready again", func() bool { return v.role.Ready() == nil })
+}
+
+func (v *vm) operator() rpc.Operator {
+	return rpc.NewOperatorProtobufClient("http://"+v.file.Node.Listen, http.DefaultClient)
+}
+
+func (v *vm) control() rpc.Control {
+	return rpc.NewControlProtobufClient("http://"+v.file.Node.Listen, http.DefaultClient)
+}
+
+func eventuallyTB(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("never happened: %s", what)
+		}
+	}
+}
+
+// applyUntilAnswered sends a change to one VM after the other until one answers, as an operator does.
+func applyUntilAnswered(t testing.TB, vms []*vm, change string, base uint64) *rpc.ApplyCatalogueResponse {
+	t.Helper()
+	var answer *rpc.ApplyCatalogueResponse
+	turn := 0
+	eventuallyTB(t, "the change "+change+" is answered", func() bool {
+		one := vms[turn%len(vms)]
+		turn++
+		var err error
+		answer, err = one.operator().ApplyCatalogue(t.Context(), &rpc.ApplyCatalogueRequest{
+			ChangeId: change, BaseRevision: base, Document: document(change), Author: "by " + change,
+		})
+		return err == nil
+	})
+	return answer
+}
+
+func TestReplica_SingleMemberKeepsEverythingOverRestart(t *testing.T) {
+	vms := newVMs(t, 1, 6*time.Second)
+	const changes = 200
+	for n := range changes {
+		if !applyUntilAnswered(t, vms, fmt.Sprint("change-", n), uint64(n)).GetApplied() {
+			t.Fatalf("change %d was refused", n)
+		}
+	}
+	claim := &rpc.ClaimRequest{JobId: "job", Holder: "entry-1", HolderIncarnation: "a", BodyDigest: []byte("body")}
+	held, err := vms[0].control().Claim(t.Context(), claim)
+	if err != nil {
+		t.Fatal(err)
+	}
+	vms[0].stop()
+	vms[0].restart()
+	first := applyUntilAnswered(t, vms, "change-0", 0)
+	if !first.GetApplied() || first.GetRevision() != 1 {
+		t.Fatalf("a resend after restart and %d changes got %v", changes, first)
+	}
+	again, err := vms[0].control().Claim(t.Context(), claim)
+	if err != nil || again.GetEpoch() != held.GetEpoch() {
+		t.Fatalf("claim after restart: %v, %v; before %v", again, err, held)
+	}
+	vms[0].kill()
+	vms[0].restart()
+	current, err := vms[0].operator().GetCatalogue(t.Context(), &rpc.GetCatalogueRequest{})
+	if err != nil || current.GetRevision() != changes {
+		t.Fatalf("after a kill: revision %d, %v", current.GetRevision(), err)
+	}
+}
+
+func TestReplica_ThreeMembersLoseTheirLeaderAndNothingElse(t *testing.T) {
+	vms := newVMs(t, 3, 6*time.Second)
+	var addresses []string
+	for _, one := range vms {
+		addresses = append(addresses, one.file.Node.Listen)
+	}
+	entry := (&cluster{t: t}).follow(constant(entryNode("entry-1", "a")), addresses)
+	eventually(t, "the follower is served", func() bool { return entry.View() != nil })
+	base := uint64(0)
+	for round := range 3 {
+		leader := leaderOf(t, vms)
+		if round == 1 {
+			leader.stop()
+		} else {
+			leader.kill()
+		}
+		rest := without(vms, leader)
+		answer := applyUntilAnswered(t, rest, fmt.Sprint("round-", round), base)
+		if !answer.GetApplied() {
+			t.Fatalf("round %d: %v", round, answer)
+		}
+		base = answer.GetRevision()
+		eventually(t, "the follower has the change", func() bool { return entry.View().Revision == base })
+		leader.restart()
+	}
+	for _, one := range vms {
+		current, err := one.operator().GetCatalogue(t.Context(), &rpc.GetCatalogueRequest{})
+		if err != nil || current.GetRevision() != base {
+			t.Fatalf("%s has revision %d of %d, %v", one.file.Node.ID, current.GetRevision(), base, err)
+		}
+	}
+}
+
+func TestReplica_MinorityAnswersNeitherSyncNorClaim(t *testing.T) {
+	vms := newVMs(t, 3, 6*time.Second)
+	node := entryNode("entry-1", "a")
+	if _, err := vms[0].control().Sync(t.Context(), &rpc.SyncRequest{Node: node}); err != nil {
+		t.Fatal(err)
+	}
+	vms[1].kill()
+	vms[2].kill()
+	_, err := vms[0].control().Sync(t.Context(), &rpc.SyncRequest{Node: node})
+	if !fault.Is(faultrpc.From(err), fault.Unavailable) {
+		t.Fatalf("the minority answered a first Sync: %v", err)
+	}
+	_, err = vms[0].control().Claim(t.Context(), &rpc.ClaimRequest{JobId: "j", Holder: "entry-1", HolderIncarnation: "a"})
+	if err == nil {
+		t.Fatal("the minority granted a claim")
+	}
+	eventually(t, "the minority stops being ready", func() bool { return vms[0].role.Ready() != nil })
+	vms[1].restart()
+	eventually(t, "the majority is back", func() bool { return vms[0].role.Ready() == nil })
+}
+
+func TestReplica_ClaimsAreBatched(t *testing.T) {
+	vms := newVMs(t, 1, 6*time.Second)
+	before := vms[0].role.metrics.Counter("commands_proposed")
+	var work sync.WaitGroup
+	const jobs = 400
+	for job := range jobs {
+		work.Go(func() {
+			answer, err := vms[0].control().Claim(t.Context(), &rpc.ClaimRequest{
+				JobId: fmt.Sprint("job-", job), Holder: "entry-1", HolderIncarnation: "a",
+			})
+			if err != nil || answer.GetStatus() != rpc.ClaimStatus_CLAIM_STATUS_GRANTED {
+				t.Errorf("claim: %v, %v", answer, err)
+			}
+		})
+	}
+	work.Wait()
+	commands := vms[0].role.metrics.Counter("commands_proposed") - before
+	if commands >= jobs/2 {
+		t.Fatalf("%d commands for %d claims that came at once", commands, jobs)
+	}
+}
+
+func leaderOf(t testing.TB, vms []*vm) *vm {
+	t.Helper()
+	var leader *vm
+	eventuallyTB(t, "someone leads", func() bool {
+		for _, one := range vms {
+			if one.role.group.Status().IsLeader {
+				leader = one
+			}
+		}
+		return leader != nil
+	})
+	return leader
+}
+
+func without(vms []*vm, gone *vm) []*vm {
+	var rest []*vm
+	for _, one := range vms {
+		if one != gone {
+			rest = append(rest, one)
+		}
+	}
+	return rest
+}
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -42,8 +42,17 @@
 	background sync.WaitGroup
 }
 
-// newRole returns the role over a group that group makes for the machine.
-func newRole(file *settings.File, logger logr.Logger, open func(m *machine) (Group, error)) (*Role, error) {
+// New opens the data folder and returns the role. The error is a *fault.Error of kind Storage.
+func New(file *settings.File, logger logr.Logger) (*Role, error) {
+	return newRole(file, logger, func(m *machine) (Group, error) {
+		return openReplica(file, logger, m)
+	})
+}
+
+// newRole returns the role over the group that open makes for the machine.
+func newRole(
+	file *settings.File, logger logr.Logger, open func(*machine) (Group, error),
+) (*Role, error) {
 	role := &Role{
 		id: file.Node.ID, lease: time.Duration(file.Control.TargetLeaseMS) * time.Millisecond, logger: logger,
 		metrics: metrics.NewRole("control", file.Node.ID), http: &http.Client{Transport: &http.Transport{}},
