--- a/node/control/answer.go
+++ b/node/control/answer.go
@@ -12,9 +12,12 @@
 )
 
 // answer returns what the caller doesn't know yet, at the index that this VM has applied.
-func (r *Role) answer(request *rpc.SyncRequest, arrived time.Time) *rpc.SyncResponse {
+func (r *Role) answer(request *rpc.SyncRequest, caller process, arrived time.Time) *rpc.SyncResponse {
 	response := &rpc.SyncResponse{Full: request.GetKnownIndex() == 0}
-	r.machine.read(func(s *state.State) { fill(response, request, s) })
+	if request.GetNode() != nil {
+		response.Number = caller.number
+	}
+	r.machine.read(func(s *state.State) { fill(response, request, caller, s) })
 	r.addAddresses(response, request.GetAddressesDigest())
 	now := time.Now()
 	response.StalenessMs = max(0, now.Sub(r.group.Status().ConfirmedAt)).Milliseconds()
@@ -23,10 +26,10 @@
 }
 
 // fill copies from the state what the request asks for.
-func fill(response *rpc.SyncResponse, request *rpc.SyncRequest, s *state.State) {
+func fill(response *rpc.SyncResponse, request *rpc.SyncRequest, caller process, s *state.State) {
 	known := request.GetKnownIndex()
 	current := s.Catalogue.Current()
-	own, _ := s.Registry.Node(request.GetNode().GetId())
+	own, _ := s.Registry.Node(caller.id)
 	response.Index = s.Index
 	response.CatalogueRevision = current.Number
 	response.Drained = own.Drained
@@ -52,20 +55,20 @@
 }
 
 // addAddresses names the control VMs unless the caller has the same list.
-func (r *Role) addAddresses(response *rpc.SyncResponse, known uint64) {
+func (r *Role) addAddresses(response *rpc.SyncResponse, known uint32) {
 	var addresses []string
 	for _, member := range r.group.Status().Members {
 		addresses = append(addresses, member.Address)
 	}
 	slices.Sort(addresses)
-	digest := fnv.New64a()
+	digest := fnv.New32a()
 	for _, address := range addresses {
 		_, _ = digest.Write([]byte(address + "\n"))
 	}
-	if digest.Sum64() == known || len(addresses) == 0 {
+	if digest.Sum32() == known || len(addresses) == 0 {
 		return
 	}
-	response.AddressesDigest = digest.Sum64()
+	response.AddressesDigest = digest.Sum32()
 	response.ControlAddresses = addresses
 }
 
--- a/node/control/cluster_test.go
+++ b/node/control/cluster_test.go
@@ -18,6 +18,7 @@
 	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/rpc"
 	"flamingohall.example/node/settings"
+	"flamingohall.example/node/transport"
 )
 
 // memoryLog is a replicated log without network: a proposal is applied at every member in touch.
@@ -123,7 +124,9 @@
 	made := &cluster{t: t, log: &memoryLog{term: 1}}
 	for number := range size {
 		mux := http.NewServeMux()
-		server := httptest.NewServer(mux)
+		server := httptest.NewUnstartedServer(mux)
+		server.Config.Protocols = transport.ServerProtocols()
+		server.Start()
 		group := &memoryGroup{log: made.log, number: number, address: server.Listener.Addr().String()}
 		made.log.members = append(made.log.members, group)
 		made.groups = append(made.groups, group)
--- a/node/control/replica_test.go
+++ b/node/control/replica_test.go
@@ -16,6 +16,7 @@
 	"flamingohall.example/node/faultrpc"
 	"flamingohall.example/node/rpc"
 	"flamingohall.example/node/settings"
+	"flamingohall.example/node/transport"
 )
 
 // vm is one control VM with the real replicated log, on loopback and a folder of the test.
@@ -85,6 +86,7 @@
 		server = metered(mux, v.meter)
 		listener = meteredListener{listener}
 	}
+	server.Protocols = transport.ServerProtocols()
 	go func() { _ = server.Serve(listener) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	if err := role.Start(ctx); err != nil {
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -13,6 +13,7 @@
 	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/rpc"
 	"flamingohall.example/node/settings"
+	"flamingohall.example/node/transport"
 )
 
 // Times of the contact watch.
@@ -20,6 +21,8 @@
 	contactPeriod = 200 * time.Millisecond
 	// maxSilence is how long this VM may be out of touch with a majority before it stops answering.
 	maxSilence = 2 * time.Second
+	// idleTimeout closes connections to a VM that leads no more.
+	idleTimeout = 30 * time.Second
 )
 
 // Role is the control role of a process.
@@ -55,7 +58,7 @@
 ) (*Role, error) {
 	role := &Role{
 		id: file.Node.ID, lease: time.Duration(file.Control.TargetLeaseMS) * time.Millisecond, logger: logger,
-		metrics: metrics.NewRole("control", file.Node.ID), http: &http.Client{Transport: &http.Transport{}},
+		metrics: metrics.NewRole("control", file.Node.ID), http: compactClient(),
 		machine: newMachine(), presence: newPresence(), gate: newGate(outOfTouch()),
 	}
 	group, err := open(role.machine)
@@ -68,6 +71,13 @@
 	return role, nil
 }
 
+// compactClient returns the client for digests and for questions to the leader.
+func compactClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		Protocols: transport.CompactProtocols(), DisableCompression: true, IdleConnTimeout: idleTimeout,
+	}}
+}
+
 func outOfTouch() *fault.Error {
 	return fault.New(fault.Unavailable, "ask another control VM; check that a majority of them runs",
 		"this control VM is out of touch with a majority").After(contactPeriod)
@@ -80,10 +90,18 @@
 // Register adds the twirp services to the process's listener.
 func (r *Role) Register(mux *http.ServeMux) {
 	r.group.Register(mux)
-	mux.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(r))
+	mux.Handle(rpc.ControlPathPrefix, withoutDate(rpc.NewControlServer(r)))
 	mux.Handle(rpc.OperatorPathPrefix, rpc.NewOperatorServer(&operator{role: r}))
 }
 
+// withoutDate saves the Date header on each answer: a nil value keeps the library from adding it.
+func withoutDate(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		w.Header()["Date"] = nil
+		next.ServeHTTP(w, request)
+	})
+}
+
 // Start starts the group and the duties.
 func (r *Role) Start(ctx context.Context) error {
 	if err := r.group.Start(ctx); err != nil {
--- a/node/control/scale_bench_test.go
+++ b/node/control/scale_bench_test.go
@@ -34,7 +34,7 @@
 // meteredConn counts both ways for the service of its first request.
 type meteredConn struct {
 	net.Conn
-	waiting int64
+	waiting atomic.Int64
 	counter atomic.Pointer[atomic.Int64]
 }
 
@@ -55,7 +55,7 @@
 		counter.Add(count)
 		return
 	}
-	c.waiting += count
+	c.waiting.Add(count)
 }
 
 type meteredListener struct{ net.Listener }
@@ -83,7 +83,7 @@
 			m.syncs.Add(1)
 		}
 		if connection.counter.CompareAndSwap(nil, counter) {
-			counter.Add(connection.waiting)
+			counter.Add(connection.waiting.Load())
 		}
 		handler.ServeHTTP(w, r)
 	}
--- a/node/control/sync.go
+++ b/node/control/sync.go
@@ -34,34 +34,63 @@
 
 func (r *Role) sync(ctx context.Context, request *rpc.SyncRequest) (*rpc.SyncResponse, error) {
 	arrived := time.Now()
-	announced, err := nodeFromRPC(request.GetNode())
-	if err != nil {
-		return nil, err
-	}
 	closed, err := r.gate.check()
 	if err != nil {
 		return nil, err
 	}
 	r.metrics.Add("syncs", 1)
 	if request.GetGoodbye() {
-		return r.goodbye(ctx, announced)
+		return r.goodbye(ctx, request.GetNode())
 	}
-	if err := r.admit(ctx, announced, request); err != nil {
+	caller, err := r.admit(ctx, request)
+	if err != nil {
 		return nil, err
 	}
-	r.note(announced, request.GetRevisionInForce(), arrived)
-	if err := r.hold(ctx, request, arrived, closed); err != nil {
+	if caller.number == 0 {
+		return &rpc.SyncResponse{NeedRecord: true}, nil
+	}
+	r.presence.heard(caller.number, request.GetRevisionInForce(), arrived)
+	if err := r.hold(ctx, request, caller, arrived, closed); err != nil {
 		return nil, err
 	}
-	return r.answer(request, arrived), nil
+	return r.answer(request, caller, arrived), nil
+}
+
+// process is a caller as the registry knows it.
+type process struct {
+	id     string
+	number uint64
 }
 
-// admit registers the caller where its record changed, and makes sure that this VM knows no less than it.
-func (r *Role) admit(ctx context.Context, announced registry.Node, request *rpc.SyncRequest) error {
+// admit makes sure that this VM knows no less than the caller, and registers the caller where its record changed. The
+// number is 0 when the record is needed for that.
+func (r *Role) admit(ctx context.Context, request *rpc.SyncRequest) (process, error) {
+	if err := r.catchUp(ctx, request.GetKnownIndex()); err != nil {
+		return process{}, err
+	}
+	if request.GetNode() == nil {
+		var node registry.Node
+		r.machine.read(func(s *state.State) { node, _ = s.Registry.Numbered(request.GetNumber()) })
+		return process{id: node.ID, number: node.Number}, nil
+	}
+	announced, err := nodeFromRPC(request.GetNode())
+	if err != nil {
+		return process{}, err
+	}
 	if err := r.register(ctx, announced); err != nil {
-		return err
+		return process{}, err
 	}
-	if request.GetKnownIndex() == 0 {
+	var node registry.Node
+	r.machine.read(func(s *state.State) { node, _ = s.Registry.Node(announced.ID) })
+	if node.Incarnation != announced.Incarnation {
+		return process{}, replaced(announced.ID)
+	}
+	return process{id: node.ID, number: node.Number}, nil
+}
+
+// catchUp returns once this VM's state is as new as the caller's; for a caller that knows nothing, as new as the call.
+func (r *Role) catchUp(ctx context.Context, known uint64) error {
+	if known == 0 {
 		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 		defer cancel()
 		_, err := r.group.Confirm(ctx)
@@ -69,7 +98,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	return r.machine.waitApplied(ctx, request.GetKnownIndex())
+	return r.machine.waitApplied(ctx, known)
+}
+
+func replaced(id string) error {
+	return fault.New(fault.Fenced, "give each process its own node id, and start this one again",
+		"node %q: this process was replaced by another or has said goodbye", id)
 }
 
 // register proposes the record when it differs from the one known.
@@ -84,8 +118,7 @@
 		return err
 	}
 	if !result.Accepted {
-		return fault.New(fault.Fenced, "give each process its own node id, and start this one again",
-			"node %q: this process was replaced by another or has said goodbye", announced.ID)
+		return replaced(announced.ID)
 	}
 	events.NodeRegistered.Log(r.logger, "id", announced.ID, "incarnation", announced.Incarnation, "index", index)
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
@@ -93,7 +126,11 @@
 	return r.machine.waitApplied(ctx, index)
 }
 
-func (r *Role) goodbye(ctx context.Context, announced registry.Node) (*rpc.SyncResponse, error) {
+func (r *Role) goodbye(ctx context.Context, node *rpc.Node) (*rpc.SyncResponse, error) {
+	announced, err := nodeFromRPC(node)
+	if err != nil {
+		return nil, err
+	}
 	step := state.Step{Goodbye: &state.Process{ID: announced.ID, Incarnation: announced.Incarnation}}
 	index, _, err := r.proposer.propose(ctx, step)
 	if err != nil {
@@ -103,24 +140,16 @@
 	return &rpc.SyncResponse{Index: index}, nil
 }
 
-// note renews the caller's lease.
-func (r *Role) note(announced registry.Node, revision uint64, arrived time.Time) {
-	var node registry.Node
-	var found bool
-	r.machine.read(func(s *state.State) { node, found = s.Registry.Node(announced.ID) })
-	if found && node.Incarnation == announced.Incarnation {
-		r.presence.heard(node.Number, revision, arrived)
-	}
-}
-
 // hold waits until there is news for the caller or its time has passed. The error says why this VM stopped serving.
-func (r *Role) hold(ctx context.Context, request *rpc.SyncRequest, arrived time.Time, closed <-chan struct{}) error {
+func (r *Role) hold(
+	ctx context.Context, request *rpc.SyncRequest, caller process, arrived time.Time, closed <-chan struct{},
+) error {
 	allowed := min(time.Duration(request.GetHoldMs())*time.Millisecond, r.lease/holdsPerLease)
 	timer := time.NewTimer(allowed - time.Since(arrived))
 	defer timer.Stop()
 	for {
 		changed := r.machine.watch()
-		news := r.newsFor(request)
+		news := r.newsFor(request, caller)
 		if news == newsUrgent {
 			return nil
 		}
@@ -165,14 +194,14 @@
 	newsUrgent
 )
 
-func (r *Role) newsFor(request *rpc.SyncRequest) news {
+func (r *Role) newsFor(request *rpc.SyncRequest, caller process) news {
 	known := request.GetKnownIndex()
 	if known == 0 {
 		return newsUrgent
 	}
 	found := newsNone
 	r.machine.read(func(s *state.State) {
-		own, _ := s.Registry.Node(request.GetNode().GetId())
+		own, _ := s.Registry.Node(caller.id)
 		switch {
 		case s.CatalogueIndex > known || own.ChangedAt > known:
 			found = newsUrgent
--- a/node/controlclient/caller.go
+++ b/node/controlclient/caller.go
@@ -39,13 +39,13 @@
 
 // Sync sends one message to the preferred control VM.
 func (c *caller) Sync(ctx context.Context, request *rpc.SyncRequest) (*rpc.SyncResponse, error) {
-	answer, err := c.pool.current().client.Sync(ctx, request)
+	answer, err := c.pool.current().control().Sync(ctx, request)
 	return answer, faultrpc.From(err)
 }
 
 // Digest sends one message to the preferred control VM.
 func (c *caller) Digest(ctx context.Context, request *rpc.DigestRequest) (*rpc.DigestResponse, error) {
-	answer, err := c.pool.current().client.Digest(ctx, request)
+	answer, err := c.pool.current().control().Digest(ctx, request)
 	return answer, faultrpc.From(err)
 }
 
@@ -56,7 +56,7 @@
 	mayHaveRun := false
 	for {
 		server := c.pool.current()
-		answer, err := attempt(ctx, server.client, call)
+		answer, err := attempt(ctx, server.control(), call)
 		if err == nil {
 			return answer, nil
 		}
@@ -131,7 +131,7 @@
 
 func (c *counted) count(messages ...proto.Message) {
 	c.pool.metrics.Add("control_messages", int64(len(messages)))
-	if !c.pool.bodiesOnly {
+	if c.pool.shared == nil {
 		return
 	}
 	for _, message := range messages {
--- a/node/controlclient/follower.go
+++ b/node/controlclient/follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
 	"flamingohall.example/core/fault"
 	"flamingohall.example/node/events"
@@ -31,7 +32,8 @@
 type Options struct {
 	// Addresses are the host:port pairs of the control VMs.
 	Addresses []string
-	// Self returns the caller's own record; it is called before each message and must not block.
+	// Self returns the caller's own record, a new one when it changed. It is called before each message and must not
+	// block.
 	Self func() *rpc.Node
 	// WantNodes and WantCatalogue choose what the answers carry.
 	WantNodes     bool
@@ -51,9 +53,11 @@
 
 	announced chan struct{}
 	view      atomic.Pointer[View]
-	// failing and addressesDigest are touched by the loop only.
+	// The fields below are touched by the loop only. number stands for the record in sent.
 	failing         bool
-	addressesDigest uint64
+	addressesDigest uint32
+	number          uint64
+	sent            *rpc.Node
 
 	// mutex guards the fields below.
 	mutex   sync.Mutex
@@ -130,9 +134,7 @@
 		cancel()
 		<-done
 	}
-	request := f.request()
-	request.Goodbye = true
-	request.HoldMs = 0
+	request := &rpc.SyncRequest{Node: f.options.Self(), Goodbye: true}
 	_, err := f.caller.retry(ctx, func(ctx context.Context, client rpc.Control) (any, error) {
 		return client.Sync(ctx, request)
 	})
@@ -160,14 +162,14 @@
 }
 
 // poll sends one message and applies its answer. An announcement cuts the wait short.
-func (f *Follower) poll(ctx context.Context, server server) error {
+func (f *Follower) poll(ctx context.Context, server *server) error {
 	request := f.request()
 	limit := time.Duration(request.GetHoldMs())*time.Millisecond + answerSlack
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	interrupted := f.interruptOnAnnounce(ctx, cancel)
 	sentAt := time.Now()
-	answer, err := server.client.Sync(ctx, request)
+	answer, err := server.control().Sync(ctx, request)
 	cancel()
 	if <-interrupted {
 		// The next poll carries the new record at once.
@@ -176,6 +178,13 @@
 	if err != nil {
 		return err
 	}
+	if answer.GetNeedRecord() {
+		f.number = 0
+		return nil
+	}
+	if answer.GetNumber() != 0 {
+		f.number, f.sent = answer.GetNumber(), proto.CloneOf(request.GetNode())
+	}
 	return f.apply(answer, sentAt)
 }
 
@@ -194,11 +203,18 @@
 	return interrupted
 }
 
+// request returns the next poll. The record is left out while its number stands for it.
 func (f *Follower) request() *rpc.SyncRequest {
 	request := &rpc.SyncRequest{
-		Node: f.options.Self(), HoldMs: Hold.Milliseconds(),
+		HoldMs:    Hold.Milliseconds(),
 		WantNodes: f.options.WantNodes, WantCatalogue: f.options.WantCatalogue, AddressesDigest: f.addressesDigest,
 	}
+	self := f.options.Self()
+	if f.number != 0 && proto.Equal(self, f.sent) {
+		request.Number = f.number
+	} else {
+		request.Node = self
+	}
 	if view := f.view.Load(); view != nil {
 		request.KnownIndex = view.Index
 		request.RevisionInForce = view.Revision
@@ -257,7 +273,7 @@
 }
 
 // failed logs the first failure of a row.
-func (f *Follower) failed(server server, err error) {
+func (f *Follower) failed(server *server, err error) {
 	if f.failing {
 		return
 	}
@@ -265,7 +281,7 @@
 	events.SyncFailed.LogError(f.options.Logger, err, "address", server.address)
 }
 
-func (f *Follower) recovered(server server) {
+func (f *Follower) recovered(server *server) {
 	if !f.failing {
 		return
 	}
--- a/node/controlclient/pool.go
+++ b/node/controlclient/pool.go
@@ -11,27 +11,26 @@
 
 	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/rpc"
+	"flamingohall.example/node/transport"
 )
 
 // Limits of the pool's own connections.
 const (
-	dialTimeout      = time.Second
-	idleTimeout      = 90 * time.Second
-	maxIdlePerServer = 4
+	dialTimeout = time.Second
+	idleTimeout = 90 * time.Second
 )
 
 // pool holds one client for each control VM and the one preferred now.
 type pool struct {
 	metrics *metrics.Role
-	http    *http.Client
-	// bodiesOnly is true when the HTTP client is not ours, so that its connections can't be counted.
-	bodiesOnly bool
+	// shared is the caller's HTTP client; nil gives each server its own, whose connections are counted.
+	shared *http.Client
 	// configured are the addresses from the settings, which stay in the list.
 	configured []string
 
 	// mutex guards the fields below.
 	mutex   sync.Mutex
-	servers []server
+	servers []*server
 	// preferred indexes servers.
 	preferred int
 }
@@ -39,15 +38,15 @@
 // server is one control VM.
 type server struct {
 	address string
-	client  rpc.Control
+	pool    *pool
+
+	mutex  sync.Mutex
+	http   *http.Client
+	client rpc.Control
 }
 
 func newPool(options Options) *pool {
-	made := &pool{metrics: options.Metrics, http: options.HTTP, configured: options.Addresses}
-	made.bodiesOnly = options.HTTP != nil
-	if made.http == nil {
-		made.http = made.ownClient()
-	}
+	made := &pool{metrics: options.Metrics, shared: options.HTTP, configured: options.Addresses}
 	for _, address := range options.Addresses {
 		made.servers = append(made.servers, made.server(address))
 	}
@@ -56,9 +55,32 @@
 	return made
 }
 
-func (p *pool) server(address string) server {
-	client := rpc.NewControlProtobufClient("http://"+address, p.http)
-	return server{address: address, client: &counted{Control: client, pool: p}}
+func (p *pool) server(address string) *server {
+	made := &server{address: address, pool: p}
+	made.renew()
+	return made
+}
+
+// control returns the current client.
+func (s *server) control() rpc.Control {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.client
+}
+
+// renew opens new connections from now on: one that is open may have gone silent. Calls under way keep theirs.
+func (s *server) renew() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.http != nil && s.pool.shared == nil {
+		s.http.CloseIdleConnections()
+	}
+	s.http = s.pool.shared
+	if s.http == nil {
+		s.http = s.pool.ownClient()
+	}
+	client := rpc.NewControlProtobufClient("http://"+s.address, s.http)
+	s.client = &counted{Control: client, pool: s.pool}
 }
 
 // ownClient returns an HTTP client whose connections count their bytes.
@@ -71,31 +93,28 @@
 		}
 		return &countedConn{Conn: connection, metrics: p.metrics}, nil
 	}
-	transport := &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: maxIdlePerServer, IdleConnTimeout: idleTimeout,
-		DisableCompression: true,
-	}
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dial, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		Protocols: transport.CompactProtocols(),
+	}}
 }
 
 // current returns the preferred control VM.
-func (p *pool) current() server {
+func (p *pool) current() *server {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.servers[p.preferred]
 }
 
-// rotate prefers the VM after one that failed, unless another caller already moved on, and drops idle connections, one
-// of which may have gone silent.
-func (p *pool) rotate(failed server) {
+// rotate prefers the VM after one that failed, unless another caller already moved on, and drops its
+// connections.
+func (p *pool) rotate(failed *server) {
 	p.mutex.Lock()
 	if p.servers[p.preferred].address == failed.address {
 		p.preferred = (p.preferred + 1) % len(p.servers)
 	}
 	p.mutex.Unlock()
-	if !p.bodiesOnly {
-		p.http.CloseIdleConnections()
-	}
+	failed.renew()
 }
 
 // adopt replaces the list by what control says, followed by the configured addresses that it lacks.
@@ -103,18 +122,26 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	before := p.servers[p.preferred].address
-	var servers []server
+	var servers []*server
 	preferred := 0
-	known := map[string]bool{}
+	known := map[string]*server{}
+	for _, one := range p.servers {
+		known[one.address] = one
+	}
+	listed := map[string]bool{}
 	for _, address := range slices.Concat(addresses, p.configured) {
-		if known[address] {
+		if listed[address] {
 			continue
 		}
-		known[address] = true
+		listed[address] = true
 		if address == before {
 			preferred = len(servers)
 		}
-		servers = append(servers, p.server(address))
+		one := known[address]
+		if one == nil {
+			one = p.server(address)
+		}
+		servers = append(servers, one)
 	}
 	p.servers, p.preferred = servers, preferred
 }
--- a/node/daemon/process.go
+++ b/node/daemon/process.go
@@ -15,6 +15,7 @@
 	"flamingohall.example/core/fault"
 	"flamingohall.example/node/events"
 	"flamingohall.example/node/settings"
+	"flamingohall.example/node/transport"
 )
 
 // headerTimeout bounds how long a client may take to send its request headers.
@@ -40,7 +41,9 @@
 	if p.roles, err = buildRoles(file, logger); err != nil {
 		return nil, errors.Join(err, listener.Close())
 	}
-	p.server = &http.Server{Handler: p.mux(), ReadHeaderTimeout: headerTimeout}
+	p.server = &http.Server{
+		Handler: p.mux(), ReadHeaderTimeout: headerTimeout, Protocols: transport.ServerProtocols(),
+	}
 	return p, nil
 }
 
