--- a/core/target/gate.go
+++ b/core/target/gate.go
@@ -40,8 +40,7 @@
 	if j != nil {
 		t.rest(j)
 	}
-	w.complete = true
-	t.answerWhenDue(w)
+	t.noteDue(w)
 }
 
 // admitJob returns the job's record, or why all tasks of the request are refused.
@@ -238,7 +237,7 @@
 	t.setUntold(each, !told)
 	for _, w := range waiters {
 		w.ended(each)
-		t.answerWhenDue(w)
+		t.noteDue(w)
 	}
 	t.rest(j)
 }
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -24,8 +24,10 @@
 	jobs    map[JobID]*job
 	queue   queue
 	waiters map[uint64]*waiter
-	rested  [restedLists]jobList
-	stones  tombstones
+	// due are the requests to answer at the end of the step.
+	due    []*waiter
+	rested [restedLists]jobList
+	stones tombstones
 	// busy counts slots in use, bytes the memory charged, remembered the tasks known.
 	busy       int
 	bytes      int
@@ -73,6 +75,7 @@
 		t.change(event)
 	}
 	t.pump()
+	t.answerDue()
 	t.forget()
 	return t.effects
 }
--- a/core/target/waiter.go
+++ b/core/target/waiter.go
@@ -9,9 +9,7 @@
 	// open counts the watched attempts that have not ended.
 	open int
 	// due means that an attempt ended otherwise than Done, so that the answer goes out at once.
-	due bool
-	// complete is set once all tasks of the request are watched.
-	complete bool
+	due      bool
 	answered bool
 	// fresh means that the request brought an attempt that had not been seen.
 	fresh bool
@@ -59,10 +57,20 @@
 	l.waiters = append(l.waiters, added)
 }
 
-func (t *Target) answerWhenDue(w *waiter) {
-	if w.complete && (w.due || w.open == 0) {
+// noteDue lists a request that can be answered. Answers go out at the end of a step, so that one carries all that the
+// step changed.
+func (t *Target) noteDue(w *waiter) {
+	if w.due || w.open == 0 {
+		t.due = append(t.due, w)
+	}
+}
+
+func (t *Target) answerDue() {
+	for _, w := range t.due {
 		t.answerRun(w)
 	}
+	clear(t.due)
+	t.due = t.due[:0]
 }
 
 func (t *Target) answerRun(w *waiter) {
--- a/node/standin/standin_test.go
+++ b/node/standin/standin_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -108,7 +109,7 @@
 		ended <- err
 	}()
 	for target.Counts().Running == 0 {
-		_ = target.Counts()
+		runtime.Gosched()
 	}
 	status, _, header := post(t, target, TaskPath+"j-1", `{}`)
 	if status != http.StatusServiceUnavailable || header.Get(HeaderNotStarted) != "true" {
