Take new work when the memory for outcomes is full of old ones; benchmarks

Cause: BenchmarkBusy found that a sidecar whose memory had reached its bound refused every new job: the bound was looked at before the old outcomes were forgotten. Ruled out: a second, higher bound. Change: forget before looking; TestMemory_FullOfOutcomesTakesNewWork fails without it. Benchmarks of the hop.

--- a/core/target/gate.go
+++ b/core/target/gate.go
@@ -181,6 +181,8 @@
 	if event.Deadline <= t.now {
 		return pastDeadline, true
 	}
+	// What is left after forgetting is live.
+	t.forget()
 	slots := max(event.Slots, 1)
 	switch {
 	case slots > t.options.Slots:
--- a/core/target/regression_test.go
+++ b/core/target/regression_test.go
@@ -158,3 +158,14 @@
 	wantOutcome(t, told[0], Running, CauseNone)
 	wantOutcome(t, told[1], Unknown, CauseFenced)
 }
+
+func TestMemory_FullOfOutcomesTakesNewWork(t *testing.T) {
+	d := newDriver(tight)
+	for job := range byte(20) {
+		wantOutcome(t, d.run(job+1, uint64(job)+1, 1), Running, CauseNone)
+		d.finish(Done)
+	}
+	if _, bytes, _ := d.Remembered(); bytes > tight.OutcomeBytes {
+		t.Errorf("%d bytes remembered", bytes)
+	}
+}
--- /dev/null
+++ b/node/sidecar/bench_test.go
@@ -0,0 +1,122 @@
+package sidecar
+
+import (
+	"bytes"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"runtime"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"flamingohall.example/core/target"
+	"flamingohall.example/node/settings"
+)
+
+// sequence makes a job id for each call.
+type sequence struct{ next atomic.Uint64 }
+
+func (s *sequence) job() string {
+	var id target.JobID
+	n := s.next.Add(1)
+	for i := range 8 {
+		id[i] = byte(n >> (8 * i))
+	}
+	return hex.EncodeToString(id[:])
+}
+
+func processTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// measure calls one by one and reports the latency's median and 99th percentile, and the CPU of the whole process.
+func measure(b *testing.B, call func()) {
+	b.Helper()
+	call()
+	took := make([]time.Duration, 0, b.N)
+	cpu := processTime()
+	for b.Loop() {
+		began := time.Now()
+		call()
+		took = append(took, time.Since(began))
+	}
+	report(b, cpu)
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-µs")
+}
+
+func report(b *testing.B, cpu time.Duration) {
+	b.ReportMetric(float64((processTime()-cpu).Microseconds())/float64(b.N), "cpu-µs/task")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "tasks/s")
+}
+
+// ways are a direct call to the stand-in and one through the sidecar. Both take 0 ms at the target.
+func ways(b *testing.B, slots int) map[string]func() {
+	stand, _ := startTarget(b, settings.StandIn{Slots: slots, Ledger: "/dev/null"})
+	beside := startSidecar(b, settings.Sidecar{TargetURL: "http://" + stand.Addr(), Slots: slots, Queue: 1000})
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: slots}}
+	jobs := &sequence{}
+	direct := func() {
+		response, err := client.Post("http://"+stand.Addr()+taskPath+jobs.job()+"-0", "application/json",
+			bytes.NewReader([]byte(quick)))
+		if err != nil || response.StatusCode != http.StatusOK {
+			b.Error(response, err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	through := func() {
+		request := query(beside, 1, quick)
+		request.JobId = jobs.job()
+		if response, err := beside.client.Run(b.Context(), request); err != nil ||
+			response.GetOutcomes()[0].GetResult() == nil {
+			b.Error(response, err)
+		}
+	}
+	return map[string]func(){"direct": direct, "sidecar": through}
+}
+
+func BenchmarkIdle(b *testing.B) {
+	for name, call := range ways(b, 8) {
+		b.Run(name, func(b *testing.B) { measure(b, call) })
+	}
+}
+
+func BenchmarkBusy(b *testing.B) {
+	for name, call := range ways(b, 64) {
+		b.Run(name, func(b *testing.B) {
+			cpu := processTime()
+			b.SetParallelism(max(1, 32/runtime.GOMAXPROCS(0)))
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					call()
+				}
+			})
+			report(b, cpu)
+		})
+	}
+}
+
+// BenchmarkJob sends jobs of 100 tasks, one message each.
+func BenchmarkJob(b *testing.B) {
+	stand, _ := startTarget(b, settings.StandIn{Slots: 8, Ledger: "/dev/null"})
+	beside := startSidecar(b, settings.Sidecar{TargetURL: "http://" + stand.Addr(), Slots: 8, Queue: 1000})
+	jobs := &sequence{}
+	cpu := processTime()
+	for b.Loop() {
+		request := query(beside, 100, quick)
+		request.JobId = jobs.job()
+		mustRun(b, beside, request)
+	}
+	b.ReportMetric(float64((processTime()-cpu).Microseconds())/float64(100*b.N), "cpu-µs/task")
+	b.ReportMetric(float64(100*b.N)/b.Elapsed().Seconds(), "tasks/s")
+}
