Prove at most one start over takeovers and restarts; bound the last message of a stop

Cause: the gate is half of the rule, the entry's protocol over it the other half; both must hold together. Ruled out: a goodbye that waits for control for the whole stop grace.

--- a/core/target/history_test.go
+++ b/core/target/history_test.go
@@ -56,7 +56,9 @@
 	accepted map[attemptName]int
 	dead     map[attemptName]uint64
 	claims   map[JobID]uint64
-	failure  error
+	// last is the latest answer.
+	last    Answer
+	failure error
 }
 
 func newPlayer(options Options, off safeguardsOff) *player {
@@ -254,6 +256,7 @@
 		p.fail("request %d answered twice", answer.Waiter)
 	}
 	delete(p.waiting, answer.Waiter)
+	p.last = answer
 	if run, is := event.(Run); is && run.Waiter == answer.Waiter && len(answer.Outcomes) != len(run.Tasks) {
 		p.fail("%d outcomes for %d tasks", len(answer.Outcomes), len(run.Tasks))
 	}
--- a/node/sidecar/bench_test.go
+++ b/node/sidecar/bench_test.go
@@ -5,8 +5,11 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"os"
 	"runtime"
 	"slices"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -120,3 +123,47 @@
 	b.ReportMetric(float64((processTime()-cpu).Microseconds())/float64(100*b.N), "cpu-µs/task")
 	b.ReportMetric(float64(100*b.N)/b.Elapsed().Seconds(), "tasks/s")
 }
+
+// residentMB is the process's resident memory as the kernel tells it.
+func residentMB(b *testing.B) float64 {
+	b.Helper()
+	status, err := os.ReadFile("/proc/self/status")
+	if err != nil {
+		b.Fatal(err)
+	}
+	for line := range strings.Lines(string(status)) {
+		if fields := strings.Fields(line); fields[0] == "VmRSS:" {
+			kilobytes, err := strconv.Atoi(fields[1])
+			if err != nil {
+				b.Fatal(err)
+			}
+			return float64(kilobytes) / 1024
+		}
+	}
+	return 0
+}
+
+// BenchmarkResident remembers 100,000 outcomes and reports the memory of the process, which holds the caller and the
+// stand-in too. Run it with -benchtime 1x.
+func BenchmarkResident(b *testing.B) {
+	const outcomes = 100_000
+	for _, size := range []int{1, 10} {
+		b.Run(strconv.Itoa(size)+"-task-jobs", func(b *testing.B) {
+			stand, _ := startTarget(b, settings.StandIn{Slots: 8, Ledger: "/dev/null"})
+			beside := startSidecar(b, settings.Sidecar{
+				TargetURL: "http://" + stand.Addr(), Slots: 8, Queue: 1000, OutcomeMemoryMB: 64,
+			})
+			jobs := &sequence{}
+			for b.Loop() {
+				for range outcomes / size {
+					request := levy(beside, size, quick)
+					request.JobId = jobs.job()
+					mustRun(b, beside, request)
+				}
+			}
+			b.ReportMetric(residentMB(b), "resident-MB")
+			b.ReportMetric(float64(beside.snapshot.remembered.Load()), "outcomes")
+			b.ReportMetric(float64(beside.snapshot.bytes.Load())/(1<<20), "charged-MB")
+		})
+	}
+}
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -29,6 +29,8 @@
 	settleTime = 10 * time.Second
 	// untoldTime is how long a planned stop waits for entries to fetch outcomes that nobody has been told.
 	untoldTime = 3 * time.Second
+	// goodbyeTime bounds the last message to control; without it the lease ends by itself.
+	goodbyeTime = 3 * time.Second
 	// requestRing is the number of requests that may wait for the loop.
 	requestRing = 1024
 	// tickPeriod is how often deadlines in the queue and the age of outcomes are looked at.
@@ -171,9 +173,7 @@
 	s.post(ctx, request{event: target.Leave{}})
 	events.SidecarLeaving.Log(s.logger, "busy", s.snapshot.busy.Load())
 	cut := s.drain(ctx)
-	if err := s.follower.Goodbye(ctx); err != nil {
-		events.SidecarGoodbyeLost.LogError(s.logger, err)
-	}
+	s.goodbye(ctx)
 	s.callsOver()
 	s.cancel()
 	s.work.Wait()
@@ -181,6 +181,14 @@
 	return cut
 }
 
+func (s *Sidecar) goodbye(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, goodbyeTime)
+	defer cancel()
+	if err := s.follower.Goodbye(ctx); err != nil {
+		events.SidecarGoodbyeLost.LogError(s.logger, err)
+	}
+}
+
 // drainPoll is the period at which a stop looks whether all work is done.
 const drainPoll = 5 * time.Millisecond
 
