Bound how long a long job lets shorter ones go first; count declared times task by task

Work of a job was reckoned with the catalogue's time even where the caller declared one. Ruled out: order by arrival (short jobs wait behind long ones). Change: jobs are ordered by arrival plus three times their remaining work over the pool's slots.

--- /dev/null
+++ b/core/admission/admission_test.go
@@ -0,0 +1,88 @@
+package admission
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func TestRunTimes_LearnsThroughOutliers(t *testing.T) {
+	r := NewRunTimes()
+	if got := r.Quantile("e", 50*ms, 0.5); got != 50*ms {
+		t.Fatalf("the prior is %v", got)
+	}
+	for i := range 200 {
+		seen := 100 * ms
+		if i%10 == 0 {
+			seen = time.Minute
+		}
+		r.Observe("e", 50*ms, seen)
+	}
+	if got := r.Quantile("e", 50*ms, 0.5); got != 100*ms {
+		t.Fatalf("the median is %v", got)
+	}
+	if got := r.Quantile("e", 200*ms, 0.5); got != 400*ms {
+		t.Fatalf("a task declared longer takes %v", got)
+	}
+}
+
+func TestBudget_FollowsSuccesses(t *testing.T) {
+	b := NewBudget(0.2, 2)
+	taken := 0
+	for b.Take() {
+		taken++
+	}
+	if taken != 2 {
+		t.Fatalf("the burst is %d", taken)
+	}
+	b.Succeeded(5)
+	if !b.Take() || b.Take() {
+		t.Fatal("five successes allow one more")
+	}
+}
+
+func TestQuotas_StartsPerSecond(t *testing.T) {
+	q := NewQuotas()
+	now := time.Unix(0, 0)
+	if wait := q.TakeStarts(now, "o", 30, 10); wait != 0 {
+		t.Fatal("a job larger than the burst is taken when the owner is idle")
+	}
+	wait := q.TakeStarts(now, "o", 1, 10)
+	if wait < 2*time.Second || wait > 3*time.Second {
+		t.Fatalf("come back after %v", wait)
+	}
+	if q.TakeStarts(now.Add(wait), "o", 1, 10) != 0 {
+		t.Fatal("refused at the time that was told")
+	}
+	if q.TakeStarts(now, "other", 1, 0) != 0 {
+		t.Fatal("no quota, no bound")
+	}
+}
+
+func TestAdmit_RefusesWithATimeToReturn(t *testing.T) {
+	fits := Request{Tasks: 8, Work: 400 * ms, Run: 50 * ms, Left: time.Second, Slots: 8, MaxWaiting: 100}
+	if err := Admit(fits); err != nil {
+		t.Fatal(err)
+	}
+	late := fits
+	late.Ahead = 16 * time.Second
+	if err := Admit(late); err == nil || err.RetryAfter < time.Second || err.RetryAfter > 2*time.Second {
+		t.Fatalf("refusal is %v", err)
+	}
+	full := fits
+	full.Waiting = 95
+	if err := Admit(full); err == nil || err.RetryAfter < minRetryAfter {
+		t.Fatalf("refusal is %v", err)
+	}
+	greedy := fits
+	greedy.Waiting, greedy.OwnerWaiting = 45, 45
+	if Admit(greedy) == nil {
+		t.Fatal("one owner fills more than half of the room")
+	}
+	alone := fits
+	alone.Work = time.Hour
+	if err := Admit(alone); err != nil {
+		t.Fatal("a job with nothing before it is given its try")
+	}
+}
--- /dev/null
+++ b/core/placement/board_test.go
@@ -0,0 +1,126 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func testBoard(policy Policy, lookahead int, targets ...Target) *Board {
+	b := NewBoard(Options{DataCentre: "here", Policy: policy, Lookahead: lookahead, Seed: 1})
+	b.Update(targets)
+	return b
+}
+
+func target(id, dataCentre string) Target {
+	return Target{ID: id, Incarnation: "1", DataCentre: dataCentre, Pool: "p", Slots: 2}
+}
+
+var request = Request{Pool: "p", Slots: 1, Repeatable: true}
+
+func TestBoard_LocalFirstThenSpills(t *testing.T) {
+	b := testBoard(twoChoices{}, 0, target("near", "here"), target("far", "there"))
+	for _, want := range []string{"near", "near", "far", "far"} {
+		s := b.Pick(start, request)
+		if s == nil || s.ID != want {
+			t.Fatalf("picked %v, want %s", s, want)
+		}
+		b.Started(s.Name(), 1)
+	}
+	if s := b.Pick(start, request); s != nil {
+		t.Fatalf("picked %s of a full pool", s.ID)
+	}
+}
+
+func TestBoard_LookaheadOnlyWhenFull(t *testing.T) {
+	b := testBoard(twoChoices{}, 1, target("a", "here"), target("b", "here"))
+	taken := map[string]int{}
+	for range 6 {
+		s := b.Pick(start, request)
+		b.Started(s.Name(), 1)
+		taken[s.ID]++
+		if taken[s.ID] > 2 && taken["a"]+taken["b"] <= 4 {
+			t.Fatal("filled beyond the slots while another target had room")
+		}
+	}
+	if b.Pick(start, request) != nil {
+		t.Fatal("filled beyond the lookahead")
+	}
+}
+
+func TestBoard_ExcludesWhatTakesNoWork(t *testing.T) {
+	leaving, drained := target("leaving", "here"), target("drained", "here")
+	leaving.Leaving, drained.Drained = true, true
+	b := testBoard(twoChoices{}, 0, leaving, drained, target("suspect", "here"), target("ejected", "here"), target("told", "here"))
+	b.Suspect(b.targets["suspect"].Name(), start.Add(time.Second))
+	b.SetEjected("ejected", true, false)
+	b.Report(start, "told", Load{Incarnation: "1", Slots: 2, Leaving: true, Sequence: 1})
+	if s := b.Pick(start, request); s != nil {
+		t.Fatalf("picked %s", s.ID)
+	}
+	if s := b.Pick(start.Add(time.Second), request); s == nil || s.ID != "suspect" {
+		t.Fatal("a suspect is back after its time")
+	}
+	b.SetEjected("ejected", true, true)
+	never := Request{Pool: "p", Slots: 1, Avoid: "suspect"}
+	if s := b.Pick(start, never); s != nil {
+		t.Fatalf("never-repeated work went on trial to %s", s.ID)
+	}
+	if s := b.Pick(start, request); s == nil || s.ID != "ejected" {
+		t.Fatal("repeatable work tries an ejected target")
+	}
+}
+
+func TestBoard_LateReportChangesNothing(t *testing.T) {
+	b := testBoard(twoChoices{}, 0, target("a", "here"))
+	b.Report(start, "a", Load{Incarnation: "1", Busy: 2, Sequence: 2})
+	b.Report(start, "a", Load{Incarnation: "1", Busy: 0, Sequence: 1})
+	b.Report(start, "a", Load{Incarnation: "0", Busy: 0, Sequence: 9})
+	if b.Pick(start, request) != nil {
+		t.Fatal("an overtaken report counted")
+	}
+	if b.Pick(start.Add(time.Second), request) == nil {
+		t.Fatal("an old report still counts in full")
+	}
+}
+
+func TestBoard_UpdateTellsWhatWasLost(t *testing.T) {
+	b := testBoard(twoChoices{}, 0, target("stays", "here"), target("goes", "here"), target("restarts", "here"))
+	again := target("restarts", "here")
+	again.Incarnation = "2"
+	lost := b.Update([]Target{target("stays", "here"), again})
+	got := map[string]bool{}
+	for _, l := range lost {
+		got[fmt.Sprint(l.Target.ID, l.Target.Incarnation, l.Replaced)] = true
+	}
+	if len(lost) != 2 || !got["restarts1true"] || !got["goes1false"] {
+		t.Fatalf("lost %v", lost)
+	}
+}
+
+func TestPolicies_SpreadEvenly(t *testing.T) {
+	for _, name := range []string{PolicyTwoChoices, PolicyOwn, PolicyRandom, PolicyRoundRobin} {
+		policy, err := NewPolicy(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var targets []Target
+		for i := range 10 {
+			targets = append(targets, target(fmt.Sprint(i), "here"))
+		}
+		b := testBoard(policy, 0, targets...)
+		for range 20 {
+			s := b.Pick(start, request)
+			if s == nil {
+				t.Fatalf("%s: a pool with room is full", name)
+			}
+			b.Started(s.Name(), 1)
+		}
+		if b.Pick(start, request) != nil {
+			t.Fatalf("%s: a full pool has room", name)
+		}
+	}
+	if _, err := NewPolicy("luck"); err == nil {
+		t.Fatal("an unknown policy is accepted")
+	}
+}
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -15,6 +15,9 @@
 	Weight int
 	// Cost is the expected slot time of one task.
 	Cost time.Duration
+	// Arrived is when the job came, Slots the slots of its pool.
+	Arrived time.Time
+	Slots   int
 	// order breaks ties by arrival.
 	order     uint64
 	place     int
@@ -26,6 +29,16 @@
 	return time.Duration(w.Job.Waiting()) * w.Cost
 }
 
+// patience is how many times its own remaining work a job lets shorter ones that come later go first. Without such a
+// bound, the order by remaining work starves long jobs while short ones keep coming.
+const patience = 3
+
+// due is the time by which the job is ordered within its owner: the shortest remaining first, but no job waits for
+// more than some times its own length.
+func (w *Waiting) due() time.Time {
+	return w.Arrived.Add(patience * w.remaining() / time.Duration(max(1, w.Slots)))
+}
+
 // Queue holds the waiting jobs of one pool.
 type Queue struct {
 	owners map[string]*ownerQueue
@@ -141,14 +154,14 @@
 	return owner
 }
 
-// jobHeap orders by the shortest remaining work, then by arrival.
+// jobHeap orders by due, then by arrival.
 type jobHeap []*Waiting
 
 func (h jobHeap) Len() int { return len(h) }
 
 func (h jobHeap) Less(i, k int) bool {
-	if a, b := h[i].remaining(), h[k].remaining(); a != b && !h[i].byArrival {
-		return a < b
+	if a, b := h[i].due(), h[k].due(); !a.Equal(b) && !h[i].byArrival {
+		return a.Before(b)
 	}
 	return h[i].order < h[k].order
 }
--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -62,19 +62,23 @@
 	}
 }
 
-// taskTime returns the run time that a share of an entry's tasks stay below.
+// taskTime returns the run time that a share of tasks like the longest of a job stay below.
 func (l *loop) taskTime(a *accepted, share float64) time.Duration {
-	declared := time.Duration(a.entry.ExpectedRunMS) * time.Millisecond
+	longest := time.Duration(0)
 	for i := range a.Tasks {
-		declared = max(declared, time.Duration(a.Tasks[i].ExpectedRunMS)*time.Millisecond)
+		longest = max(longest, a.declared(i))
 	}
-	return l.times.Quantile(a.Entry, declared, share)
+	return l.times.Quantile(a.Entry, longest, share)
 }
 
-// taskCost returns the expected slot time of one task.
+// taskCost returns the expected slot time of one task, on the average of a job.
 func (l *loop) taskCost(a *accepted) time.Duration {
-	declared := time.Duration(a.entry.ExpectedRunMS) * time.Millisecond
-	return l.times.Quantile(a.Entry, declared, median) * time.Duration(a.entry.Slots)
+	sum := time.Duration(0)
+	for i := range a.Tasks {
+		sum += a.declared(i)
+	}
+	mean := sum / time.Duration(len(a.Tasks))
+	return l.times.Quantile(a.Entry, mean, median) * time.Duration(a.entry.Slots)
 }
 
 // observe learns from what targets report.
--- a/node/entry/submission.go
+++ b/node/entry/submission.go
@@ -150,15 +150,19 @@
 func (a *accepted) taskSpecs() []job.TaskSpec {
 	specs := make([]job.TaskSpec, len(a.Tasks))
 	for i, task := range a.Tasks {
-		expected := task.ExpectedRunMS
-		if expected == 0 {
-			expected = int64(a.entry.ExpectedRunMS)
-		}
-		specs[i] = job.TaskSpec{Payload: task.Payload, ExpectedRun: time.Duration(expected) * time.Millisecond}
+		specs[i] = job.TaskSpec{Payload: task.Payload, ExpectedRun: a.declared(i)}
 	}
 	return specs
 }
 
+// declared returns the declared run time of a task: the caller's, or that of the catalogue entry.
+func (a *accepted) declared(index int) time.Duration {
+	if ms := a.Tasks[index].ExpectedRunMS; ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
+	return time.Duration(a.entry.ExpectedRunMS) * time.Millisecond
+}
+
 // jobID returns the id that owner and key stand for.
 func jobID(owner, key string) string {
 	hash := sha256.New()
