Test the entry against silence, takeover, cancels, bad targets and planned stops

Cause: the entry's answers to faults were not proved. Ruled out: real time in these tests (synctest gives the same verdict each run). Change: node/entry/faults_test.go and stop_test.go over in-memory fakes of sidecars, control and other entries. Conclusion: a silent connection costs at most one hold and one question; a dead entry's job is answered whole with one start for each task; what is told as not run is stored first.

--- a/node/entry/fakes_test.go
+++ b/node/entry/fakes_test.go
@@ -370,3 +370,72 @@
 	control.live[e.incarnation] = id
 	return &world{Entry: e, followed: followed, links: reached}
 }
+
+// runLoop runs the loop alone, without the callers' listener, until stop is called.
+func (w *world) runLoop(t *testing.T) (stop func()) {
+	t.Helper()
+	life, cancel := context.WithCancel(t.Context())
+	w.loop.life = life
+	go w.loop.run()
+	w.loop.post(viewChanged{view: w.followed.View()})
+	return cancel
+}
+
+// submit hands a submission of n tasks to the loop.
+func (w *world) submit(t *testing.T, entry, key string, n int) (*record, error) {
+	t.Helper()
+	s, err := decodeSubmission([]byte(body(entry, key, n)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := s.accept(testCatalogue, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, refusal := w.loop.submit(t.Context(), a)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return r, nil
+}
+
+// answerOf waits for the answer to a submission of n tasks.
+func (w *world) answerOf(t *testing.T, entry, key string, n int) answer {
+	t.Helper()
+	r, err := w.submit(t, entry, key, n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-r.done
+	if r.failure != nil {
+		t.Fatal(r.failure)
+	}
+	return decode(t, r.result.bytes())
+}
+
+// set changes a sidecar's behaviour.
+func (s *fakeSidecar) set(change func(s *fakeSidecar)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(s)
+}
+
+// checkStarts fails the test when a task was started more than once over all sidecars.
+func checkStarts(t *testing.T, sidecars ...*fakeSidecar) (total int) {
+	t.Helper()
+	sum := map[string]int{}
+	for _, s := range sidecars {
+		s.mutex.Lock()
+		for id, n := range s.starts {
+			sum[id] += n
+			total += n
+		}
+		s.mutex.Unlock()
+	}
+	for id, n := range sum {
+		if n > 1 {
+			t.Errorf("%s was started %d times", id, n)
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/node/entry/faults_test.go
@@ -0,0 +1,280 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/core/job"
+	"flamingohall.example/node/rpc"
+)
+
+// A connection that goes silent after the request arrived costs one hold and one question, not the target.
+func TestEntry_SilentConnection(t *testing.T) {
+	for _, entry := range []string{"check", "commit"} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFakeSidecar("t1", 50*time.Millisecond)
+			w := newWorld(t, "silent", newFakeControl(), s)
+			defer w.runLoop(t)()
+			s.set(func(s *fakeSidecar) { s.silentPooled = true })
+			a := w.answerOf(t, entry, "k", 3)
+			if a.State != stateComplete || checkStarts(t, s) != 3 {
+				t.Fatalf("answer is %+v", a)
+			}
+			limit := minHold + answerSlack + statusTimeout
+			if took := time.Duration(a.Timing.TotalUS) * time.Microsecond; took > limit {
+				t.Fatalf("took %v", took)
+			}
+		})
+	}
+}
+
+// A request that was lost on its way is sent again under the same attempt.
+func TestEntry_LostRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeSidecar("t1", 50*time.Millisecond)
+		w := newWorld(t, "lost", newFakeControl(), s)
+		defer w.runLoop(t)()
+		s.set(func(s *fakeSidecar) { s.dropRuns = true })
+		time.AfterFunc(300*time.Millisecond, func() { s.set(func(s *fakeSidecar) { s.dropRuns = false }) })
+		a := w.answerOf(t, "commit", "k", 1)
+		if a.State != stateComplete || checkStarts(t, s) != 1 {
+			t.Fatalf("answer is %+v", a)
+		}
+	})
+}
+
+// A target that answers on no connection keeps what it may have started; repeatable work goes elsewhere.
+func TestEntry_SilentTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s1, s2 := newFakeSidecar("t1", 50*time.Millisecond), newFakeSidecar("t2", 50*time.Millisecond)
+		w := newWorld(t, "silenttarget", newFakeControl(), s1, s2)
+		defer w.runLoop(t)()
+		s1.set(func(s *fakeSidecar) { s.silentPooled, s.silentFresh = true, true })
+		if a := w.answerOf(t, "check", "k", 8); a.State != stateComplete {
+			t.Fatalf("answer is %+v", a)
+		}
+		before := checkStartsOf(s1) + checkStartsOf(s2)
+		time.Sleep(2 * suspectPeriod)
+		a := w.answerOf(t, "commit", "k2", 8)
+		if a.State != stateFailed {
+			t.Fatalf("answer is %+v", a)
+		}
+		for i, task := range a.Tasks {
+			isTold := task.Outcome == job.Done || task.Outcome == job.Unknown
+			if !isTold || (task.Outcome == job.Unknown && task.Target != "t1") {
+				t.Fatalf("task %d is %+v", i, task)
+			}
+		}
+		if started := checkStartsOf(s1) + checkStartsOf(s2) - before; started != 8 {
+			t.Fatalf("8 tasks were started %d times", started)
+		}
+	})
+}
+
+func checkStartsOf(s *fakeSidecar) (total int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, n := range s.starts {
+		total += n
+	}
+	return total
+}
+
+// The entry dies with half of the answers in: the next one collects what was started and runs the rest.
+func TestEntry_TakesOverADeadEntrysJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control := newFakeControl()
+		s1, s2 := newFakeSidecar("t1", 200*time.Millisecond), newFakeSidecar("t2", 200*time.Millisecond)
+		first, second := newWorld(t, "e1", control, s1, s2), newWorld(t, "e2", control, s1, s2)
+		endFirst := first.runLoop(t)
+		defer second.runLoop(t)()
+		if _, err := first.submit(t, "commit", "k", 20); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(250 * time.Millisecond)
+		endFirst()
+		control.mutex.Lock()
+		delete(control.live, first.incarnation)
+		control.mutex.Unlock()
+		a := second.answerOf(t, "commit", "k", 20)
+		if a.State != stateComplete || checkStarts(t, s1, s2) != 20 {
+			t.Fatalf("answer is %+v", a)
+		}
+	})
+}
+
+// Two entries hold the same key at once: one runs it, both answer the same.
+func TestEntry_TwoEntriesOneKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control := newFakeControl()
+		s := newFakeSidecar("t1", 100*time.Millisecond)
+		first, second := newWorld(t, "p1", control, s), newWorld(t, "p2", control, s)
+		defer first.runLoop(t)()
+		defer second.runLoop(t)()
+		second.links.peers["p1"] = &peerService{entry: first.Entry}
+		r1, err1 := first.submit(t, "commit", "k", 4)
+		time.Sleep(time.Millisecond)
+		r2, err2 := second.submit(t, "commit", "k", 4)
+		if err1 != nil || err2 != nil {
+			t.Fatal(err1, err2)
+		}
+		<-r1.done
+		<-r2.done
+		if string(r1.result.bytes()) != string(r2.result.bytes()) || checkStarts(t, s) != 4 {
+			t.Fatalf("answers are\n%s%s", r1.result.bytes(), r2.result.bytes())
+		}
+		other, err := second.submit(t, "commit", "k", 5)
+		if other != nil || !fault.Is(err, fault.Conflict) {
+			t.Fatalf("another body got %v", err)
+		}
+	})
+}
+
+// A job that another entry finished, then lost from memory, is answered from control.
+func TestEntry_FinishedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control := newFakeControl()
+		s := newFakeSidecar("t1", 10*time.Millisecond)
+		first, second := newWorld(t, "f1", control, s), newWorld(t, "f2", control, s)
+		defer first.runLoop(t)()
+		defer second.runLoop(t)()
+		a := first.answerOf(t, "commit", "k", 2)
+		time.Sleep(time.Millisecond)
+		if b := second.answerOf(t, "commit", "k", 2); b.Timing != a.Timing || checkStarts(t, s) != 2 {
+			t.Fatalf("answers are %+v and %+v", a, b)
+		}
+	})
+}
+
+func TestEntry_NothingStartsWithoutAClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control := newFakeControl()
+		s := newFakeSidecar("t1", 10*time.Millisecond)
+		w := newWorld(t, "noclaim", control, s)
+		defer w.runLoop(t)()
+		control.fail = fault.New(fault.Unavailable, "wait", "no quorum")
+		r, err := w.submit(t, "commit", "k", 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		<-r.done
+		if r.failure == nil || r.failure.Kind != fault.Unavailable || r.failure.RetryAfter == 0 {
+			t.Fatalf("failure is %v", r.failure)
+		}
+		control.fail = fault.New(fault.Unknown, "wait", "no answer")
+		if a := w.answerOf(t, "commit", "k2", 1); a.Tasks[0].Outcome != job.Unknown || a.Tasks[0].Cause != job.CauseClaim {
+			t.Fatalf("answer is %+v", a)
+		}
+		if checkStarts(t, s) != 0 {
+			t.Fatal("a task was started without a claim")
+		}
+		control.mutex.Lock()
+		control.fail = nil
+		control.mutex.Unlock()
+		if a := w.answerOf(t, "commit", "k", 1); a.State != stateComplete {
+			t.Fatalf("the refused key was not free: %+v", a)
+		}
+	})
+}
+
+// Nothing is told as not run before control has stored it.
+func TestEntry_NotRunIsStoredFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control := newFakeControl()
+		s := newFakeSidecar("t1", time.Hour)
+		w := newWorld(t, "stored", control, s)
+		defer w.runLoop(t)()
+		r, err := w.submit(t, "commit", "k", 20)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+		control.mutex.Lock()
+		control.fail = fault.New(fault.Unknown, "wait", "no answer")
+		control.mutex.Unlock()
+		<-r.done
+		for i, task := range decode(t, r.result.bytes()).Tasks {
+			if task.Outcome != job.Unknown {
+				t.Fatalf("task %d is %+v", i, task)
+			}
+		}
+	})
+}
+
+func TestEntry_CancelCostsOneMessageForATarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeSidecar("t1", 100*time.Millisecond)
+		w := newWorld(t, "cancel", newFakeControl(), s)
+		defer w.runLoop(t)()
+		r, err := w.submit(t, "check", "k", 100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+		w.loop.cancel(t.Context(), jobID("team/a", "k"))
+		<-r.done
+		a := decode(t, r.result.bytes())
+		cancelled := 0
+		for _, task := range a.Tasks {
+			if task.Outcome == job.Cancelled {
+				cancelled++
+			}
+		}
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		if a.State != stateFailed || cancelled != 92 || s.cancelRPCs != 1 || s.cancelled != 8 {
+			t.Fatalf("%d cancelled, %d calls for %d tasks: %+v", cancelled, s.cancelRPCs, s.cancelled, a)
+		}
+	})
+}
+
+// A target that fails everything fast is set aside, and jobs are answered whole meanwhile.
+func TestEntry_SetsABadTargetAside(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bad := newFakeSidecar("bad", time.Millisecond)
+		bad.outcome, bad.cause = rpc.Outcome_OUTCOME_FAILED, rpc.Cause_CAUSE_TARGET
+		good := []*fakeSidecar{newFakeSidecar("g1", 20*time.Millisecond), newFakeSidecar("g2", 20*time.Millisecond), newFakeSidecar("g3", 20*time.Millisecond)}
+		w := newWorld(t, "bad", newFakeControl(), append(good, bad)...)
+		defer w.runLoop(t)()
+		for i := range 50 {
+			if a := w.answerOf(t, "check", fmt.Sprint("k", i), 10); a.State != stateComplete {
+				t.Fatalf("answer %d is %+v", i, a)
+			}
+		}
+		if runs := checkStartsOf(bad); runs > 60 {
+			t.Fatalf("the bad target was given %d of 500 tasks", runs)
+		}
+	})
+}
+
+// What can't be served in time is refused at once, with a time to return.
+func TestEntry_RefusesEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeSidecar("t1", 50*time.Millisecond)
+		w := newWorld(t, "early", newFakeControl(), s)
+		defer w.runLoop(t)()
+		var accepted []*record
+		for i := range 10 {
+			r, err := w.submit(t, "check", fmt.Sprint("k", i), 100)
+			if err != nil {
+				if found := fault.Of(err); found.Kind != fault.Overloaded || found.RetryAfter == 0 {
+					t.Fatal(err)
+				}
+				continue
+			}
+			accepted = append(accepted, r)
+		}
+		if len(accepted) < 2 || len(accepted) > 4 {
+			t.Fatalf("%d jobs of 625 ms were taken for a deadline of 2 s", len(accepted))
+		}
+		for i, r := range accepted {
+			<-r.done
+			if a := decode(t, r.result.bytes()); a.State != stateComplete {
+				t.Fatalf("job %d was taken and not done: %s", i, a.Reason)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/node/entry/stop_test.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A planned stop: readiness falls first, submissions are served during the balancer's time, then refused, and what
+// is in progress is answered.
+func TestStop_CutsNothing(t *testing.T) {
+	s := newFakeSidecar("t1", 300*time.Millisecond)
+	w := startWorld(t, s)
+	w.file.Node.BalancerGraceMS = 100
+	answers := make(chan int, 2)
+	send := func(key string) {
+		response, err := http.Post("http://"+w.Addr()+"/v1/submissions", "", strings.NewReader(body("commit", key, 1)))
+		if err != nil {
+			answers <- 0
+			return
+		}
+		_ = response.Body.Close()
+		answers <- response.StatusCode
+	}
+	go send("before")
+	for checkStartsOf(s) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- w.Stop(context.Background()) }()
+	for w.Ready() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	if status, _, _ := get(t, w, "/readyz"); status != http.StatusServiceUnavailable {
+		t.Fatalf("readiness is %d", status)
+	}
+	go send("during")
+	for !w.refusing.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	status, header, text := post(t, w, "/v1/submissions", body("commit", "after", 1))
+	if status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Fatalf("refusal is %d %s", status, text)
+	}
+	if a, b := <-answers, <-answers; a != http.StatusOK || b != http.StatusOK {
+		t.Fatalf("answers are %d and %d", a, b)
+	}
+	if err := <-stopped; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A caller that goes away does not cancel its job.
+func TestSubmit_CallerGoesAway(t *testing.T) {
+	s := newFakeSidecar("t1", 50*time.Millisecond)
+	w := startWorld(t, s)
+	ctx, leave := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.Addr()+"/v1/submissions",
+		strings.NewReader(body("commit", "k", 2)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	for checkStartsOf(s) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	leave()
+	<-gone
+	_, _, text := post(t, w, "/v1/submissions", body("commit", "k", 2))
+	if a := decode(t, text); a.State != stateComplete || checkStarts(t, s) != 2 {
+		t.Fatalf("answer is %s", text)
+	}
+}
+
+func TestSubmit_WithoutWaiting(t *testing.T) {
+	w := startWorld(t, newFakeSidecar("t1", 20*time.Millisecond))
+	status, _, text := post(t, w, "/v1/submissions?wait=false", body("check", "k", 3))
+	if a := decode(t, text); status != http.StatusAccepted || a.State != stateRunning || len(a.Tasks) != 3 {
+		t.Fatalf("%d %s", status, text)
+	}
+	for {
+		_, _, text = get(t, w, "/v1/submissions?owner=team%2Fa&key=k")
+		if decode(t, text).State != stateRunning {
+			break
+		}
+	}
+	checkWhole(t, text, 3)
+}
