--- /dev/null
+++ b/node/entry/fuzz_test.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"flamingohall.example/core/catalogue"
+	"flamingohall.example/core/fault"
+)
+
+// FuzzDecodeSubmission: any body is refused with a typed fault that names a remedy, or accepted within every bound;
+// white space between values makes no other body.
+func FuzzDecodeSubmission(f *testing.F) {
+	f.Add([]byte(body("check", "k", 2)))
+	f.Add([]byte(`{"owner":"team/a","entry":"commit","key":"k","deadline_ms":5,"tasks":[{"payload":[1, {"a":" "}],"expected_run_ms":7}]}`))
+	f.Add([]byte(`{"owner":"team/a","entry":"check","key":"k","tasks":[{}]}`))
+	f.Add([]byte(`{"owner":"team/a","entry":"check","key":"k","tasks":[{"payload":null}]}`))
+	f.Add([]byte(`{"tasks":[{"payload":"\ud800"}]}`))
+	f.Add([]byte(`[]`))
+	f.Add([]byte(`{"deadline_ms":-1e9}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := decodeSubmission(text)
+		if err != nil {
+			checkFault(t, err)
+			return
+		}
+		a, err := s.accept(testCatalogue, 1)
+		if err != nil {
+			checkFault(t, err)
+			return
+		}
+		if len(a.taskSpecs()) != len(a.Tasks) || len(a.Tasks) > catalogue.MaxTasksPerJob || a.deadline <= 0 {
+			t.Fatalf("accepted %+v", a)
+		}
+		var spaced bytes.Buffer
+		if err := json.Indent(&spaced, text, "", "  "); err != nil {
+			t.Fatal(err)
+		}
+		again, err := decodeSubmission(spaced.Bytes())
+		if err != nil {
+			t.Fatalf("white space made it unreadable: %v", err)
+		}
+		b, err := again.accept(testCatalogue, 1)
+		if err != nil || a.digest != b.digest || a.id != b.id {
+			t.Fatalf("white space made another body of it: %v", err)
+		}
+	})
+}
+
+func checkFault(t *testing.T, err error) {
+	t.Helper()
+	var found *fault.Error
+	if !errors.As(err, &found) || found.Remedy == "" || statuses[found.Kind] == 0 {
+		t.Fatalf("fault is %v", err)
+	}
+}
