--- a/node/events/sidecar.go
+++ b/node/events/sidecar.go
@@ -10,6 +10,7 @@
 	TargetAway     = define(3101, Warn, "target away", "no connection to the target can be opened; work is refused",
 		"start the target")
 	TargetReachable  = define(3102, Info, "target back", "the target accepts connections again", "none")
+	RecordingFailed  = define(3103, Warn, "recording failed", "the trace of the start gate is not whole", "free space in sidecar.trace_folder")
 	StandInListening = define(3901, Info, "stand-in target listening", "a stand-in target serves", "none")
 	StandInBehaviour = define(3902, Info, "stand-in behaviour changed", "its knobs were changed", "none")
 	StandInFailed    = define(3903, Error, "stand-in target failed", "its listener broke", "start the process again")
--- a/node/settings/sidecar.go
+++ b/node/settings/sidecar.go
@@ -22,6 +22,8 @@
 	Accelerators int     `json:"accelerators"`
 	// OutcomeMemoryMB bounds the outcomes kept for repeated requests, in MiB.
 	OutcomeMemoryMB int `json:"outcome_memory_mb"`
+	// TraceFolder takes a recording of all that the gate took and decided, for replay; empty records nothing.
+	TraceFolder string `json:"trace_folder"`
 }
 
 const (
--- a/node/sidecar/loop.go
+++ b/node/sidecar/loop.go
@@ -30,6 +30,7 @@
 // loop owns the aggregate. Calls to the target live under the context calls.
 func (s *Sidecar) loop(ctx, calls context.Context) {
 	defer close(s.stopped)
+	defer s.closeRecorder()
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	for {
@@ -51,7 +52,10 @@
 	if finished, ok := arrived.event.(target.Finished); ok {
 		s.forgetCall(attemptKey{finished.Job, finished.Index, finished.Attempt})
 	}
-	for _, effect := range s.core.Step(time.Since(s.began), arrived.event) {
+	at := time.Since(s.began)
+	effects := s.core.Step(at, arrived.event)
+	s.recorder.record(at, arrived.event, effects)
+	for _, effect := range effects {
 		s.carryOut(calls, effect)
 	}
 	s.publish()
--- /dev/null
+++ b/node/sidecar/recorder.go
@@ -0,0 +1,66 @@
+package sidecar
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/core/target"
+	"flamingohall.example/core/trace"
+	"flamingohall.example/node/events"
+)
+
+const (
+	recordingMode = 0o600
+	// maxRecordedSteps bounds a recording.
+	maxRecordedSteps = 1_000_000
+)
+
+// recorder writes what the aggregate takes and returns; a nil recorder writes nothing.
+type recorder struct {
+	file   *os.File
+	writer *trace.Writer
+	steps  int
+}
+
+// openRecorder starts a recording in the folder, named for the target and its incarnation.
+func openRecorder(folder, name string, options target.Options) (*recorder, error) {
+	if folder == "" {
+		return nil, nil
+	}
+	path := filepath.Join(folder, "target-"+name+"-"+options.Incarnation+".jsonl")
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, recordingMode) //nolint:gosec // Set by the operator.
+	if err != nil {
+		return nil, fault.New(fault.Storage, "make sidecar.trace_folder a writable folder", "recording: %v", err)
+	}
+	writer, err := trace.NewWriter(file, target.TraceCodec(), target.RecordingName, options)
+	if err != nil {
+		return nil, fault.New(fault.Storage, "free space in sidecar.trace_folder", "recording: %v", err)
+	}
+	return &recorder{file: file, writer: writer}, nil
+}
+
+// record notes one step of the aggregate.
+func (r *recorder) record(at time.Duration, event target.Event, effects []target.Effect) {
+	if r == nil || r.steps >= maxRecordedSteps {
+		return
+	}
+	r.steps++
+	copied := make([]any, 0, len(effects))
+	for _, effect := range effects {
+		copied = append(copied, effect)
+	}
+	r.writer.Step(at, event, copied)
+}
+
+// close ends the recording and logs whether it is whole.
+func (s *Sidecar) closeRecorder() {
+	if s.recorder == nil {
+		return
+	}
+	if err := s.recorder.writer.Err(); err != nil {
+		events.RecordingFailed.LogError(s.logger, err)
+	}
+	_ = s.recorder.file.Close()
+}
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -60,10 +60,11 @@
 	follower    membership
 	client      *targetClient
 
-	// core is touched by the loop only, as are replies and running.
-	core    *target.Target
-	replies map[uint64]chan<- target.Answer
-	running map[attemptKey]context.CancelFunc
+	// core is touched by the loop only, as are recorder, replies and running.
+	core     *target.Target
+	recorder *recorder
+	replies  map[uint64]chan<- target.Answer
+	running  map[attemptKey]context.CancelFunc
 
 	requests chan request
 	calls    chan call
@@ -118,11 +119,15 @@
 		return nil, err
 	}
 	made.client = client
-	made.core = target.New(target.Options{
+	bounds := target.Options{
 		Incarnation: made.incarnation, Slots: options.Slots, Queue: options.Queue,
 		OutcomeBytes: options.OutcomeMemoryMB << 20, OutcomeAge: outcomeAge,
 		Tombstones: tombstoneCount, SettleTime: settleTime,
-	})
+	}
+	made.core = target.New(bounds)
+	if made.recorder, err = openRecorder(options.TraceFolder, options.Target, bounds); err != nil {
+		return nil, err
+	}
 	made.reachable.Store(true)
 	made.publish()
 	made.gauges()
--- a/tools/systemtest/harness_test.go
+++ b/tools/systemtest/harness_test.go
@@ -225,7 +225,11 @@
 	}))
 	c.sidecars = append(c.sidecars, c.launch(fmt.Sprintf("worker-%d", i), addresses[2], map[string]any{
 		"control_addresses": control,
-		"sidecar":           map[string]any{"target_url": "http://" + addresses[1], "pool": "test", "slots": slots},
+		"sidecar": map[string]any{
+			"target_url": "http://" + addresses[1], "pool": "test", "slots": slots,
+			// A run with this variable set leaves recordings of the start gates.
+			"trace_folder": os.Getenv("FLAMINGOHALL_TRACES"),
+		},
 	}))
 }
 
