--- /dev/null
+++ b/core/raft/simulation_test.go
@@ -0,0 +1,468 @@
+package raft
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+)
+
+// simulation runs replicas in memory, with a network and disks that misbehave, and checks every invariant after each
+// step. It reports the first breach through fail.
+type simulation struct {
+	fail   func(format string, args ...any)
+	random *rand.Rand
+	adjust func(*Config)
+	nodes  []*simNode
+	byID   map[ID]*simNode
+	flying []Message
+	// cuts are one-way links that pass nothing.
+	cuts   map[[2]ID]bool
+	nextID ID
+	// lost are identities whose disk is gone.
+	lost map[ID]bool
+
+	leaders   map[uint64]ID
+	written   map[[2]uint64]string
+	committed map[uint64]Entry
+	chain     map[uint64]uint64
+	maxCommit uint64
+	proposals int
+	readBound map[uint64]uint64
+	nextRead  uint64
+	// lastPassed, when set, takes entries above it out of messages in directed histories.
+	lastPassed uint64
+
+	elections, confirmed, replaced, restored int
+}
+
+// simNode is one VM: its disk, what it has not synced yet, and its application, which is a chain of hashes.
+type simNode struct {
+	member  Member
+	disk    Restart
+	pending []Ready
+	replica *Replica
+	applied uint64
+	hash    uint64
+	commit  uint64
+}
+
+type simState struct{ Index, Hash uint64 }
+
+const (
+	simElectionTicks  = 10
+	simHeartbeatTicks = 2
+)
+
+func newSimulation(size int, seed uint64, fail func(string, ...any)) *simulation {
+	s := &simulation{
+		fail: fail, random: rand.New(rand.NewPCG(seed, 1)), byID: map[ID]*simNode{}, cuts: map[[2]ID]bool{},
+		lost: map[ID]bool{}, leaders: map[uint64]ID{}, written: map[[2]uint64]string{},
+		committed: map[uint64]Entry{}, chain: map[uint64]uint64{1: 0}, readBound: map[uint64]uint64{},
+		maxCommit: 1, adjust: func(*Config) {},
+	}
+	var members []Member
+	for i := range size {
+		members = append(members, s.addNode(fmt.Sprintf("vm-%d", i)).member)
+	}
+	genesis := Genesis(members)
+	for _, n := range s.nodes {
+		first := genesis
+		n.disk = Restart{
+			HardState: HardState{Group: GroupOf(genesis.Configuration), Term: 1}, Snapshot: &first,
+		}
+	}
+	return s
+}
+
+func (s *simulation) addNode(name string) *simNode {
+	s.nextID++
+	n := &simNode{member: Member{ID: s.nextID, Name: name}}
+	s.nodes = append(s.nodes, n)
+	s.byID[n.member.ID] = n
+	return n
+}
+
+func (s *simulation) startAll() {
+	for _, n := range s.nodes {
+		s.start(n)
+	}
+}
+
+func (s *simulation) start(n *simNode) {
+	if n.replica != nil {
+		return
+	}
+	config := Config{
+		ID: n.member.ID, ElectionTicks: simElectionTicks, HeartbeatTicks: simHeartbeatTicks,
+		Seed: s.random.Uint64(), MaxAppendBytes: 200, MaxInflight: 4, ChunkBytes: 10, KeepEntries: 3,
+	}
+	s.adjust(&config)
+	restart := n.disk
+	restart.Entries = slices.Clone(n.disk.Entries)
+	replica, err := New(config, restart)
+	if err != nil {
+		s.fail("start: %v", err)
+	}
+	n.replica, n.pending, n.applied, n.hash, n.commit = replica, nil, 0, 0, 0
+	if restart.Snapshot != nil {
+		s.restore(n, restart.Snapshot)
+	}
+	s.settle(n)
+}
+
+// crash stops the node. Of what was not synced, some prefix may have reached the disk.
+func (s *simulation) crash(n *simNode) {
+	if n.replica == nil {
+		return
+	}
+	for _, ready := range n.pending[:s.random.IntN(len(n.pending)+1)] {
+		n.write(&ready)
+	}
+	n.replica, n.pending = nil, nil
+}
+
+// loseDisk crashes the node for good and starts one of the same name with an empty disk.
+func (s *simulation) loseDisk(n *simNode) {
+	s.crash(n)
+	s.lost[n.member.ID] = true
+	delete(s.byID, n.member.ID)
+	s.nodes = slices.DeleteFunc(s.nodes, func(other *simNode) bool { return other == n })
+	s.start(s.addNode(n.member.Name))
+	s.replaced++
+}
+
+// canLoseDisk reports whether the last loss is repaired: no voter of a configuration that is or may come into force
+// has lost its disk, and the learners have been promoted.
+func (s *simulation) canLoseDisk() bool {
+	var latest *Configuration
+	for index := s.maxCommit; index > 0 && latest == nil; index-- {
+		latest = s.committed[index].Configuration
+	}
+	configurations := []Configuration{}
+	if latest != nil {
+		configurations = append(configurations, *latest)
+	}
+	for _, n := range s.nodes {
+		if n.replica != nil && n.replica.log.configurationIndex() >= s.maxCommit {
+			configurations = append(configurations, n.replica.log.configuration())
+		}
+	}
+	for _, configuration := range configurations {
+		if len(configuration.Voters()) != len(s.nodes) {
+			return false
+		}
+		for _, voter := range configuration.Voters() {
+			if s.lost[voter] {
+				return false
+			}
+		}
+	}
+	return latest != nil || len(s.lost) == 0
+}
+
+// write puts a Ready on the disk.
+func (n *simNode) write(ready *Ready) {
+	if ready.HardState != nil {
+		n.disk.HardState = *ready.HardState
+	}
+	if ready.Snapshot != nil {
+		n.disk.Snapshot = ready.Snapshot
+		kept := slices.DeleteFunc(slices.Clone(n.disk.Entries), func(e Entry) bool {
+			return ready.Discard || e.Index <= ready.Snapshot.Index
+		})
+		n.disk.Entries = kept
+	}
+	for _, entry := range ready.Entries {
+		if n.disk.Snapshot != nil && entry.Index <= n.disk.Snapshot.Index {
+			continue
+		}
+		kept := slices.DeleteFunc(slices.Clone(n.disk.Entries), func(e Entry) bool { return e.Index >= entry.Index })
+		kept = append(kept, entry)
+		n.disk.Entries = kept
+	}
+}
+
+// sync makes the first count of what the node has not synced last, and sends what waited for it.
+func (s *simulation) sync(n *simNode, count int) {
+	count = min(count, len(n.pending))
+	if n.replica == nil || count == 0 {
+		return
+	}
+	done := n.pending[:count]
+	n.pending = n.pending[count:]
+	for i := range done {
+		n.write(&done[i])
+		s.flying = append(s.flying, done[i].Messages...)
+	}
+	n.replica.Synced(done[count-1].Number)
+	s.settle(n)
+}
+
+// settle takes everything that the replica wants done, and checks it.
+func (s *simulation) settle(n *simNode) {
+	s.checkRole(n)
+	s.checkCommit(n)
+	for n.replica.HasReady() {
+		ready := n.replica.Ready()
+		s.flying = append(s.flying, ready.Immediate...)
+		if ready.NeedsSync() || len(ready.Messages) > 0 {
+			n.pending = append(n.pending, ready)
+		}
+		s.checkEntries(n, ready.Entries)
+		s.checkCommit(n)
+		if ready.Restore != nil {
+			s.restore(n, ready.Restore)
+			s.restored++
+		}
+		for _, entry := range ready.Committed {
+			s.apply(n, entry)
+		}
+		for _, read := range ready.Reads {
+			s.confirmed++
+			if read.Index < s.readBound[read.Request] {
+				s.fail("stale read: index %d, but %d was committed before", read.Index, s.readBound[read.Request])
+			}
+		}
+	}
+}
+
+func (s *simulation) restore(n *simNode, snapshot *Snapshot) {
+	var state simState
+	if len(snapshot.Data) > 0 {
+		if err := json.Unmarshal(snapshot.Data, &state); err != nil {
+			s.fail("snapshot: %v", err)
+		}
+		if state.Index != snapshot.Index {
+			s.fail("snapshot of %d holds %d", snapshot.Index, state.Index)
+		}
+	}
+	n.applied, n.hash = snapshot.Index, state.Hash
+	s.checkChain(n)
+}
+
+func (s *simulation) apply(n *simNode, entry Entry) {
+	if entry.Index != n.applied+1 {
+		s.fail("%s applies %d after %d", n.member.Name, entry.Index, n.applied)
+	}
+	hash := fnv.New64a()
+	_, _ = fmt.Fprint(hash, n.hash, entry.Index, entry.Term, string(entry.Data))
+	n.applied, n.hash = entry.Index, hash.Sum64()
+	s.checkChain(n)
+}
+
+func (s *simulation) checkChain(n *simNode) {
+	if known, found := s.chain[n.applied]; found && known != n.hash {
+		s.fail("%s applied another prefix up to %d", n.member.Name, n.applied)
+	}
+	s.chain[n.applied] = n.hash
+}
+
+// checkRole checks election safety, and leader completeness at the moment of election.
+func (s *simulation) checkRole(n *simNode) {
+	term := n.replica.hard.Term
+	if n.replica.role != Leader {
+		return
+	}
+	earlier, found := s.leaders[term]
+	if found && earlier != n.member.ID {
+		s.fail("term %d has two leaders, %d and %d", term, earlier, n.member.ID)
+	}
+	if found {
+		return
+	}
+	s.leaders[term] = n.member.ID
+	s.elections++
+	for index, entry := range s.committed {
+		if entry.Term < term && index > n.replica.log.base && !n.replica.log.matches(index, entry.Term) {
+			s.fail("the leader of term %d lacks the committed entry %d of term %d", term, index, entry.Term)
+		}
+	}
+}
+
+// checkEntries checks log matching: an index and a term name one entry and one prefix.
+func (s *simulation) checkEntries(n *simNode, entries []Entry) {
+	for _, entry := range entries {
+		before, _ := n.replica.log.term(entry.Index - 1)
+		content := fmt.Sprint(before, entry.Kind, string(entry.Data), entry.Configuration)
+		key := [2]uint64{entry.Index, entry.Term}
+		if known, found := s.written[key]; found && known != content {
+			s.fail("entry %d of term %d differs between logs", entry.Index, entry.Term)
+		}
+		s.written[key] = content
+	}
+}
+
+// checkCommit checks that all replicas commit the same entries.
+func (s *simulation) checkCommit(n *simNode) {
+	log := &n.replica.log
+	for index := max(n.commit, log.base) + 1; index <= log.committed; index++ {
+		entry := log.entries[index-log.base-1]
+		known, found := s.committed[index]
+		if found && known.Term != entry.Term {
+			s.fail("entry %d is committed with terms %d and %d", index, known.Term, entry.Term)
+		}
+		s.committed[index] = entry
+		s.maxCommit = max(s.maxCommit, index)
+	}
+	n.commit = log.committed
+}
+
+// leader returns the leading node of the highest term.
+func (s *simulation) leader() *simNode {
+	var best *simNode
+	for _, n := range s.nodes {
+		if n.replica == nil || n.replica.role != Leader {
+			continue
+		}
+		if best == nil || n.replica.hard.Term > best.replica.hard.Term {
+			best = n
+		}
+	}
+	return best
+}
+
+func (s *simulation) anyNode() *simNode {
+	return s.nodes[s.random.IntN(len(s.nodes))]
+}
+
+func (s *simulation) tick(n *simNode) {
+	if n.replica != nil {
+		n.replica.Tick()
+		s.settle(n)
+	}
+}
+
+// deliver hands over the message at a place in the queue, and leaves a copy there when asked.
+func (s *simulation) deliver(place int, leaveCopy bool) {
+	m := s.flying[place]
+	if !leaveCopy {
+		s.flying = slices.Delete(s.flying, place, place+1)
+	}
+	receiver := s.byID[m.To]
+	if receiver == nil || receiver.replica == nil || s.cuts[[2]ID{m.From, m.To}] {
+		return
+	}
+	receiver.replica.Step(m)
+	s.settle(receiver)
+}
+
+// calm runs rounds in which everything works: each node ticks, syncs, and gets its messages in order.
+func (s *simulation) calm(rounds int) {
+	for range rounds {
+		for _, n := range s.nodes {
+			s.tick(n)
+		}
+		for range 4 {
+			for _, n := range s.nodes {
+				s.sync(n, len(n.pending))
+			}
+			for count := len(s.flying); count > 0; count-- {
+				s.deliver(0, false)
+			}
+		}
+		s.rejoin()
+	}
+}
+
+// chaos runs steps of which each loses, doubles, delays or reorders messages, or syncs a part of what waits.
+func (s *simulation) chaos(steps int) {
+	for range steps {
+		switch choice := s.random.IntN(100); {
+		case choice < 12:
+			s.tick(s.anyNode())
+		case choice < 30:
+			n := s.anyNode()
+			s.sync(n, 1+s.random.IntN(3))
+		case len(s.flying) == 0:
+		case choice < 80:
+			s.deliver(min(s.random.IntN(4), len(s.flying)-1), false)
+		case choice < 88:
+			s.deliver(s.random.IntN(len(s.flying)), true)
+		case choice < 92:
+			s.flying = slices.Delete(s.flying, 0, 1)
+		case choice < 96:
+			s.propose(s.anyNode())
+		default:
+			s.read(s.anyNode())
+		}
+		if len(s.flying) > 300 {
+			s.flying = s.flying[200:]
+		}
+	}
+	s.rejoin()
+}
+
+func (s *simulation) propose(n *simNode) {
+	if n.replica == nil || n.replica.role != Leader {
+		return
+	}
+	s.proposals++
+	_, _, _ = n.replica.Propose(fmt.Appendf(nil, "command %d", s.proposals))
+	s.settle(n)
+}
+
+func (s *simulation) read(n *simNode) {
+	if n.replica == nil || n.replica.role != Leader {
+		return
+	}
+	s.nextRead++
+	s.readBound[s.nextRead] = s.maxCommit
+	_ = n.replica.Read(s.nextRead)
+	s.settle(n)
+}
+
+// rejoin asks the leader to take nodes in that came back with an empty disk.
+func (s *simulation) rejoin() {
+	leader := s.leader()
+	if leader == nil {
+		return
+	}
+	for _, n := range s.nodes {
+		if _, found := leader.replica.log.configuration().Find(n.member.ID); !found {
+			_, _, _ = leader.replica.AddLearner(n.member)
+			s.settle(leader)
+		}
+	}
+}
+
+func (s *simulation) compact(n *simNode) {
+	if n.replica == nil || n.applied <= 1 {
+		return
+	}
+	data, _ := json.Marshal(simState{n.applied, n.hash})
+	n.replica.Compact(n.applied, data)
+	s.settle(n)
+}
+
+// cut makes a link one way, or all links of a node both ways, silent.
+func (s *simulation) cut(n *simNode, whole bool) {
+	for _, other := range s.nodes {
+		if whole || s.random.IntN(2) == 0 {
+			s.cuts[[2]ID{n.member.ID, other.member.ID}] = true
+		}
+		if whole || s.random.IntN(2) == 0 {
+			s.cuts[[2]ID{other.member.ID, n.member.ID}] = true
+		}
+	}
+}
+
+// recover mends everything and checks that the group works again: a proposal is applied everywhere.
+func (s *simulation) recover() {
+	clear(s.cuts)
+	s.startAll()
+	s.calm(20 * simElectionTicks)
+	leader := s.leader()
+	if leader == nil {
+		s.fail("no leader after everything was mended")
+		return
+	}
+	s.propose(leader)
+	s.calm(10)
+	for _, n := range s.nodes {
+		if n.applied != leader.applied || n.applied < s.maxCommit {
+			s.fail("%s applied %d of %d after everything was mended", n.member.Name, n.applied, s.maxCommit)
+		}
+	}
+}
