--- a/node/control/cluster_test.go
+++ b/node/control/cluster_test.go
@@ -288,3 +288,11 @@
 func goodbyeStep(id, incarnation string) state.Step {
 	return state.Step{Goodbye: &state.Process{ID: id, Incarnation: incarnation}}
 }
+
+// lead makes a member the leader.
+func (c *cluster) lead(number int) {
+	c.log.mutex.Lock()
+	defer c.log.mutex.Unlock()
+	c.log.leader = number
+	c.log.term++
+}
--- a/node/control/sync.go
+++ b/node/control/sync.go
@@ -201,9 +201,9 @@
 	}
 	found := newsNone
 	r.machine.read(func(s *state.State) {
-		own, _ := s.Registry.Node(caller.id)
+		own, registered := s.Registry.Numbered(caller.number)
 		switch {
-		case s.CatalogueIndex > known || own.ChangedAt > known:
+		case !registered || s.CatalogueIndex > known || own.ChangedAt > known:
 			found = newsUrgent
 		case request.GetWantNodes() && s.RegistryIndex > known:
 			found = newsOfNodes
--- /dev/null
+++ b/node/controlclient/follower_test.go
@@ -0,0 +1,316 @@
+package controlclient
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/node/faultrpc"
+	"flamingohall.example/node/metrics"
+	"flamingohall.example/node/rpc"
+)
+
+// fakeControl is one control VM whose answers a test sets.
+type fakeControl struct {
+	rpc.Control
+	mutex    sync.Mutex
+	sync     func(ctx context.Context, request *rpc.SyncRequest) (*rpc.SyncResponse, error)
+	claim    func(ctx context.Context) (*rpc.ClaimResponse, error)
+	requests []*rpc.SyncRequest
+}
+
+func (f *fakeControl) Sync(ctx context.Context, request *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	f.mutex.Lock()
+	f.requests = append(f.requests, request)
+	f.mutex.Unlock()
+	return f.sync(ctx, request)
+}
+
+func (f *fakeControl) Claim(ctx context.Context, _ *rpc.ClaimRequest) (*rpc.ClaimResponse, error) {
+	return f.claim(ctx)
+}
+
+func (f *fakeControl) count() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.requests)
+}
+
+func (f *fakeControl) last() *rpc.SyncRequest {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.requests[len(f.requests)-1]
+}
+
+// network carries requests to the fakes without a connection, so that it runs in a synctest bubble.
+type network map[string]http.Handler
+
+func (n network) RoundTrip(request *http.Request) (*http.Response, error) {
+	recorder := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n[request.URL.Host].ServeHTTP(recorder, request)
+	}()
+	select {
+	case <-done:
+		return recorder.Result(), nil
+	case <-request.Context().Done():
+		<-done
+		return nil, request.Context().Err()
+	}
+}
+
+// harness is a follower that prefers the first of some fakes.
+type harness struct {
+	follower *Follower
+	fakes    []*fakeControl
+	mutex    sync.Mutex
+	self     *rpc.Node
+}
+
+func newHarness(t *testing.T, fakes ...*fakeControl) *harness {
+	t.Helper()
+	h := &harness{fakes: fakes, self: &rpc.Node{Id: "entry-1", Incarnation: "a", Role: rpc.Role_ROLE_ENTRY}}
+	links := network{}
+	var addresses []string
+	for number, fake := range fakes {
+		address := fmt.Sprintf("control-%d:1", number)
+		links[address] = rpc.NewControlServer(fake)
+		addresses = append(addresses, address)
+	}
+	h.follower = NewFollower(Options{
+		Addresses: addresses, Self: h.node, WantNodes: true, Logger: logr.Discard(),
+		Metrics: metrics.NewRole("follower", t.Name()), HTTP: &http.Client{Transport: links},
+	})
+	h.follower.pool.preferred = 0
+	return h
+}
+
+func (h *harness) node() *rpc.Node {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.self
+}
+
+func (h *harness) setSelf(node *rpc.Node) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.self = node
+}
+
+// silent answers never.
+func silent(ctx context.Context, _ *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// serving answers a first request at once and holds the others.
+func serving(index, revision uint64) func(context.Context, *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	return func(ctx context.Context, request *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+		answer := &rpc.SyncResponse{Index: index, CatalogueRevision: revision, Full: request.GetKnownIndex() == 0}
+		if request.GetNode() != nil {
+			answer.Number = 7
+		}
+		if request.GetKnownIndex() < index {
+			return answer, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(time.Duration(request.GetHoldMs()) * time.Millisecond):
+			answer.HeldMs = request.GetHoldMs()
+			return answer, nil
+		}
+	}
+}
+
+// inBubble runs the test with virtual time; the follower's loop ends with it.
+func inBubble(t *testing.T, test func(t *testing.T, ctx context.Context)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		test(t, ctx)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestFollower_LeavesASilentControlVM(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		h := newHarness(t, &fakeControl{sync: silent}, &fakeControl{sync: serving(10, 1)})
+		h.follower.Start(ctx)
+		time.Sleep(Hold + answerSlack - time.Millisecond)
+		if h.follower.Ready() == nil {
+			t.Fatal("ready without an answer")
+		}
+		time.Sleep(time.Second)
+		if err := h.follower.Ready(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		if h.fakes[0].count() != 1 {
+			t.Fatalf("%d polls went to the silent VM", h.fakes[0].count())
+		}
+	})
+}
+
+func TestFollower_NeverGoesBack(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		behind := func(context.Context, *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+			return &rpc.SyncResponse{Index: 5, CatalogueRevision: 1, Full: true}, nil
+		}
+		h := newHarness(t, &fakeControl{sync: serving(10, 2)}, &fakeControl{sync: behind}, &fakeControl{sync: serving(12, 3)})
+		h.follower.Start(ctx)
+		synctest.Wait()
+		if view := h.follower.View(); view.Index != 10 || view.Revision != 2 {
+			t.Fatalf("first view %+v", view)
+		}
+		h.follower.pool.rotate(h.follower.pool.current())
+		time.Sleep(2 * Hold)
+		if view := h.follower.View(); view.Index != 12 || view.Revision != 3 {
+			t.Fatalf("later view %+v", view)
+		}
+		if h.fakes[1].count() != 1 {
+			t.Fatalf("%d polls went to the VM that is behind", h.fakes[1].count())
+		}
+	})
+}
+
+func TestFollower_LeavesAVMOutOfTouchAndKnowsItsAge(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		stale := func(context.Context, *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+			return &rpc.SyncResponse{Index: 10, Full: true, StalenessMs: time.Minute.Milliseconds()}, nil
+		}
+		h := newHarness(t, &fakeControl{sync: stale}, &fakeControl{sync: silent})
+		h.follower.Start(ctx)
+		synctest.Wait()
+		if age := h.follower.View().Staleness(time.Now()); age < time.Minute {
+			t.Fatalf("the view claims an age of %v", age)
+		}
+		time.Sleep(time.Second)
+		if h.fakes[1].count() != 1 {
+			t.Fatal("the follower stays with a VM that is out of touch")
+		}
+	})
+}
+
+func TestFollower_AnnounceDoesNotWaitForThePoll(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		h := newHarness(t, &fakeControl{sync: serving(10, 1)})
+		h.follower.Start(ctx)
+		synctest.Wait()
+		if h.fakes[0].last().GetNode() != nil || h.fakes[0].last().GetNumber() != 7 {
+			t.Fatalf("a quiet poll carries %v", h.fakes[0].last())
+		}
+		before := time.Now()
+		h.setSelf(&rpc.Node{Id: "entry-1", Incarnation: "a", Role: rpc.Role_ROLE_ENTRY, Leaving: true})
+		h.follower.Announce()
+		synctest.Wait()
+		if !h.fakes[0].last().GetNode().GetLeaving() || !time.Now().Equal(before) {
+			t.Fatalf("after %v the last poll is %v", time.Since(before), h.fakes[0].last())
+		}
+	})
+}
+
+func TestFollower_SendsItsRecordWhereItIsUnknown(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		needing := func(ctx context.Context, request *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+			if request.GetNode() == nil {
+				return &rpc.SyncResponse{NeedRecord: true}, nil
+			}
+			return serving(20, 1)(ctx, request)
+		}
+		h := newHarness(t, &fakeControl{sync: serving(10, 1)}, &fakeControl{sync: needing})
+		h.follower.Start(ctx)
+		synctest.Wait()
+		h.follower.pool.rotate(h.follower.pool.current())
+		time.Sleep(Hold + time.Second)
+		if view := h.follower.View(); view.Index != 20 {
+			t.Fatalf("view %+v", view)
+		}
+	})
+}
+
+func TestFollower_BacksOffWhenAllAreAway(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		away := func(context.Context, *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+			return nil, faultrpc.To(fault.New(fault.Unavailable, "wait", "away"))
+		}
+		h := newHarness(t, &fakeControl{sync: away}, &fakeControl{sync: away})
+		h.follower.Start(ctx)
+		time.Sleep(time.Minute)
+		// Full jitter up to 2 s makes about one message a second; without a backoff it would be thousands.
+		if sent := h.fakes[0].count() + h.fakes[1].count(); sent < 10 || sent > 200 {
+			t.Fatalf("%d messages in a minute", sent)
+		}
+	})
+}
+
+func TestFollower_GoodbyeIsTheLastMessage(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		first := &fakeControl{sync: serving(10, 1)}
+		h := newHarness(t, first)
+		h.follower.Start(ctx)
+		synctest.Wait()
+		first.sync = func(context.Context, *rpc.SyncRequest) (*rpc.SyncResponse, error) { return &rpc.SyncResponse{}, nil }
+		if err := h.follower.Goodbye(ctx); err != nil {
+			t.Fatal(err)
+		}
+		sent := first.count()
+		time.Sleep(time.Minute)
+		if !first.last().GetGoodbye() || first.last().GetNode() == nil || first.count() != sent {
+			t.Fatalf("the last message is %v", first.last())
+		}
+	})
+}
+
+func TestCaller_ClaimMovesOnAndTellsWhatIsSure(t *testing.T) {
+	refused := func(context.Context) (*rpc.ClaimResponse, error) {
+		return nil, faultrpc.To(fault.New(fault.Unavailable, "wait", "no leader"))
+	}
+	hangs := func(ctx context.Context) (*rpc.ClaimResponse, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	grants := func(context.Context) (*rpc.ClaimResponse, error) {
+		return &rpc.ClaimResponse{Status: rpc.ClaimStatus_CLAIM_STATUS_GRANTED}, nil
+	}
+	overloaded := func(context.Context) (*rpc.ClaimResponse, error) {
+		return nil, faultrpc.To(fault.New(fault.Overloaded, "wait", "full").After(time.Second))
+	}
+	for _, c := range []struct {
+		name          string
+		first, second func(context.Context) (*rpc.ClaimResponse, error)
+		kind          fault.Kind
+	}{
+		{"refused then granted", refused, grants, ""},
+		{"silent then granted", hangs, grants, ""},
+		{"never committed", refused, refused, fault.Unavailable},
+		{"maybe committed", hangs, refused, fault.Unknown},
+		{"full", overloaded, grants, fault.Overloaded},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, ctx context.Context) {
+				h := newHarness(t, &fakeControl{claim: c.first}, &fakeControl{claim: c.second})
+				ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+				defer cancel()
+				answer, err := h.follower.Control().Claim(ctx, &rpc.ClaimRequest{})
+				if c.kind == "" && (err != nil || answer.GetStatus() != rpc.ClaimStatus_CLAIM_STATUS_GRANTED) {
+					t.Fatalf("%v, %v", answer, err)
+				}
+				if c.kind != "" && (err == nil || fault.Of(err).Kind != c.kind) {
+					t.Fatalf("want %v, got %v, %v", c.kind, answer, err)
+				}
+			})
+		})
+	}
+}
