Pack remembered outcomes into blocks without pointers

Cause: 100,000 outcomes took 79.5 MB resident in jobs of one task. Ruled out: smaller structs (a job, a task, a list and their headers are 250 bytes before any result, and the collector doubles them); a tighter memory limit for the collector, which trades it for CPU. Change: a job whose tasks have all ended is packed into an archive and unpacked when it is asked for; a copy that did not change keeps its place.

--- a/core/target/gate.go
+++ b/core/target/gate.go
@@ -73,14 +73,14 @@
 // known reports whether anything is left of what was known of a job.
 func (t *Target) known(id JobID) bool {
 	_, buried := t.stones.stones[id]
-	return buried || t.jobs[id] != nil
+	_, packed := t.spots[id]
+	return buried || packed || t.jobs[id] != nil
 }
 
 // open returns the record of a job, a new one when nothing is known of it, or none and the reason when it was
 // forgotten and nothing of it may start.
 func (t *Target) open(id JobID) (*job, ending) {
-	if j := t.jobs[id]; j != nil {
-		t.wake(j)
+	if j := t.find(id); j != nil {
 		return j, ending{}
 	}
 	stone, buried := t.stones.stones[id]
@@ -187,7 +187,7 @@
 	switch {
 	case slots > t.options.Slots:
 		return ending{NotRun, CauseBusy, "the task needs more slots than the target has"}, true
-	case t.bytes > t.options.OutcomeBytes:
+	case t.bytes() > t.options.OutcomeBytes:
 		return ending{NotRun, CauseBusy, "the memory for outcomes is full"}, true
 	case t.queue.tasks < t.options.Queue:
 		return ending{}, false
--- a/core/target/history_test.go
+++ b/core/target/history_test.go
@@ -291,19 +291,35 @@
 	if load.Queued > p.options.Queue {
 		p.fail("%d queued", load.Queued)
 	}
-	tasks, bytes := 0, 0
-	for _, j := range p.target.jobs {
+	p.checkMemory()
+	if len(p.target.stones.stones) > p.options.Tombstones {
+		p.fail("%d tombstones", len(p.target.stones.stones))
+	}
+}
+
+// checkMemory counts what is remembered anew.
+func (p *player) checkMemory() {
+	tasks, untold, unpacked := 0, 0, 0
+	for id, j := range p.target.jobs {
+		if j.live == 0 {
+			p.fail("job %v is at rest and not packed", id)
+		}
 		tasks += len(j.tasks)
-		bytes += int(j.bytes)
-		if j.live == 0 && j.list == nil {
-			p.fail("job %v is at rest and in no list", j.id)
+		unpacked += int(j.bytes)
+	}
+	for id, at := range p.target.spots {
+		head, _ := (&reader{p.target.archives[at.list].read(at)}).header()
+		if p.target.jobs[id] == nil {
+			tasks += head.tasks
+			untold += head.untold
 		}
 	}
-	if tasks != p.target.remembered || bytes != p.target.bytes {
-		p.fail("%d tasks and %d bytes counted as %d and %d", tasks, bytes, p.target.remembered, p.target.bytes)
+	if tasks != p.target.remembered || unpacked != p.target.unpacked || untold > p.target.untold {
+		p.fail("%d tasks, %d bytes, %d untold counted as %d, %d, %d", tasks, unpacked, untold,
+			p.target.remembered, p.target.unpacked, p.target.untold)
 	}
-	if len(p.target.stones.stones) > p.options.Tombstones {
-		p.fail("%d tombstones", len(p.target.stones.stones))
+	if len(p.target.jobs) == 0 && p.target.bytes() > p.options.OutcomeBytes {
+		p.fail("%d bytes remembered", p.target.bytes())
 	}
 }
 
--- a/core/target/job.go
+++ b/core/target/job.go
@@ -18,7 +18,7 @@
 	tasks []*task
 	// live counts the tasks that have not ended.
 	live int32
-	// bytes is the memory that the job is charged with.
+	// bytes is the memory that the unpacked job is charged with.
 	bytes      int32
 	repeatable bool
 	// cancelled means that the whole job was cancelled: nothing of it starts.
@@ -27,11 +27,6 @@
 	lost bool
 	// waiting is set while tasks are queued.
 	waiting *waitingJob
-	// Place in the list of jobs that may be forgotten; list is nil while a task is live.
-	list       *jobList
-	prev, next *job
-	// rested is when the last task ended.
-	rested time.Duration
 }
 
 // task is one task; its fields speak of its latest attempt.
--- a/core/target/memory.go
+++ b/core/target/memory.go
@@ -1,45 +1,20 @@
 package target
 
+import "bytes"
+
 // Memory that records are charged with, in bytes.
 const (
-	// jobBytes includes the job's share of the map of jobs.
+	// jobBytes and taskBytes are those of unpacked records.
 	jobBytes  = 180
 	taskBytes = 90
+	// spotBytes is a packed job's share of the map of spots.
+	spotBytes = 40
+	// Blocks of an archive have this share of the bound, and these sizes at the least and at the most.
+	blockShare    = 64
+	minBlockBytes = 64
+	maxBlockBytes = 64 << 10
 )
 
-// jobList is a list of jobs without live tasks, the one that rested first at the front.
-type jobList struct {
-	first, last *job
-}
-
-func (l *jobList) push(j *job) {
-	j.list = l
-	j.prev = l.last
-	j.next = nil
-	if l.last != nil {
-		l.last.next = j
-	} else {
-		l.first = j
-	}
-	l.last = j
-}
-
-func (l *jobList) remove(j *job) {
-	if j.prev != nil {
-		j.prev.next = j.next
-	} else {
-		l.first = j.next
-	}
-	if j.next != nil {
-		j.next.prev = j.prev
-	} else {
-		l.last = j.prev
-	}
-	j.list = nil
-	j.prev = nil
-	j.next = nil
-}
-
 // fate is what a tombstone knows of a job's starts.
 type fate uint8
 
@@ -100,73 +75,133 @@
 	delete(s.stones, id)
 }
 
-// charge adds to what the job costs.
+// charge adds to what the unpacked job costs.
 func (t *Target) charge(j *job, bytes int) {
 	j.bytes += int32(bytes)
-	t.bytes += bytes
+	t.unpacked += bytes
+}
+
+// bytes is the memory that is charged, in bytes.
+func (t *Target) bytes() int {
+	bytes := t.unpacked + spotBytes*len(t.spots)
+	for i := range t.archives {
+		bytes += t.archives[i].bytes
+	}
+	return bytes
 }
 
-// rest puts a job whose last task has ended into the list by which it may be forgotten.
+// find returns the record of a job, unpacked, or nil. A packed copy stays until the job rests again.
+func (t *Target) find(id JobID) *job {
+	if j := t.jobs[id]; j != nil {
+		return j
+	}
+	at, packed := t.spots[id]
+	if !packed {
+		return nil
+	}
+	j := unpack(t.archives[at.list].read(at))
+	t.jobs[id] = j
+	bytes := jobBytes
+	for _, each := range j.tasks {
+		bytes += taskBytes + len(each.reason) + len(each.result)
+	}
+	t.charge(j, bytes)
+	return j
+}
+
+// rest notes that a job may have no live tasks; it is packed at the end of the step.
 func (t *Target) rest(j *job) {
-	if j.live > 0 {
-		return
+	if j.live == 0 {
+		t.resting = append(t.resting, j)
 	}
-	t.wake(j)
-	j.rested = t.now
-	t.listFor(j).push(j)
 }
 
-// wake takes a job out of the list.
-func (t *Target) wake(j *job) {
-	if j.list != nil {
-		j.list.remove(j)
+// packResting packs the jobs without live tasks.
+func (t *Target) packResting() {
+	for _, j := range t.resting {
+		if j.live == 0 && t.jobs[j.id] == j {
+			t.packJob(j)
+		}
 	}
+	clear(t.resting)
+	t.resting = t.resting[:0]
 }
 
-// listFor returns the list for a job: what is cheap to lose is forgotten first.
-func (t *Target) listFor(j *job) *jobList {
+// packJob moves a job to its archive, unless the copy that lies in one is the same.
+func (t *Target) packJob(j *job) {
+	t.charge(j, -int(j.bytes))
+	delete(t.jobs, j.id)
+	t.scratch = j.pack(t.scratch[:0], t.now)
+	list := j.list()
+	if at, packed := t.spots[j.id]; packed && at.list == list &&
+		bytes.Equal(t.archives[list].read(at)[fixedBytes:], t.scratch[fixedBytes:]) {
+		return
+	}
+	at := t.archives[list].add(t.scratch)
+	at.list = list
+	t.spots[j.id] = at
+}
+
+// Archives, in the order in which memory is taken from them: what is cheap to lose goes first.
+const (
+	listRepeatable = iota
+	listRefused
+	listStarted
+	lists
+)
+
+// list returns the archive for the job.
+func (j *job) list() uint8 {
 	switch {
 	case j.repeatable:
-		return &t.rested[restedRepeatable]
+		return listRepeatable
 	case j.started():
-		return &t.rested[restedStarted]
+		return listStarted
 	default:
-		return &t.rested[restedRefused]
+		return listRefused
 	}
 }
 
-// Lists of jobs without live tasks, in the order in which memory is taken from them.
-const (
-	restedRepeatable = iota
-	restedRefused
-	restedStarted
-	restedLists
-)
-
 // forget drops outcomes that are too old, and the oldest while memory is over its bound.
 func (t *Target) forget() {
-	for i := range t.rested {
-		list := &t.rested[i]
-		for list.first != nil && t.now-list.first.rested > t.options.OutcomeAge {
-			t.forgetJob(list.first)
-		}
-		for list.first != nil && t.bytes > t.options.OutcomeBytes {
-			t.forgetJob(list.first)
+	for list := range t.archives {
+		for t.forgetOldest(uint8(list)) {
 		}
 	}
 }
 
-func (t *Target) forgetJob(j *job) {
-	t.wake(j)
-	t.bytes -= int(j.bytes)
-	t.remembered -= len(j.tasks)
-	for _, each := range j.tasks {
-		t.setUntold(each, false)
+// forgetOldest drops the oldest record of an archive if it has to go.
+func (t *Target) forgetOldest(list uint8) bool {
+	record, at := t.archives[list].oldest()
+	if record == nil {
+		return false
 	}
-	delete(t.jobs, j.id)
-	if j.repeatable {
-		return
+	head, _ := (&reader{record}).header()
+	if t.now-head.rested <= t.options.OutcomeAge && t.bytes() <= t.options.OutcomeBytes {
+		return false
+	}
+	t.archives[list].drop()
+	at.list = list
+	if t.spots[head.id] != at {
+		return true
+	}
+	delete(t.spots, head.id)
+	if t.jobs[head.id] == nil {
+		t.forgetJob(head)
 	}
+	return true
+}
+
+func (t *Target) forgetJob(head header) {
+	t.remembered -= head.tasks
+	t.untold -= head.untold
+	if !head.repeatable {
+		t.stones.add(head.id, head.stone, t.options.Tombstones)
+	}
+}
+
+// tombstone is what stays of the job.
+func (j *job) tombstone() tombstone {
 	stone := tombstone{fence: j.fence, attempt: j.highestAttempt()}
 	switch {
 	case j.started() || j.lost:
@@ -174,5 +209,5 @@
 	case j.cancelled:
 		stone.fate = fateCancelled
 	}
-	t.stones.add(j.id, stone, t.options.Tombstones)
+	return stone
 }
--- a/core/target/seal.go
+++ b/core/target/seal.go
@@ -182,12 +182,13 @@
 // status tells what is known and changes nothing.
 func (t *Target) status(event Status) {
 	answer := Answer{Waiter: event.Waiter}
-	j := t.jobs[event.Job]
+	j := t.find(event.Job)
 	unseen := t.statusUnseen(event.Job, j)
 	if j == nil {
 		answer.Outcomes = allTold(unseen, event.Indexes)
 	} else {
 		answer.Outcomes = t.report(j, Seal{Indexes: event.Indexes, All: len(event.Indexes) == 0}, unseen)
+		t.rest(j)
 	}
 	t.answer(answer)
 }
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -21,16 +21,21 @@
 // Target is the aggregate. Make it with New.
 type Target struct {
 	options Options
-	jobs    map[JobID]*job
 	queue   queue
 	waiters map[uint64]*waiter
 	// due are the requests to answer at the end of the step.
-	due    []*waiter
-	rested [restedLists]jobList
-	stones tombstones
-	// busy counts slots in use, bytes the memory charged, remembered the tasks known.
+	due []*waiter
+	// jobs holds the unpacked records, spots says where the packed ones are. A job that is in both is being looked at.
+	// resting are the jobs to pack at the end of the step.
+	jobs     map[JobID]*job
+	spots    map[JobID]spot
+	archives [lists]archive
+	resting  []*job
+	scratch  []byte
+	stones   tombstones
+	// busy counts slots in use, unpacked the memory of unpacked records in bytes, remembered the tasks known.
 	busy       int
-	bytes      int
+	unpacked   int
 	remembered int
 	// untold counts the ended attempts whose outcome no answer has carried.
 	untold   int
@@ -50,7 +55,13 @@
 
 // New returns a target that is reachable and has nothing to do.
 func New(options Options) *Target {
-	return &Target{options: options, jobs: map[JobID]*job{}, waiters: map[uint64]*waiter{}}
+	made := &Target{
+		options: options, jobs: map[JobID]*job{}, spots: map[JobID]spot{}, waiters: map[uint64]*waiter{},
+	}
+	for i := range made.archives {
+		made.archives[i].blockBytes = min(max(options.OutcomeBytes/blockShare, minBlockBytes), maxBlockBytes)
+	}
+	return made
 }
 
 // Step takes one event and returns its effects, which are valid until the next call.
@@ -76,6 +87,7 @@
 	}
 	t.pump()
 	t.answerDue()
+	t.packResting()
 	t.forget()
 	return t.effects
 }
@@ -123,7 +135,7 @@
 // Remembered returns how many tasks are known, the memory they are charged with in bytes, and how many jobs have
 // been forgotten altogether.
 func (t *Target) Remembered() (tasks, bytes int, dropped uint64) {
-	return t.remembered, t.bytes, t.stones.dropped
+	return t.remembered, t.bytes(), t.stones.dropped
 }
 
 // closed tells why no new work is taken, if so.
