--- a/node/control/cluster_test.go
+++ b/node/control/cluster_test.go
@@ -18,6 +18,7 @@
 	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/rpc"
 	"flamingohall.example/node/settings"
+	"flamingohall.example/node/transport"
 )
 
 // memoryLog is a replicated log without network: a proposal is applied at every member in touch.
@@ -111,7 +112,7 @@
 
 // cluster is some control roles over one memoryLog, each behind its own loopback listener.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	log     *memoryLog
 	groups  []*memoryGroup
 	roles   []*Role
@@ -123,7 +124,9 @@
 	made := &cluster{t: t, log: &memoryLog{term: 1}}
 	for number := range size {
 		mux := http.NewServeMux()
-		server := httptest.NewServer(mux)
+		server := httptest.NewUnstartedServer(mux)
+		server.Config.Protocols = transport.ServerProtocols()
+		server.Start()
 		group := &memoryGroup{log: made.log, number: number, address: server.Listener.Addr().String()}
 		made.log.members = append(made.log.members, group)
 		made.groups = append(made.groups, group)
@@ -232,7 +235,7 @@
 // patience bounds how long a test waits for what must happen; it is no part of any verdict on speed.
 const patience = 10 * time.Second
 
-func eventually(t *testing.T, what string, holds func() bool) {
+func eventually(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(patience); !holds(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
@@ -285,3 +288,11 @@
 func goodbyeStep(id, incarnation string) state.Step {
 	return state.Step{Goodbye: &state.Process{ID: id, Incarnation: incarnation}}
 }
+
+// lead makes a member the leader.
+func (c *cluster) lead(number int) {
+	c.log.mutex.Lock()
+	defer c.log.mutex.Unlock()
+	c.log.leader = number
+	c.log.term++
+}
