Take the least loaded of up to 32 targets by default

Cause: the less loaded of two left p99 slowdown at 1.9 with 84% of the slots taken. Change: policy least, the default, scans up to 32 targets; the half-life of reports is 200 ms.

--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -33,7 +33,7 @@
 }
 
 // loadHalfLife is how long it takes until a report of other entries' tasks counts half.
-const loadHalfLife = 100 * time.Millisecond
+const loadHalfLife = 200 * time.Millisecond
 
 // State is what the board knows of one target.
 type State struct {
--- a/core/placement/board_test.go
+++ b/core/placement/board_test.go
@@ -99,7 +99,7 @@
 }
 
 func TestPolicies_SpreadEvenly(t *testing.T) {
-	for _, name := range []string{PolicyTwoChoices, PolicyOwn, PolicyRandom, PolicyRoundRobin} {
+	for _, name := range []string{PolicyTwoChoices, PolicyLeast, PolicyOwn, PolicyRandom, PolicyRoundRobin} {
 		policy, err := NewPolicy(name)
 		if err != nil {
 			t.Fatal(err)
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -17,6 +17,7 @@
 // Names of the policies.
 const (
 	PolicyTwoChoices = "two_choices"
+	PolicyLeast      = "least"
 	PolicyOwn        = "own"
 	PolicyRandom     = "random"
 	PolicyRoundRobin = "round_robin"
@@ -27,6 +28,8 @@
 	switch name {
 	case PolicyTwoChoices:
 		return twoChoices{}, nil
+	case PolicyLeast:
+		return leastLoaded{}, nil
 	case PolicyOwn:
 		return ownKnowledge{}, nil
 	case PolicyRandom:
@@ -34,7 +37,7 @@
 	case PolicyRoundRobin:
 		return &roundRobin{}, nil
 	}
-	return nil, fault.New(fault.Invalid, "use two_choices, own, random or round_robin", "policy %q is not known", name)
+	return nil, fault.New(fault.Invalid, "use two_choices, least, own, random or round_robin", "policy %q is not known", name)
 }
 
 // twoChoices takes the less loaded of two random targets that fit.
@@ -89,6 +92,37 @@
 	return nil
 }
 
+// leastScanned bounds the targets that one pick of leastLoaded looks at.
+const leastScanned = 32
+
+// leastLoaded takes the least loaded of the targets, or of a random stretch of them where there are many. It goes by
+// reports of others' work too.
+type leastLoaded struct{}
+
+func (leastLoaded) UsesReports() bool { return true }
+
+func (leastLoaded) Pick(now time.Time, targets []*State, fits func(*State) bool, random *rand.Rand) *State {
+	if len(targets) == 0 {
+		return nil
+	}
+	var best *State
+	least := 0.0
+	start := random.IntN(len(targets))
+	for i := range targets {
+		if i >= leastScanned && best != nil {
+			break
+		}
+		s := targets[(start+i)%len(targets)]
+		if !fits(s) {
+			continue
+		}
+		if share := s.share(now); best == nil || share < least {
+			best, least = s, share
+		}
+	}
+	return best
+}
+
 // ownKnowledge takes the target with the fewest of this entry's own attempts.
 type ownKnowledge struct{}
 
--- a/node/settings/entry.go
+++ b/node/settings/entry.go
@@ -12,7 +12,7 @@
 	MaxWaiting int `json:"max_waiting"`
 	// AnswerMemoryMB bounds the finished answers kept for resubmissions, in MiB.
 	AnswerMemoryMB int `json:"answer_memory_mb"`
-	// Policy chooses among targets: "two_choices", "own", "random" or "round_robin".
+	// Policy chooses among targets: "two_choices", "least", "own", "random" or "round_robin".
 	Policy string `json:"policy"`
 	// Lookahead is how many slots beyond a target's own may be filled from here when no target has a free one.
 	Lookahead int `json:"lookahead"`
@@ -46,7 +46,7 @@
 	setDefault(&e.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&e.MaxWaiting, defaultMaxWaiting)
 	setDefault(&e.AnswerMemoryMB, defaultAnswerMemoryMB)
-	setDefault(&e.Policy, placement.PolicyTwoChoices)
+	setDefault(&e.Policy, placement.PolicyLeast)
 	setDefault(&e.Order, OrderFair)
 	setDefault(&e.Hedging, On)
 	setDefault(&e.Ejection, On)
@@ -57,7 +57,7 @@
 	c.between("/entry/max_body_bytes", e.MaxBodyBytes, 1, maxMaxBodyBytes)
 	c.between("/entry/max_waiting", e.MaxWaiting, 1, maxMaxWaiting)
 	c.between("/entry/answer_memory_mb", e.AnswerMemoryMB, 1, maxAnswerMemoryMB)
-	c.oneOf("/entry/policy", e.Policy, placement.PolicyTwoChoices, placement.PolicyOwn,
+	c.oneOf("/entry/policy", e.Policy, placement.PolicyTwoChoices, placement.PolicyLeast, placement.PolicyOwn,
 		placement.PolicyRandom, placement.PolicyRoundRobin)
 	c.oneOf("/entry/order", e.Order, OrderFair, OrderArrival)
 	c.oneOf("/entry/hedging", e.Hedging, On, Off)
