--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -29,6 +29,8 @@
 	settleTime = 10 * time.Second
 	// untoldTime is how long a planned stop waits for entries to fetch outcomes that nobody has been told.
 	untoldTime = 3 * time.Second
+	// goodbyeTime bounds the last message to control; without it the lease ends by itself.
+	goodbyeTime = 3 * time.Second
 	// requestRing is the number of requests that may wait for the loop.
 	requestRing = 1024
 	// tickPeriod is how often deadlines in the queue and the age of outcomes are looked at.
@@ -58,10 +60,11 @@
 	follower    membership
 	client      *targetClient
 
-	// core is touched by the loop only, as are replies and running.
-	core    *target.Target
-	replies map[uint64]chan<- target.Answer
-	running map[attemptKey]context.CancelFunc
+	// core is touched by the loop only, as are recorder, replies and running.
+	core     *target.Target
+	recorder *recorder
+	replies  map[uint64]chan<- target.Answer
+	running  map[attemptKey]context.CancelFunc
 
 	requests chan request
 	calls    chan call
@@ -116,11 +119,15 @@
 		return nil, err
 	}
 	made.client = client
-	made.core = target.New(target.Options{
+	bounds := target.Options{
 		Incarnation: made.incarnation, Slots: options.Slots, Queue: options.Queue,
 		OutcomeBytes: options.OutcomeMemoryMB << 20, OutcomeAge: outcomeAge,
 		Tombstones: tombstoneCount, SettleTime: settleTime,
-	})
+	}
+	made.core = target.New(bounds)
+	if made.recorder, err = openRecorder(options.TraceFolder, options.Target, bounds); err != nil {
+		return nil, err
+	}
 	made.reachable.Store(true)
 	made.publish()
 	made.gauges()
@@ -171,9 +178,7 @@
 	s.post(ctx, request{event: target.Leave{}})
 	events.SidecarLeaving.Log(s.logger, "busy", s.snapshot.busy.Load())
 	cut := s.drain(ctx)
-	if err := s.follower.Goodbye(ctx); err != nil {
-		events.SidecarGoodbyeLost.LogError(s.logger, err)
-	}
+	s.goodbye(ctx)
 	s.callsOver()
 	s.cancel()
 	s.work.Wait()
@@ -181,6 +186,14 @@
 	return cut
 }
 
+func (s *Sidecar) goodbye(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, goodbyeTime)
+	defer cancel()
+	if err := s.follower.Goodbye(ctx); err != nil {
+		events.SidecarGoodbyeLost.LogError(s.logger, err)
+	}
+}
+
 // drainPoll is the period at which a stop looks whether all work is done.
 const drainPoll = 5 * time.Millisecond
 
