Entry: give up a waiting job without crashing

Cause: Under overload an entry process ended with a nil pointer in placement.Queue.Remove: review gave a job up, which answered it and dropped its queue place, and then took it out of the queue. Ruled out: A nil check in Queue.Remove: it would hide the order that matters. Change: review takes the job out of the queue first. A test makes a repeatable job wait in vain; it crashed before. Figures: go test ./entry -run GivesUp: panic before, passes after.

--- a/node/entry/learn.go
+++ b/node/entry/learn.go
@@ -148,8 +148,9 @@
 	}
 	for _, r := range late {
 		r.retryAfter = max(noTargetRetryAfter, l.taskTime(r.accepted, median))
-		l.step(r, now, job.GiveUp{Reason: "no slot came free in time for the deadline to be met"})
+		// The step may answer the job, and an answered record has nothing queued any more.
 		l.unqueue(r)
+		l.step(r, now, job.GiveUp{Reason: "no slot came free in time for the deadline to be met"})
 	}
 	l.flushCancels()
 }
