--- /dev/null
+++ b/node/daemon/process_test.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/node/settings"
+)
+
+// fakeRole notes what it is asked for in a list shared with other roles.
+type fakeRole struct {
+	name  string
+	notes *notes
+	fails error
+}
+
+type notes struct {
+	mutex sync.Mutex
+	list  []string
+}
+
+func (n *notes) add(note string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.list = append(n.list, note)
+}
+
+func (r *fakeRole) Register(*http.ServeMux) {}
+
+func (r *fakeRole) Start(context.Context) error {
+	r.notes.add("start " + r.name)
+	return r.fails
+}
+
+func (r *fakeRole) Ready() error { return nil }
+
+func (r *fakeRole) Stop(context.Context) error {
+	r.notes.add("stop " + r.name)
+	return nil
+}
+
+func newFakeProcess(t *testing.T, roles ...*fakeRole) *process {
+	t.Helper()
+	file := &settings.File{Node: settings.Node{ID: "n", Listen: "127.0.0.1:0", StopGraceMS: 1000}}
+	p, err := newProcess(file, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range roles {
+		p.roles = append(p.roles, namedRole{name: r.name, role: r})
+	}
+	return p
+}
+
+func TestProcess_StopsCallersFirst(t *testing.T) {
+	shared := &notes{}
+	p := newFakeProcess(t, &fakeRole{name: "control", notes: shared}, &fakeRole{name: "entry", notes: shared})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := p.run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	want := []string{"start control", "start entry", "stop entry", "stop control"}
+	for i := range want {
+		if i >= len(shared.list) || shared.list[i] != want[i] {
+			t.Fatalf("order %v, want %v", shared.list, want)
+		}
+	}
+	response := httptest.NewRecorder()
+	p.serveReady(response, nil)
+	if response.Code != http.StatusServiceUnavailable {
+		t.Errorf("readiness after the stop: %d", response.Code)
+	}
+}
+
+func TestProcess_StartFailureIsTold(t *testing.T) {
+	failing := &fakeRole{name: "entry", notes: &notes{}, fails: fault.New(fault.Unavailable, "free the port", "taken")}
+	err := newFakeProcess(t, failing).run(t.Context())
+	if !fault.Is(err, fault.Unavailable) {
+		t.Fatalf("error %v", err)
+	}
+}
+
+func TestProcess_TakenPortNamesTheRemedy(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	_, err = newProcess(&settings.File{Node: settings.Node{Listen: held.Addr().String()}}, logr.Discard())
+	if !fault.Is(err, fault.Unavailable) || fault.Of(err).Remedy == "" {
+		t.Fatalf("error %v", err)
+	}
+	entry := &settings.Entry{CallersListen: held.Addr().String(), MaxBodyBytes: 1, MaxWaiting: 1, AnswerMemoryMB: 1}
+	file := &settings.File{
+		Node:             settings.Node{ID: "e", DataCentre: "a", Listen: "127.0.0.1:0"},
+		ControlAddresses: []string{held.Addr().String()}, Entry: entry,
+	}
+	p, err := newProcess(file, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.run(t.Context()); fault.Of(err).Remedy == "" || !fault.Is(err, fault.Unavailable) {
+		t.Fatalf("error %v", err)
+	}
+}
