Read the test's settings from text, as a process does

Ruled out: a default in the entry itself (settings own the defaults). Change: the test parses a settings text.

--- a/node/daemon/process_test.go
+++ b/node/daemon/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -98,10 +99,11 @@
 	if !fault.Is(err, fault.Unavailable) || fault.Of(err).Remedy == "" {
 		t.Fatalf("error %v", err)
 	}
-	entry := &settings.Entry{CallersListen: held.Addr().String(), MaxBodyBytes: 1, MaxWaiting: 1, AnswerMemoryMB: 1}
-	file := &settings.File{
-		Node:             settings.Node{ID: "e", DataCentre: "a", Listen: "127.0.0.1:0"},
-		ControlAddresses: []string{held.Addr().String()}, Entry: entry,
+	text := fmt.Sprintf(`{"node": {"id": "e", "data_centre": "a", "listen": "127.0.0.1:0"},
+		"control_addresses": [%[1]q], "entry": {"callers_listen": %[1]q}}`, held.Addr().String())
+	file, err := settings.Parse("entry", []byte(text))
+	if err != nil {
+		t.Fatal(err)
 	}
 	p, err := newProcess(file, logr.Discard())
 	if err != nil {
