--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -115,6 +115,11 @@
 	return r.changedAfter(0)
 }
 
+// Len returns the number of records.
+func (r *Registry) Len() int {
+	return len(r.nodes)
+}
+
 // Live reports whether this incarnation is registered.
 func (r *Registry) Live(id, incarnation string) bool {
 	node, found := r.nodes[id]
--- a/node/control/answer.go
+++ b/node/control/answer.go
@@ -40,13 +40,10 @@
 		return
 	}
 	changed, removed, ok := s.Registry.Delta(known)
-	if !ok {
-		// Removals since then are forgotten: the follower starts over, with the catalogue that it needs for that.
+	if !ok || len(changed)+len(removed) > s.Registry.Len() {
+		// The removals since then are forgotten, or the whole is smaller than the difference.
 		response.Full = true
 		changed, removed = s.Registry.Nodes(), nil
-		if request.GetWantCatalogue() {
-			response.Catalogue = current.Document
-		}
 	}
 	response.Removed = removed
 	for _, node := range changed {
--- a/node/control/failure_test.go
+++ b/node/control/failure_test.go
@@ -160,6 +160,12 @@
 	if err != nil || next.GetFull() || len(next.GetNodes())+len(next.GetRemoved()) > 3 {
 		t.Fatalf("a short absence got more than a delta: %v, %v", next, err)
 	}
+	whole, err := c.control(2).Sync(t.Context(), &rpc.SyncRequest{
+		Node: entry, WantNodes: true, WantCatalogue: true, KnownIndex: later.GetIndex() - 21,
+	})
+	if err != nil || !whole.GetFull() || len(whole.GetNodes()) != 2 || len(whole.GetRemoved()) != 0 {
+		t.Fatalf("ten removals went out in place of two nodes: %v, %v", whole, err)
+	}
 }
 
 func TestFailure_TakeoverRaceHasOneWinner(t *testing.T) {
--- a/node/control/gauges.go
+++ b/node/control/gauges.go
@@ -8,7 +8,7 @@
 
 // publishGauges adds the values that are computed when they are read.
 func (r *Role) publishGauges() {
-	r.metrics.Gauge("nodes", func() any { return r.look(func(s *state.State) int { return len(s.Registry.Nodes()) }) })
+	r.metrics.Gauge("nodes", func() any { return r.look(func(s *state.State) int { return s.Registry.Len() }) })
 	r.metrics.Gauge("claims_kept", func() any { return r.look(func(s *state.State) int { return s.Claims.Len() }) })
 	r.metrics.Gauge("catalogue_revision", func() any {
 		return r.look(func(s *state.State) int { return int(s.Catalogue.Current().Number) })
