Find a silent control connection within the lease

Cause: a follower waited for the hold that it had asked for, 5 s and 2 s more, while control held polls for a third of the lease, 2 s: one silent connection lasted longer than the lease of 6 s, so the node was given up though it ran. Ruled out: a longer lease (a dead entry's jobs would wait longer). Change: control tells how long it holds a poll; the follower waits a second more. The test of a planned stop now holds a poll of its own: without the release it did not fail before. Figures: in virtual time a follower whose connection falls silent is heard again within 3 holds less a second.

--- a/node/control/answer.go
+++ b/node/control/answer.go
@@ -16,6 +16,7 @@
 	response := &rpc.SyncResponse{Full: request.GetKnownIndex() == 0}
 	if request.GetNode() != nil {
 		response.Number = caller.number
+		response.GrantedHoldMs = r.allowedHold(request).Milliseconds()
 	}
 	r.machine.read(func(s *state.State) { fill(response, request, caller, s) })
 	r.addAddresses(response, request.GetAddressesDigest())
--- a/node/control/failure_test.go
+++ b/node/control/failure_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -230,10 +231,14 @@
 			granted[job] = err == nil && answer.GetStatus() == rpc.ClaimStatus_CLAIM_STATUS_GRANTED
 		})
 	}
-	// Polls would be held for minutes: Stop returns only because it releases them.
+	held := c.holdPoll(t, 0)
 	if err := c.roles[0].Stop(t.Context()); err != nil {
 		t.Fatal(err)
 	}
+	// The lease lets the poll be held for minutes.
+	if err := <-held; !fault.Is(faultrpc.From(err), fault.Unavailable) {
+		t.Fatalf("the held poll ended with %v", err)
+	}
 	claims.Wait()
 	for job, ok := range granted {
 		if !ok {
@@ -244,6 +249,27 @@
 	eventually(t, "the follower has moved on", func() bool { return entry.View().Revision == 1 })
 }
 
+// holdPoll starts a poll at a member and returns once it is held.
+func (c *cluster) holdPoll(t *testing.T, number int) <-chan error {
+	t.Helper()
+	first, err := c.control(number).Sync(t.Context(), &rpc.SyncRequest{Node: sidecarNode("held", "x")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := c.roles[number].metrics.Counter("syncs")
+	ended := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		_, err := c.control(number).Sync(ctx, &rpc.SyncRequest{
+			Number: first.GetNumber(), KnownIndex: first.GetIndex(), HoldMs: time.Hour.Milliseconds(),
+		})
+		ended <- err
+	}()
+	eventually(t, "the poll arrives", func() bool { return c.roles[number].metrics.Counter("syncs") > before })
+	return ended
+}
+
 func apply(t *testing.T, c *cluster, number int, change string, base uint64) *rpc.ApplyCatalogueResponse {
 	t.Helper()
 	answer, err := c.operator(number).ApplyCatalogue(t.Context(), &rpc.ApplyCatalogueRequest{
--- a/node/control/sync.go
+++ b/node/control/sync.go
@@ -144,8 +144,7 @@
 func (r *Role) hold(
 	ctx context.Context, request *rpc.SyncRequest, caller process, arrived time.Time, closed <-chan struct{},
 ) error {
-	allowed := min(time.Duration(request.GetHoldMs())*time.Millisecond, r.lease/holdsPerLease)
-	timer := time.NewTimer(allowed - time.Since(arrived))
+	timer := time.NewTimer(r.allowedHold(request) - time.Since(arrived))
 	defer timer.Stop()
 	for {
 		changed := r.machine.watch()
@@ -169,6 +168,11 @@
 	}
 }
 
+// allowedHold returns how long the poll may be held, so that a quiet caller keeps its lease.
+func (r *Role) allowedHold(request *rpc.SyncRequest) time.Duration {
+	return min(time.Duration(request.GetHoldMs())*time.Millisecond, r.lease/holdsPerLease)
+}
+
 // settle waits for further changes of nodes, so that a burst of them makes few answers.
 func settle(ctx context.Context, closed <-chan struct{}, gate *gate) error {
 	timer := time.NewTimer(settleTime)
--- a/node/controlclient/follower.go
+++ b/node/controlclient/follower.go
@@ -21,7 +21,9 @@
 	// Hold is how long a control VM may hold a poll when nothing changes.
 	Hold = 5 * time.Second
 	// answerSlack is what an answer may take beyond the hold before the connection counts as silent.
-	answerSlack = 2 * time.Second
+	answerSlack = time.Second
+	// firstAnswer is how long the first answer of a control VM may take.
+	firstAnswer = 4 * time.Second
 	// maxAnswerStaleness is how long a control VM may have been out of touch before another one is tried.
 	maxAnswerStaleness = 5 * time.Second
 	minBackoff         = 50 * time.Millisecond
@@ -58,6 +60,8 @@
 	addressesDigest uint32
 	number          uint64
 	sent            *rpc.Node
+	// granted is how long control VMs hold a quiet poll, 0 before the first answer.
+	granted time.Duration
 
 	// mutex guards the fields below.
 	mutex   sync.Mutex
@@ -164,8 +168,7 @@
 // poll sends one message and applies its answer. An announcement cuts the wait short.
 func (f *Follower) poll(ctx context.Context, server *server) error {
 	request := f.request()
-	limit := time.Duration(request.GetHoldMs())*time.Millisecond + answerSlack
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, f.patience())
 	defer cancel()
 	interrupted := f.interruptOnAnnounce(ctx, cancel)
 	sentAt := time.Now()
@@ -184,10 +187,19 @@
 	}
 	if answer.GetNumber() != 0 {
 		f.number, f.sent = answer.GetNumber(), proto.CloneOf(request.GetNode())
+		f.granted = time.Duration(answer.GetGrantedHoldMs()) * time.Millisecond
 	}
 	return f.apply(answer, sentAt)
 }
 
+// patience returns how long an answer may take before the connection counts as silent.
+func (f *Follower) patience() time.Duration {
+	if f.granted == 0 {
+		return firstAnswer
+	}
+	return f.granted + answerSlack
+}
+
 // interruptOnAnnounce cancels the poll at an announcement; the channel tells once whether it did.
 func (f *Follower) interruptOnAnnounce(ctx context.Context, cancel context.CancelFunc) <-chan bool {
 	interrupted := make(chan bool, 1)
--- a/node/controlclient/follower_test.go
+++ b/node/controlclient/follower_test.go
@@ -30,8 +30,9 @@
 func (f *fakeControl) Sync(ctx context.Context, request *rpc.SyncRequest) (*rpc.SyncResponse, error) {
 	f.mutex.Lock()
 	f.requests = append(f.requests, request)
+	answer := f.sync
 	f.mutex.Unlock()
-	return f.sync(ctx, request)
+	return answer(ctx, request)
 }
 
 func (f *fakeControl) Claim(ctx context.Context, _ *rpc.ClaimRequest) (*rpc.ClaimResponse, error) {
@@ -107,6 +108,9 @@
 	h.self = node
 }
 
+// grantedHold is how long the fakes hold a poll.
+const grantedHold = 2 * time.Second
+
 // silent answers never.
 func silent(ctx context.Context, _ *rpc.SyncRequest) (*rpc.SyncResponse, error) {
 	<-ctx.Done()
@@ -119,6 +123,7 @@
 		answer := &rpc.SyncResponse{Index: index, CatalogueRevision: revision, Full: request.GetKnownIndex() == 0}
 		if request.GetNode() != nil {
 			answer.Number = 7
+			answer.GrantedHoldMs = grantedHold.Milliseconds()
 		}
 		if request.GetKnownIndex() < index {
 			return answer, nil
@@ -126,8 +131,8 @@
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case <-time.After(time.Duration(request.GetHoldMs()) * time.Millisecond):
-			answer.HeldMs = request.GetHoldMs()
+		case <-time.After(grantedHold):
+			answer.HeldMs = grantedHold.Milliseconds()
 			return answer, nil
 		}
 	}
@@ -148,7 +153,7 @@
 	inBubble(t, func(t *testing.T, ctx context.Context) {
 		h := newHarness(t, &fakeControl{sync: silent}, &fakeControl{sync: serving(10, 1)})
 		h.follower.Start(ctx)
-		time.Sleep(Hold + answerSlack - time.Millisecond)
+		time.Sleep(firstAnswer - time.Millisecond)
 		if h.follower.Ready() == nil {
 			t.Fatal("ready without an answer")
 		}
@@ -163,6 +168,31 @@
 	})
 }
 
+// TestFollower_SilenceIsFoundWithinALease: a connection that goes silent after good answers must cost the follower less
+// than the lease, three times the hold, less the second that a digest may take.
+func TestFollower_SilenceIsFoundWithinALease(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		first, second := &fakeControl{sync: serving(10, 1)}, &fakeControl{sync: serving(10, 1)}
+		h := newHarness(t, first, second)
+		h.follower.Start(ctx)
+		time.Sleep(3*grantedHold + time.Millisecond)
+		if second.count() != 0 || first.count() != 5 {
+			t.Fatalf("%d and %d polls", first.count(), second.count())
+		}
+		first.mutex.Lock()
+		first.sync = silent
+		first.mutex.Unlock()
+		time.Sleep(grantedHold)
+		lastHeard := time.Now()
+		for second.count() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if silence := time.Since(lastHeard); silence > 3*grantedHold-time.Second {
+			t.Fatalf("heard again after %v", silence)
+		}
+	})
+}
+
 func TestFollower_NeverGoesBack(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context) {
 		behind := func(context.Context, *rpc.SyncRequest) (*rpc.SyncResponse, error) {
@@ -261,7 +291,9 @@
 		h := newHarness(t, first)
 		h.follower.Start(ctx)
 		synctest.Wait()
+		first.mutex.Lock()
 		first.sync = func(context.Context, *rpc.SyncRequest) (*rpc.SyncResponse, error) { return &rpc.SyncResponse{}, nil }
+		first.mutex.Unlock()
 		if err := h.follower.Goodbye(ctx); err != nil {
 			t.Fatal(err)
 		}
