Shrink finished jobs to stubs, so that three times as many are remembered

Cause: a control VM remembered 112,347 never-repeated jobs before it had to refuse, 31 a second over the guaranteed hour. Ruled out: a shorter guarantee, since a late resubmission could then start twice; forgetting young jobs for the same reason. Change: once its answer goes, a job is a fixed-size stub in a queue; answered jobs and the others have separate budgets, so that many jobs don't push young answers out.

--- a/core/claim/doc.go
+++ b/core/claim/doc.go
@@ -5,8 +5,8 @@
 // and succeeds only when the holder is no longer live, so that of two entries that race exactly one wins. Finish counts
 // under the current epoch only.
 //
-// Retention: an answer is kept for Limits.AnswerMS and while all answers fit in Limits.AnswerBytes. The record of the
-// job itself, which keeps it from starting again, is kept for Limits.RecordMS after its last change. When records fill
-// Limits.RecordBytes, the oldest goes early if it has been untouched for Limits.MinRecordMS; otherwise a new claim is
-// refused, as forgetting a young job could start it twice.
+// Retention: an answer is kept for Limits.AnswerMS and while all answered jobs fit in Limits.AnswerBytes. Then the job
+// shrinks to a stub, which keeps it from starting again and is kept for Limits.RecordMS after its last change. When jobs
+// without an answer fill Limits.RecordBytes, the oldest goes early if it has been untouched for Limits.MinRecordMS;
+// otherwise a new claim is refused, as forgetting a young job could start it twice.
 package claim
--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -37,7 +37,7 @@
 var DefaultLimits = Limits{
 	AnswerBytes: 16 << 20,
 	AnswerMS:    60 * 60 * 1000,
-	RecordBytes: 24 << 20,
+	RecordBytes: 36 << 20,
 	RecordMS:    24 * 60 * 60 * 1000,
 	MinRecordMS: 60 * 60 * 1000,
 }
@@ -108,25 +108,31 @@
 	jobs   map[string]*list.Element
 	// order holds *record, least recently touched first.
 	order *list.List
-	// answered holds the finished jobs whose answer is kept, oldest first.
-	answered    []*record
+	// answered holds the finished jobs that are still records, oldest first. Those before them are stubs.
+	answered []*record
+	stubs    stubs
+	// answerBytes is the size of the answered records. recordBytes is that of the others and of the stubs, also of those
+	// that the answered will become, so that it never grows when one does.
 	answerBytes int
 	recordBytes int
 }
 
 // NewTable returns an empty table.
 func NewTable(limits Limits) *Table {
-	return &Table{limits: limits, jobs: map[string]*list.Element{}, order: list.New()}
+	return &Table{limits: limits, jobs: map[string]*list.Element{}, order: list.New(), stubs: newStubs()}
 }
 
 // Len returns the number of jobs remembered.
 func (t *Table) Len() int {
-	return len(t.jobs)
+	return len(t.jobs) + t.stubs.len()
 }
 
 // Claim answers a request. index is the log index of the command, at least that of any before; nowMS never goes back.
 func (t *Table) Claim(request Request, index uint64, nowMS int64, live Live) Answer {
 	t.expire(nowMS)
+	if done, found := t.stubs.find(request.Job); found {
+		return done.answer(request)
+	}
 	element, known := t.jobs[request.Job]
 	if !known {
 		return t.claimUnknown(request, index, nowMS)
@@ -221,6 +227,9 @@
 // Finish stores the answer under the job's epoch. A repeated Finish keeps the first answer.
 func (t *Table) Finish(finish Finish, nowMS int64) Status {
 	t.expire(nowMS)
+	if done, found := t.stubs.find(finish.Job); found && done.Epoch == finish.Epoch {
+		return Finished
+	}
 	element, known := t.jobs[finish.Job]
 	if !known {
 		return Fenced
@@ -235,78 +244,128 @@
 	t.recordBytes -= job.size()
 	job.Finished = true
 	job.Holder, job.Incarnation, job.Targets = "", "", nil
-	t.recordBytes += job.size()
+	t.recordBytes += stubSize
 	t.touch(element, nowMS)
 	t.keepAnswer(job, finish.Body)
 	return Finished
 }
 
+// keepAnswer puts a job that finished at the end of the queue of answers, also without a body that can be kept, so that
+// jobs become stubs in the order in which they finished.
 func (t *Table) keepAnswer(job *record, body []byte) {
-	if len(body) == 0 || len(body) > MaxAnswerBytes {
-		return
+	if len(body) <= MaxAnswerBytes {
+		job.Body = body
 	}
-	job.Body = body
 	t.answered = append(t.answered, job)
-	t.answerBytes += len(body)
+	t.answerBytes += job.size()
 	for t.answerBytes > t.limits.AnswerBytes {
-		t.dropOldestAnswer()
+		t.shrinkOldest()
 	}
 }
 
-func (t *Table) dropOldestAnswer() {
+// shrinkOldest turns the job that finished first among the records into a stub.
+func (t *Table) shrinkOldest() {
 	oldest := t.answered[0]
 	t.answered[0] = nil
 	t.answered = t.answered[1:]
-	t.answerBytes -= len(oldest.Body)
-	oldest.Body = nil
+	t.answerBytes -= oldest.size()
+	t.order.Remove(t.jobs[oldest.Job])
+	delete(t.jobs, oldest.Job)
+	t.stubs.push(stub{
+		Job: shortJob(oldest.Job), Digest: shortHash(oldest.Digest), Epoch: oldest.Epoch, TouchedMS: oldest.TouchedMS,
+	})
 }
 
 // expire forgets what has passed its time.
 func (t *Table) expire(nowMS int64) {
 	for len(t.answered) > 0 && t.answered[0].TouchedMS+t.limits.AnswerMS <= nowMS {
-		t.dropOldestAnswer()
+		t.shrinkOldest()
 	}
-	for front := t.order.Front(); front != nil; front = t.order.Front() {
-		if front.Value.(*record).TouchedMS+t.limits.RecordMS > nowMS {
+	for {
+		touched, found := t.oldestTouch()
+		if !found || touched+t.limits.RecordMS > nowMS {
 			return
 		}
-		t.remove(front)
+		t.forgetOldest()
 	}
 }
 
 // makeRoom forgets old jobs until size more bytes fit; false means that what is left is too young to forget.
 func (t *Table) makeRoom(size int, nowMS int64) bool {
 	for t.recordBytes+size > t.limits.RecordBytes {
-		front := t.order.Front()
-		if front == nil || front.Value.(*record).TouchedMS+t.limits.MinRecordMS > nowMS {
+		touched, found := t.oldestTouch()
+		if !found || touched+t.limits.MinRecordMS > nowMS {
 			return false
 		}
-		t.remove(front)
+		t.forgetOldest()
 	}
 	return true
 }
 
-func (t *Table) insert(job *record) {
-	t.jobs[job.Job] = t.order.PushBack(job)
-	t.recordBytes += job.size()
+// oldestTouch returns the time of the least recent touch of any job.
+func (t *Table) oldestTouch() (touchedMS int64, found bool) {
+	front := t.order.Front()
+	switch {
+	case t.stubIsOldest():
+		return t.stubs.oldest().TouchedMS, true
+	case front != nil:
+		return front.Value.(*record).TouchedMS, true
+	}
+	return 0, false
 }
 
-// remove forgets a job. Its answer, if any, is the oldest kept: both queues are in the order of the last touch.
-func (t *Table) remove(element *list.Element) {
-	job := element.Value.(*record)
-	if job.Body != nil {
-		t.dropOldestAnswer()
+func (t *Table) stubIsOldest() bool {
+	front := t.order.Front()
+	if t.stubs.len() == 0 || front == nil {
+		return t.stubs.len() > 0
+	}
+	return t.stubs.oldest().TouchedMS <= front.Value.(*record).TouchedMS
+}
+
+// forgetOldest drops the least recently touched job.
+func (t *Table) forgetOldest() {
+	if t.stubIsOldest() {
+		t.stubs.pop()
+		t.recordBytes -= stubSize
+		return
 	}
-	t.order.Remove(element)
+	front := t.order.Front()
+	job := front.Value.(*record)
+	if job.Finished {
+		// It finished before all others: both queues are in the order of the last touch.
+		t.shrinkOldest()
+		t.forgetOldest()
+		return
+	}
+	t.order.Remove(front)
 	delete(t.jobs, job.Job)
 	t.recordBytes -= job.size()
 }
 
+// insert adds a job that was touched after all others.
+func (t *Table) insert(job *record) {
+	t.jobs[job.Job] = t.order.PushBack(job)
+	if job.Finished {
+		t.recordBytes += stubSize
+		t.answerBytes += job.size()
+		return
+	}
+	t.recordBytes += job.size()
+}
+
 func (t *Table) touch(element *list.Element, nowMS int64) {
 	element.Value.(*record).TouchedMS = nowMS
 	t.order.MoveToBack(element)
 }
 
+// answer answers a request for a job of which only the stub is left.
+func (s stub) answer(request Request) Answer {
+	if s.Digest != shortHash(request.Digest) && (request.Extend == 0 || len(request.Digest) > 0) {
+		return Answer{Status: Conflict}
+	}
+	return Answer{Status: Finished, Epoch: s.Epoch}
+}
+
 func (r *record) matches(request Request) bool {
 	if request.Extend != 0 && len(request.Digest) == 0 {
 		return true
@@ -332,9 +391,9 @@
 	}
 }
 
-// size estimates the record's memory without its answer, in bytes.
+// size estimates the record's memory in bytes.
 func (r *record) size() int {
-	size := recordOverhead + len(r.Job) + len(r.Digest) + len(r.Holder) + len(r.Incarnation)
+	size := recordOverhead + len(r.Job) + len(r.Digest) + len(r.Holder) + len(r.Incarnation) + len(r.Body)
 	for _, target := range r.Targets {
 		size += targetOverhead + len(target.ID) + len(target.Incarnation)
 	}
