Take a job over at once when its entry's machine refuses connections

Cause: after an entry was killed, its jobs' resubmissions waited for the lease of 6 s to lapse, though the machine answered at once that nobody listens. Ruled out: a shorter lease (more messages, and a paused process would lose its jobs); taking over on any failed call (a silent connection proves nothing of the peer). Conclusion: a killed process costs its callers no lease; a frozen one does.

--- a/node/entry/claims.go
+++ b/node/entry/claims.go
@@ -107,7 +107,7 @@
 
 // awaitHolder waits for the holder's answer while it lives; a dead holder's claim is taken over with the next try.
 func (l *loop) awaitHolder(ctx context.Context, c *claiming, held *rpc.ClaimResponse) bool {
-	c.request.TakeOverEpoch = 0
+	c.request.TakeOverEpoch, c.request.HolderGone = 0, false
 	if held.GetHolderIncarnation() == l.entry.incarnation {
 		// An earlier try of this process took the job over, and its answer was lost.
 		c.mustSeal = true
@@ -127,6 +127,10 @@
 	if err != nil {
 		l.entry.links.Retire(held.GetHolderAddress())
 	}
+	if link.IsRefused(err) {
+		c.request.TakeOverEpoch, c.request.HolderGone = held.GetEpoch(), true
+		return false
+	}
 	if err != nil || !response.GetKnown() {
 		sleep(ctx, claimBackoff)
 	}
--- a/node/link/link.go
+++ b/node/link/link.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -128,6 +129,9 @@
 	defer cancel()
 	response, err := call(ctx, request)
 	var dial *net.OpError
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return response, errors.Join(errNotSent, errRefused, faultrpc.From(err))
+	}
 	if errors.As(err, &dial) && dial.Op == "dial" {
 		return response, errors.Join(errNotSent, faultrpc.From(err))
 	}
@@ -140,6 +144,14 @@
 // errNotSent marks a call that found no connection to be sent on.
 var errNotSent = errors.New("not sent")
 
+// errRefused marks a call whose peer's machine refused the connection.
+var errRefused = errors.New("connection refused")
+
+// IsRefused reports whether the peer's machine answered that no process listens there.
+func IsRefused(err error) bool {
+	return errors.Is(err, errRefused)
+}
+
 // IsNotSent reports whether the call surely did not reach the peer.
 func IsNotSent(err error) bool {
 	return errors.Is(err, errNotSent)
--- a/tools/systemtest/failures_test.go
+++ b/tools/systemtest/failures_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"flamingohall.example/node/rpc"
 )
@@ -111,7 +112,9 @@
 	eventually(t, "tasks run", func() bool { return len(c.starts()) >= 8 })
 	c.entries[0].kill()
 	<-first
+	killed := time.Now()
 	got := postUntilAnswered(t, c.apis[1:], s)
+	t.Logf("answered %v after the kill", time.Since(killed))
 	requireTruthful(t, s, got, c.starts())
 	requireWhole(t, s, got)
 }
