Test the log on disk against crashes, failed operations and flipped bytes, and mend what that found

Cause: node/wal had no tests of its own.

Ruled out: taking any bad last record for a torn one, as an acknowledged entry might be dropped.

Conclusion: a frame whose middle blocks were lost while its end reached the disk is refused, as it can't be told from damage: that VM is replaced, nothing acknowledged is lost in the group.

--- a/core/raft/replica.go
+++ b/core/raft/replica.go
@@ -124,7 +124,9 @@
 	if restart.Snapshot != nil {
 		r.snapshot = restart.Snapshot
 		r.log.reset(restart.Snapshot)
-		r.hard.Term = max(r.hard.Term, restart.Snapshot.Term)
+		if restart.Snapshot.Term > r.hard.Term {
+			r.hard.Term, r.hard.Vote = restart.Snapshot.Term, None
+		}
 	}
 	r.log.append(restart.Entries...)
 	r.log.handed = r.log.last()
--- a/node/wal/frame.go
+++ b/node/wal/frame.go
@@ -43,10 +43,13 @@
 		return nil, nil, errTorn
 	}
 	length := binary.LittleEndian.Uint32(data[0:])
+	body := data[headerBytes:]
 	if crc32.Checksum(data[:8], castagnoli) != binary.LittleEndian.Uint32(data[8:]) || length > maxFrameBytes {
+		if isZero(data[headerBytes-1:]) {
+			return nil, nil, errTorn
+		}
 		return nil, nil, errDamaged
 	}
-	body := data[headerBytes:]
 	if uint64(len(body)) < uint64(length)+markBytes {
 		return nil, nil, errTorn
 	}
--- a/node/wal/load.go
+++ b/node/wal/load.go
@@ -20,6 +20,8 @@
 	hard    raft.HardState
 	// reset is the index of the snapshot that last replaced everything.
 	reset uint64
+	// isOutdated is set when the snapshot replaces all entries and no record says so yet.
+	isOutdated bool
 }
 
 // damaged is the error for contents that can't be trusted.
@@ -51,6 +53,13 @@
 		return nil, err
 	}
 	l.hard = state.hard
+	if state.isOutdated {
+		reset, err := proto.Marshal(&rpc.StoredBatch{ResetIndex: found.Restart.Snapshot.Index})
+		if err != nil {
+			return nil, l.fail("open", err)
+		}
+		tail = appendFrame(slices.Clone(tail), reset)
+	}
 	if err := l.resume(names, tail); err != nil {
 		return nil, l.fail("open", err)
 	}
@@ -229,11 +238,10 @@
 		return l.damaged(segmentFile(l.segments[0].number), "entries from %d to %d are missing", base.Index+1, first-1)
 	}
 	last := state.entries[len(state.entries)-1].Index
-	if last <= base.Index {
-		return nil
-	}
-	if first <= base.Index && state.entries[base.Index-first].Term != base.Term {
+	hasBase := first <= base.Index && base.Index <= last
+	if last < base.Index || (hasBase && state.entries[base.Index-first].Term != base.Term) {
 		// The snapshot was saved, and the crash came before the record that drops the log that differs from it.
+		state.isOutdated = true
 		return nil
 	}
 	found.Restart.Entries = state.entries[base.Index+1-first:]
@@ -250,6 +258,9 @@
 			}
 		}
 	}
+	if !slices.Contains(names, identityName) {
+		return nil
+	}
 	if len(l.segments) == 0 {
 		return l.begin(1, nil)
 	}
--- /dev/null
+++ b/node/wal/memory_test.go
@@ -0,0 +1,143 @@
+package wal
+
+import (
+	"maps"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+var errInjected = errors.New("injected fault")
+
+// memoryFiles is a disk in memory that can fail an operation, and crash: what was not synced is lost, wholly or from
+// some byte on.
+type memoryFiles struct {
+	live    map[string]*inode
+	durable map[string]*inode
+	// failAfter counts operations down; the one that reaches 0 fails, and all later ones do.
+	failAfter int
+	failed    bool
+}
+
+type inode struct {
+	data   []byte
+	synced int
+}
+
+func newMemoryFiles() *memoryFiles {
+	return &memoryFiles{live: map[string]*inode{}, durable: map[string]*inode{}}
+}
+
+// step fails when its turn has come.
+func (m *memoryFiles) step() error {
+	if m.failAfter > 0 {
+		m.failAfter--
+		m.failed = m.failed || m.failAfter == 0
+	}
+	if m.failed {
+		return errInjected
+	}
+	return nil
+}
+
+// crash loses what was not synced. Names may have reached the disk without a sync; bytes may be cut or zero.
+func (m *memoryFiles) crash(random *rand.Rand) {
+	names := m.durable
+	if random.IntN(2) == 0 {
+		names = m.live
+	}
+	after := map[string]*inode{}
+	for name, file := range names {
+		kept := file.synced + random.IntN(len(file.data)-file.synced+1)
+		data := slices.Clone(file.data[:kept])
+		if random.IntN(3) == 0 {
+			data = append(data, make([]byte, len(file.data)-kept)...)
+		}
+		after[name] = &inode{data: data, synced: len(data)}
+	}
+	m.live = after
+	m.durable = maps.Clone(after)
+	m.failed, m.failAfter = false, 0
+}
+
+func (m *memoryFiles) MakeFolder(string) error { return m.step() }
+
+func (m *memoryFiles) List(folder string) ([]string, error) {
+	var names []string
+	for _, path := range slices.Sorted(maps.Keys(m.live)) {
+		if name, inside := strings.CutPrefix(path, folder+"/"); inside {
+			names = append(names, name)
+		}
+	}
+	return names, m.step()
+}
+
+func (m *memoryFiles) Read(path string) ([]byte, error) {
+	return slices.Clone(m.live[filepath.Clean(path)].data), m.step()
+}
+
+func (m *memoryFiles) Create(path string) (File, error) {
+	if err := m.step(); err != nil {
+		return nil, err
+	}
+	file := &inode{}
+	m.live[path] = file
+	return &memoryFile{m, file}, nil
+}
+
+func (m *memoryFiles) Rename(from, to string) error {
+	if err := m.step(); err != nil {
+		return err
+	}
+	m.live[to] = m.live[from]
+	delete(m.live, from)
+	return nil
+}
+
+func (m *memoryFiles) Remove(path string) error {
+	if err := m.step(); err != nil {
+		return err
+	}
+	delete(m.live, path)
+	return nil
+}
+
+func (m *memoryFiles) SyncFolder(string) error {
+	if err := m.step(); err != nil {
+		return err
+	}
+	m.durable = maps.Clone(m.live)
+	return nil
+}
+
+func (m *memoryFiles) Lock(string) (Unlocker, error) { return m, nil }
+
+func (m *memoryFiles) Unlock() error { return nil }
+
+type memoryFile struct {
+	disk *memoryFiles
+	file *inode
+}
+
+// Write stores half of the data when it fails, as a full disk does.
+func (f *memoryFile) Write(data []byte) (int, error) {
+	if err := f.disk.step(); err != nil {
+		f.file.data = append(f.file.data, data[:len(data)/2]...)
+		return len(data) / 2, err
+	}
+	f.file.data = append(f.file.data, data...)
+	return len(data), nil
+}
+
+func (f *memoryFile) Sync() error {
+	if err := f.disk.step(); err != nil {
+		return err
+	}
+	f.file.synced = len(f.file.data)
+	return nil
+}
+
+func (f *memoryFile) Close() error { return nil }
--- a/node/wal/wal.go
+++ b/node/wal/wal.go
@@ -142,6 +142,9 @@
 	if l.failed != nil {
 		return l.failed
 	}
+	if l.file == nil {
+		return fault.New(fault.Internal, "set the identity first", "data folder %s has no identity", l.options.Folder)
+	}
 	if l.written >= l.options.SegmentBytes {
 		if err := l.rotate(); err != nil {
 			return l.fail("new segment", err)
@@ -243,7 +246,7 @@
 	return l.failed
 }
 
-// SetIdentity names a new data folder.
+// SetIdentity names a new data folder, which can be written from then on.
 func (l *Log) SetIdentity(identity Identity) error {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -258,7 +261,13 @@
 	if err != nil {
 		return l.fail("identity", err)
 	}
-	return file.Close()
+	if err := file.Close(); err != nil {
+		return l.fail("identity", err)
+	}
+	if err := l.begin(1, nil); err != nil {
+		return l.fail("identity", err)
+	}
+	return nil
 }
 
 // SaveSnapshot stores a snapshot and removes what it and its predecessor make needless.
