--- /dev/null
+++ b/node/control/sync.go
@@ -0,0 +1,213 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/core/registry"
+	"flamingohall.example/core/state"
+	"flamingohall.example/node/events"
+	"flamingohall.example/node/faultrpc"
+	"flamingohall.example/node/rpc"
+)
+
+// Times of Sync.
+const (
+	// holdsPerLease is how often a quiet node renews its lease.
+	holdsPerLease = 3
+	// catchUpTimeout is how long a caller that knows more than this VM waits for it.
+	catchUpTimeout = time.Second
+	// confirmTimeout bounds a confirmed read.
+	confirmTimeout = 1500 * time.Millisecond
+	// settleTime lets several changes of nodes go out as one answer.
+	settleTime = 50 * time.Millisecond
+	// maxNameBytes bounds ids and incarnations.
+	maxNameBytes = 256
+)
+
+// Sync announces the caller, renews its lease and answers with what changed.
+func (r *Role) Sync(ctx context.Context, request *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	answer, err := r.sync(ctx, request)
+	return answer, faultrpc.To(err)
+}
+
+func (r *Role) sync(ctx context.Context, request *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	arrived := time.Now()
+	closed, err := r.gate.check()
+	if err != nil {
+		return nil, err
+	}
+	r.metrics.Add("syncs", 1)
+	if request.GetGoodbye() {
+		return r.goodbye(ctx, request.GetNode())
+	}
+	caller, err := r.admit(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	if caller.number == 0 {
+		return &rpc.SyncResponse{NeedRecord: true}, nil
+	}
+	r.presence.heard(caller.number, request.GetRevisionInForce(), arrived)
+	if err := r.hold(ctx, request, caller, arrived, closed); err != nil {
+		return nil, err
+	}
+	return r.answer(request, caller, arrived), nil
+}
+
+// process is a caller as the registry knows it.
+type process struct {
+	id     string
+	number uint64
+}
+
+// admit makes sure that this VM knows no less than the caller, and registers the caller where its record changed. The
+// number is 0 when the record is needed for that.
+func (r *Role) admit(ctx context.Context, request *rpc.SyncRequest) (process, error) {
+	if err := r.catchUp(ctx, request.GetKnownIndex()); err != nil {
+		return process{}, err
+	}
+	if request.GetNode() == nil {
+		var node registry.Node
+		r.machine.read(func(s *state.State) { node, _ = s.Registry.Numbered(request.GetNumber()) })
+		return process{id: node.ID, number: node.Number}, nil
+	}
+	announced, err := nodeFromRPC(request.GetNode())
+	if err != nil {
+		return process{}, err
+	}
+	if err := r.register(ctx, announced); err != nil {
+		return process{}, err
+	}
+	var node registry.Node
+	r.machine.read(func(s *state.State) { node, _ = s.Registry.Node(announced.ID) })
+	if node.Incarnation != announced.Incarnation {
+		return process{}, replaced(announced.ID)
+	}
+	return process{id: node.ID, number: node.Number}, nil
+}
+
+// catchUp returns once this VM's state is as new as the caller's; for a caller that knows nothing, as new as the call.
+func (r *Role) catchUp(ctx context.Context, known uint64) error {
+	if known == 0 {
+		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		_, err := r.group.Confirm(ctx)
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	return r.machine.waitApplied(ctx, known)
+}
+
+func replaced(id string) error {
+	return fault.New(fault.Fenced, "give each process its own node id, and start this one again",
+		"node %q: this process was replaced by another or has said goodbye", id)
+}
+
+// register proposes the record when it differs from the one known.
+func (r *Role) register(ctx context.Context, announced registry.Node) error {
+	var differs bool
+	r.machine.read(func(s *state.State) { differs = s.Registry.Differs(announced) })
+	if !differs {
+		return nil
+	}
+	index, result, err := r.proposer.propose(ctx, state.Step{Announce: &announced})
+	if err != nil {
+		return err
+	}
+	if !result.Accepted {
+		return replaced(announced.ID)
+	}
+	events.NodeRegistered.Log(r.logger, "id", announced.ID, "incarnation", announced.Incarnation, "index", index)
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	return r.machine.waitApplied(ctx, index)
+}
+
+func (r *Role) goodbye(ctx context.Context, node *rpc.Node) (*rpc.SyncResponse, error) {
+	announced, err := nodeFromRPC(node)
+	if err != nil {
+		return nil, err
+	}
+	step := state.Step{Goodbye: &state.Process{ID: announced.ID, Incarnation: announced.Incarnation}}
+	index, _, err := r.proposer.propose(ctx, step)
+	if err != nil {
+		return nil, err
+	}
+	events.NodeGone.Log(r.logger, "id", announced.ID, "index", index)
+	return &rpc.SyncResponse{Index: index}, nil
+}
+
+// hold waits until there is news for the caller or its time has passed. The error says why this VM stopped serving.
+func (r *Role) hold(
+	ctx context.Context, request *rpc.SyncRequest, caller process, arrived time.Time, closed <-chan struct{},
+) error {
+	allowed := min(time.Duration(request.GetHoldMs())*time.Millisecond, r.lease/holdsPerLease)
+	timer := time.NewTimer(allowed - time.Since(arrived))
+	defer timer.Stop()
+	for {
+		changed := r.machine.watch()
+		news := r.newsFor(request, caller)
+		if news == newsUrgent {
+			return nil
+		}
+		if news == newsOfNodes {
+			return settle(ctx, closed, r.gate)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil
+		case <-closed:
+			_, err := r.gate.check()
+			return err
+		case <-ctx.Done():
+			return fault.New(fault.Unavailable, "none: the caller went away", "poll: %v", ctx.Err())
+		}
+	}
+}
+
+// settle waits for further changes of nodes, so that a burst of them makes few answers.
+func settle(ctx context.Context, closed <-chan struct{}, gate *gate) error {
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-closed:
+		_, err := gate.check()
+		return err
+	case <-ctx.Done():
+		return fault.New(fault.Unavailable, "none: the caller went away", "poll: %v", ctx.Err())
+	}
+}
+
+// news says whether a poll has to be answered.
+type news int
+
+const (
+	newsNone news = iota
+	// newsOfNodes may wait for the next few.
+	newsOfNodes
+	newsUrgent
+)
+
+func (r *Role) newsFor(request *rpc.SyncRequest, caller process) news {
+	known := request.GetKnownIndex()
+	if known == 0 {
+		return newsUrgent
+	}
+	found := newsNone
+	r.machine.read(func(s *state.State) {
+		own, registered := s.Registry.Numbered(caller.number)
+		switch {
+		case !registered || s.CatalogueIndex > known || own.ChangedAt > known:
+			found = newsUrgent
+		case request.GetWantNodes() && s.RegistryIndex > known:
+			found = newsOfNodes
+		}
+	})
+	return found
+}
