Test the replica's runtime in memory under synctest, with silent cuts and failing disks

Ruled out: shorter ticks in tests: the verdict would depend on the machine's load. Change: the transport can be replaced in tests; a network in memory refuses, cuts silently and heals.

--- a/node/replica/cluster_test.go
+++ b/node/replica/cluster_test.go
@@ -18,7 +18,6 @@
 	"flamingohall.example/core/raft"
 	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/settings"
-	"flamingohall.example/node/wal"
 )
 
 // listMachine keeps every command in order.
@@ -59,23 +58,31 @@
 	id      string
 	address string
 	folder  string
-	files   wal.Files
+	files   *faultyFiles
 	machine *listMachine
 	group   *Group
 	server  *http.Server
 }
 
 type cluster struct {
-	t             testing.TB
+	t testing.TB
+	// network is nil when the nodes use TCP.
+	network       *network
 	logger        logr.Logger
 	members       []settings.Member
 	nodes         []*node
 	snapshotEvery int
 }
 
+// newCluster makes nodes that use a network in memory, for tests under synctest.
 func newCluster(t testing.TB, size int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, logger: logr.Discard(), snapshotEvery: 1000}
+	return makeCluster(t, size, &network{muxes: map[string]*http.ServeMux{}, cuts: map[string]bool{}})
+}
+
+func makeCluster(t testing.TB, size int, network *network) *cluster {
+	t.Helper()
+	c := &cluster{t: t, network: network, logger: logr.Discard(), snapshotEvery: 1000}
 	if plain, isTest := t.(*testing.T); isTest && testing.Verbose() {
 		c.logger = testr.New(plain)
 	}
@@ -91,19 +98,27 @@
 
 func (c *cluster) addNode(number int) *node {
 	c.t.Helper()
-	reserved, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		c.t.Fatal(err)
-	}
 	n := &node{
-		cluster: c, id: fmt.Sprintf("control-%d", number+1), address: reserved.Addr().String(),
-		folder: filepath.Join(c.t.TempDir(), "data"),
+		cluster: c, id: fmt.Sprintf("control-%d", number+1), address: c.freeAddress(number),
+		folder: filepath.Join(c.t.TempDir(), "data"), files: &faultyFiles{},
 	}
-	_ = reserved.Close()
 	c.nodes = append(c.nodes, n)
 	return n
 }
 
+func (c *cluster) freeAddress(number int) string {
+	c.t.Helper()
+	if c.network != nil {
+		return fmt.Sprintf("127.0.0.1:%d", number+1)
+	}
+	reserved, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer func() { _ = reserved.Close() }()
+	return reserved.Addr().String()
+}
+
 func (c *cluster) start() {
 	c.t.Helper()
 	for _, n := range c.nodes {
@@ -125,11 +140,19 @@
 		ID: n.id, Address: n.address, DataCentre: "test", DataFolder: n.folder,
 		InitialMembers: n.cluster.members, SnapshotEvery: n.cluster.snapshotEvery, Machine: n.machine,
 		Logger: n.cluster.logger.WithName(n.id), Metrics: metrics.NewRole("test", n.address), files: n.files,
+		transport: n.transport(),
 	})
 	n.group = group
 	return err
 }
 
+func (n *node) transport() transportMaker {
+	if n.cluster.network == nil {
+		return nil
+	}
+	return func(string) http.RoundTripper { return &route{n.cluster.network, n.address} }
+}
+
 func (n *node) start() {
 	n.cluster.t.Helper()
 	if err := n.open(); err != nil {
@@ -137,21 +160,38 @@
 	}
 	mux := http.NewServeMux()
 	n.group.Register(mux)
+	n.listen(mux)
+	if err := n.group.Start(context.Background()); err != nil {
+		n.cluster.t.Fatal(err)
+	}
+}
+
+func (n *node) listen(mux *http.ServeMux) {
+	n.cluster.t.Helper()
+	if n.cluster.network != nil {
+		n.cluster.network.serve(n.address, mux)
+		return
+	}
 	listener, err := net.Listen("tcp", n.address)
 	if err != nil {
 		n.cluster.t.Fatal(err)
 	}
 	n.server = &http.Server{Handler: mux}
 	go func() { _ = n.server.Serve(listener) }()
-	if err := n.group.Start(context.Background()); err != nil {
-		n.cluster.t.Fatal(err)
+}
+
+func (n *node) unlisten() {
+	if n.cluster.network != nil {
+		n.cluster.network.serve(n.address, nil)
+		return
 	}
+	_ = n.server.Close()
 }
 
 // kill ends the VM without a hand-over.
 func (n *node) kill() {
 	n.group.stop()
-	_ = n.server.Close()
+	n.unlisten()
 	_ = n.group.Stop(context.Background())
 	n.group = nil
 }
@@ -193,6 +233,20 @@
 	return leader
 }
 
+// leaderBeside waits for a leader other than the node, which is cut off.
+func (c *cluster) leaderBeside(cutOff *node) *node {
+	c.t.Helper()
+	for ctx := testContext(c.t); ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		for _, n := range c.nodes {
+			if n != cutOff && n.group.Status().IsLeader {
+				return n
+			}
+		}
+	}
+	c.t.Fatal("no leader beside the node that is cut off")
+	return nil
+}
+
 func (c *cluster) follower() *node {
 	c.t.Helper()
 	leader := c.leader()
@@ -228,8 +282,8 @@
 	}
 }
 
-// waitMembers waits until the group has that many members and all of them count.
-func waitMembers(t *testing.T, c *cluster, count int) {
+// waitVoters waits until the group has that many members and all of them count.
+func waitVoters(t *testing.T, c *cluster, count int) {
 	t.Helper()
 	for ctx := testContext(t); ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
 		voters := 0
--- a/node/replica/group.go
+++ b/node/replica/group.go
@@ -68,8 +68,9 @@
 	// Metrics may be nil.
 	Metrics *metrics.Role
 
-	// files replaces the disk in tests.
-	files wal.Files
+	// files and transport replace the disk and the network in tests.
+	files     wal.Files
+	transport transportMaker
 }
 
 // Member is one member as Status tells it.
@@ -133,6 +134,9 @@
 	if options.Metrics == nil {
 		options.Metrics = metrics.NewRole("control", options.ID)
 	}
+	if options.transport == nil {
+		options.transport = newTransport
+	}
 	log, found, err := wal.Open(wal.Options{Folder: options.DataFolder, Files: options.files})
 	if err != nil {
 		return nil, err
@@ -160,7 +164,7 @@
 		options: options, log: log,
 		inputs: make(chan input, inputQueue), store: make(chan []raft.Ready),
 		applies: make(chan []applyJob), synced: make(chan struct{}, 1), compacts: make(chan compaction, 1),
-		ended: make(chan struct{}), calls: &lineTable{lines: map[string]*line{}},
+		ended: make(chan struct{}), calls: &lineTable{transport: options.transport, lines: map[string]*line{}},
 	}
 	g.changed.init()
 	g.applied.init()
--- a/node/replica/group_test.go
+++ b/node/replica/group_test.go
@@ -5,143 +5,158 @@
 	"fmt"
 	"os"
 	"testing"
+	"testing/synctest"
 )
 
 func TestGroup_SingleMember(t *testing.T) {
-	c := newCluster(t, 1)
-	c.start()
-	only := c.leader()
-	only.propose("a")
-	only.kill()
-	only.start()
-	c.leader()
-	only.propose("b")
-	only.wantList("a", "b")
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		c.start()
+		only := c.leader()
+		only.propose("a")
+		only.kill()
+		only.start()
+		c.leader()
+		only.propose("b")
+		only.wantList("a", "b")
+	})
 }
 
 func TestGroup_ProposesAndConfirmsAtEveryMember(t *testing.T) {
-	c := newCluster(t, 3)
-	c.start()
-	c.leader()
-	for i, n := range c.nodes {
-		n.propose(fmt.Sprint(i))
-		for _, reader := range c.nodes {
-			reader.wantList([]string{"0", "1", "2"}[:i+1]...)
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.start()
+		c.leader()
+		for i, n := range c.nodes {
+			n.propose(fmt.Sprint(i))
+			for _, reader := range c.nodes {
+				reader.wantList([]string{"0", "1", "2"}[:i+1]...)
+			}
 		}
-	}
+	})
 }
 
 func TestGroup_SurvivesRestartsOfAllMembers(t *testing.T) {
-	c := newCluster(t, 3)
-	c.snapshotEvery = 10
-	c.start()
-	var want []string
-	for i := range 35 {
-		want = append(want, fmt.Sprint(i))
-		c.leader().propose(want[i])
-	}
-	for _, n := range c.nodes {
-		n.kill()
-	}
-	c.start()
-	c.leader()
-	for _, n := range c.nodes {
-		n.wantList(want...)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.snapshotEvery = 10
+		c.start()
+		var want []string
+		for i := range 35 {
+			want = append(want, fmt.Sprint(i))
+			c.leader().propose(want[i])
+		}
+		for _, n := range c.nodes {
+			n.kill()
+		}
+		c.start()
+		c.leader()
+		for _, n := range c.nodes {
+			n.wantList(want...)
+		}
+	})
 }
 
 func TestGroup_StopHandsOver(t *testing.T) {
-	c := newCluster(t, 3)
-	c.start()
-	old := c.leader()
-	old.propose("before")
-	term := old.group.Status().Term
-	if err := old.group.Stop(context.Background()); err != nil {
-		t.Fatal(err)
-	}
-	_ = old.server.Close()
-	old.group = nil
-	leader := c.leader()
-	if got := leader.group.Status().Term; got != term+1 {
-		t.Errorf("the new leader's term is %d, want %d: it took more than one election", got, term+1)
-	}
-	leader.propose("after")
-	old.start()
-	c.leader()
-	old.wantList("before", "after")
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.start()
+		old := c.leader()
+		old.propose("before")
+		term := old.group.Status().Term
+		if err := old.group.Stop(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		old.unlisten()
+		old.group = nil
+		leader := c.leader()
+		if got := leader.group.Status().Term; got != term+1 {
+			t.Errorf("the new leader's term is %d, want %d: it took more than one election", got, term+1)
+		}
+		leader.propose("after")
+		old.start()
+		c.leader()
+		old.wantList("before", "after")
+	})
 }
 
 func TestGroup_GoesOnWithoutTheLeader(t *testing.T) {
-	c := newCluster(t, 3)
-	c.start()
-	old := c.leader()
-	old.propose("before")
-	old.kill()
-	c.leader().propose("after")
-	c.follower().wantList("before", "after")
-	old.start()
-	c.leader()
-	old.wantList("before", "after")
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.start()
+		old := c.leader()
+		old.propose("before")
+		old.kill()
+		c.leader().propose("after")
+		c.follower().wantList("before", "after")
+		old.start()
+		c.leader()
+		old.wantList("before", "after")
+	})
 }
 
 func TestGroup_LostDiskComesBackUnderNewIdentity(t *testing.T) {
-	c := newCluster(t, 3)
-	c.snapshotEvery = 5
-	c.start()
-	var want []string
-	for i := range 12 {
-		want = append(want, fmt.Sprint(i))
-		c.leader().propose(want[i])
-	}
-	lost := c.follower()
-	identity := lost.group.id
-	lost.kill()
-	if err := os.RemoveAll(lost.folder); err != nil {
-		t.Fatal(err)
-	}
-	lost.start()
-	if lost.group.id == identity {
-		t.Fatal("the identity did not change")
-	}
-	lost.wantList(want...)
-	waitMembers(t, c, 3)
-	if _, found := findMember(c, identity); found {
-		t.Error("the old identity is still a member")
-	}
-	// The group has lost one VM after the repair and still goes on.
-	for _, n := range c.nodes {
-		if n != lost && n != c.leader() {
-			n.kill()
-			break
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.snapshotEvery = 5
+		c.start()
+		var want []string
+		for i := range 12 {
+			want = append(want, fmt.Sprint(i))
+			c.leader().propose(want[i])
 		}
-	}
-	lost.propose("after")
-	lost.wantList(append(want, "after")...)
+		lost := c.follower()
+		identity := lost.group.id
+		lost.kill()
+		if err := os.RemoveAll(lost.folder); err != nil {
+			t.Fatal(err)
+		}
+		lost.start()
+		if lost.group.id == identity {
+			t.Fatal("the identity did not change")
+		}
+		lost.wantList(want...)
+		waitVoters(t, c, 3)
+		if _, found := findMember(c, identity); found {
+			t.Error("the old identity is still a member")
+		}
+		// The group has lost one VM after the repair and still goes on.
+		for _, n := range c.nodes {
+			if n != lost && n != c.leader() {
+				n.kill()
+				break
+			}
+		}
+		lost.propose("after")
+		lost.wantList(append(want, "after")...)
+	})
 }
 
 func TestGroup_GrowsAndShrinks(t *testing.T) {
-	c := newCluster(t, 3)
-	c.start()
-	c.leader().propose("a")
-	asked := c.follower()
-	added := c.addNode(3)
-	initial := c.members
-	c.members = nil
-	added.start()
-	c.members = initial
-	member := c.members[0]
-	member.ID, member.Address = added.id, added.address
-	if err := asked.group.ChangeMember(testContext(t), member, false); err != nil {
-		t.Fatal(err)
-	}
-	added.propose("b")
-	added.wantList("a", "b")
-	waitMembers(t, c, 4)
-	if err := added.group.ChangeMember(testContext(t), member, true); err != nil {
-		t.Fatal(err)
-	}
-	added.kill()
-	waitMembers(t, c, 3)
-	c.leader().propose("c")
-	c.follower().wantList("a", "b", "c")
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		c.start()
+		c.leader().propose("a")
+		asked := c.follower()
+		added := c.addNode(3)
+		initial := c.members
+		c.members = nil
+		added.start()
+		c.members = initial
+		member := c.members[0]
+		member.ID, member.Address = added.id, added.address
+		if err := asked.group.ChangeMember(testContext(t), member, false); err != nil {
+			t.Fatal(err)
+		}
+		added.propose("b")
+		added.wantList("a", "b")
+		waitVoters(t, c, 4)
+		if err := added.group.ChangeMember(testContext(t), member, true); err != nil {
+			t.Fatal(err)
+		}
+		added.kill()
+		waitVoters(t, c, 3)
+		c.leader().propose("c")
+		c.follower().wantList("a", "b", "c")
+	})
 }
--- a/node/replica/peer.go
+++ b/node/replica/peer.go
@@ -113,7 +113,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &peer{
 		group: group, id: id, address: address, queue: make(chan raft.Message, peerQueue),
-		context: ctx, cancel: cancel, line: newLine(address),
+		context: ctx, cancel: cancel, line: newLine(address, group.options.transport),
 	}
 }
 
@@ -204,6 +204,8 @@
 
 // lineTable holds a line for each address that was ever called.
 type lineTable struct {
+	transport transportMaker
+
 	mutex sync.Mutex
 	lines map[string]*line
 }
@@ -212,7 +214,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.lines[address] == nil {
-		t.lines[address] = newLine(address)
+		t.lines[address] = newLine(address, t.transport)
 	}
 	return t.lines[address]
 }
@@ -225,17 +227,29 @@
 	}
 }
 
+// transportMaker returns what carries the calls to one address.
+type transportMaker func(address string) http.RoundTripper
+
+func newTransport(string) http.RoundTripper {
+	return &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression: true,
+		IdleConnTimeout:    time.Minute,
+	}
+}
+
 // line is a twirp client whose connections can be given up.
 type line struct {
 	address string
+	make    transportMaker
 
-	mutex     sync.Mutex
-	transport *http.Transport
-	current   rpc.Replica
+	mutex   sync.Mutex
+	http    *http.Client
+	current rpc.Replica
 }
 
-func newLine(address string) *line {
-	l := &line{address: address}
+func newLine(address string, maker transportMaker) *line {
+	l := &line{address: address, make: maker}
 	l.renew()
 	return l
 }
@@ -244,15 +258,11 @@
 func (l *line) renew() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.transport != nil {
-		l.transport.CloseIdleConnections()
-	}
-	l.transport = &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableCompression: true,
-		IdleConnTimeout:    time.Minute,
+	if l.http != nil {
+		l.http.CloseIdleConnections()
 	}
-	l.current = rpc.NewReplicaProtobufClient("http://"+l.address, &http.Client{Transport: l.transport})
+	l.http = &http.Client{Transport: l.make(l.address)}
+	l.current = rpc.NewReplicaProtobufClient("http://"+l.address, l.http)
 }
 
 func (l *line) client() rpc.Replica {
@@ -264,5 +274,5 @@
 func (l *line) close() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.transport.CloseIdleConnections()
+	l.http.CloseIdleConnections()
 }
