--- a/core/target/regression_test.go
+++ b/core/target/regression_test.go
@@ -169,3 +169,35 @@
 		t.Errorf("%d bytes remembered", bytes)
 	}
 }
+
+func TestStart_NeverRepeatedTaskMayOutliveItsDeadline(t *testing.T) {
+	d := newDriver(roomy)
+	d.run(1, 1, 1)
+	if got := d.starts[0].Deadline; got != time.Minute+roomy.SettleTime {
+		t.Errorf("deadline %s", got)
+	}
+	d.send(Run{
+		Waiter: 50, Job: JobID{2}, Repeatable: true, Deadline: time.Minute, Tasks: []Spec{{Index: 0, Attempt: 1}},
+	})
+	if got := d.starts[1].Deadline; got != time.Minute {
+		t.Errorf("deadline %s of a repeatable task", got)
+	}
+}
+
+func TestQueue_JobsTakeTurnsAndEarlierDeadlinesGoFirst(t *testing.T) {
+	d := newDriver(Options{Slots: 1, Queue: 100, OutcomeBytes: 1 << 20, OutcomeAge: time.Hour, Tombstones: 1})
+	for job, deadline := range []time.Duration{3, 2, 1} {
+		d.send(Run{
+			Waiter: uint64(job + 1), Job: JobID{byte(job)}, Repeatable: true, Deadline: deadline * time.Second,
+			Tasks: []Spec{{Index: 0, Attempt: 1}, {Index: 1, Attempt: 1}},
+		})
+	}
+	var order []byte
+	for range 6 {
+		order = append(order, d.starts[len(d.starts)-1].Job[0])
+		d.finish(Done)
+	}
+	if got, want := string(order), "\x00\x02\x01\x00\x02\x01"; got != want {
+		t.Errorf("order %v, want %v", order, []byte(want))
+	}
+}
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -94,6 +94,7 @@
 	if err != nil {
 		return nil, err
 	}
+	limitMemory(file)
 	made.follower = controlclient.NewFollower(controlclient.Options{
 		Addresses: file.ControlAddresses, Self: made.self, Logger: logger, Metrics: made.metrics,
 	})
@@ -135,7 +136,7 @@
 	mux.Handle(server.PathPrefix(), http.MaxBytesHandler(server, maxRequestBytes))
 }
 
-// Start starts the goroutines. They end with Stop, or when ctx ends.
+// Start starts the goroutines. They end when ctx ends: after Stop they go on refusing what still arrives.
 func (s *Sidecar) Start(ctx context.Context) error {
 	ctx, s.cancel = context.WithCancel(ctx)
 	calls, callsOver := context.WithCancel(ctx)
@@ -170,17 +171,24 @@
 	}
 	s.leaving.Store(true)
 	s.follower.Announce()
-	s.post(ctx, request{event: target.Leave{}})
+	s.leave(ctx)
 	events.SidecarLeaving.Log(s.logger, "busy", s.snapshot.busy.Load())
 	cut := s.drain(ctx)
 	s.goodbye(ctx)
 	s.callsOver()
-	s.cancel()
-	s.work.Wait()
 	s.client.close()
 	return cut
 }
 
+// leave returns when the loop has heard of it and has taken all requests that came before.
+func (s *Sidecar) leave(ctx context.Context) {
+	s.post(ctx, request{event: target.Leave{}})
+	barrier := target.Status{Waiter: s.waiters.Add(1)}
+	if _, err := s.await(ctx, barrier, barrier.Waiter, maxHold); err != nil {
+		events.SidecarGoodbyeLost.LogError(s.logger, err)
+	}
+}
+
 func (s *Sidecar) goodbye(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, goodbyeTime)
 	defer cancel()
