Follow a target whose slots shrink; free a stand-in's slot before its answer

Cause: a platform lease that lapses takes slots away without warning, and every start beyond them is a wasted message. A stand-in refused the next task while it still wrote an answer larger than its buffer. Ruled out: asking the target for its slots, which real targets don't tell. Change: a refusal with a free slot makes what runs the target's slots; one more is tried every 2 s. Tasks too wide for that are handed back. Conclusion: TestSlots_ShrinkWithTheTargetAndComeBack.

--- a/core/target/gate.go
+++ b/core/target/gate.go
@@ -10,6 +10,7 @@
 }
 
 var (
+	tooWide      = ending{NotRun, CauseBusy, "the task needs more slots than the target has"}
 	pastDeadline = ending{NotRun, CauseDeadline, "the deadline passed before it could start"}
 	sealed       = ending{NotRun, CauseSealed, "sealed before it started"}
 	superseded   = ending{NotRun, CauseSealed, "a later attempt has been seen"}
@@ -185,13 +186,13 @@
 	t.forget()
 	slots := max(event.Slots, 1)
 	switch {
-	case slots > t.options.Slots:
-		return ending{NotRun, CauseBusy, "the task needs more slots than the target has"}, true
+	case slots > t.slots:
+		return tooWide, true
 	case t.bytes() > t.options.OutcomeBytes:
 		return ending{NotRun, CauseBusy, "the memory for outcomes is full"}, true
 	case t.queue.tasks < t.options.Queue:
 		return ending{}, false
-	case t.queue.tasks == 0 && t.busy+slots <= t.options.Slots:
+	case t.queue.tasks == 0 && t.busy+slots <= t.slots:
 		return ending{}, false
 	default:
 		return ending{NotRun, CauseBusy, "no free slot and no room in the queue"}, true
--- a/core/target/history_test.go
+++ b/core/target/history_test.go
@@ -213,7 +213,7 @@
 		p.accepted[attemptName{start.Job, start.Index, 0}]--
 	}
 	p.step(Finished{
-		Job: start.Job, Index: start.Index, Attempt: start.Attempt, Outcome: outcome, Result: make([]byte, next.Pick),
+		Job: start.Job, Index: start.Index, Attempt: start.Attempt, Outcome: outcome, Cause: Cause(next.Tasks), Result: make([]byte, next.Pick),
 	})
 }
 
@@ -285,8 +285,8 @@
 // check holds after every step.
 func (p *player) check() {
 	load := p.target.Load()
-	if !p.target.away && (load.Busy > load.Slots || load.Busy < len(p.running)) {
-		p.fail("%d busy with %d running, %d slots", load.Busy, len(p.running), load.Slots)
+	if p.target.busy > p.options.Slots || p.target.busy < len(p.running) {
+		p.fail("%d busy with %d running, %d slots", p.target.busy, len(p.running), p.options.Slots)
 	}
 	if load.Queued > p.options.Queue {
 		p.fail("%d queued", load.Queued)
--- a/core/target/regression_test.go
+++ b/core/target/regression_test.go
@@ -201,3 +201,21 @@
 		t.Errorf("order %v, want %v", order, []byte(want))
 	}
 }
+
+func TestSlots_ShrinkWithTheTargetAndComeBack(t *testing.T) {
+	d := newDriver(roomy)
+	for job := range byte(3) {
+		d.run(job+1, 1, 1)
+	}
+	last := d.starts[2]
+	d.send(Finished{Job: last.Job, Index: 0, Attempt: 1, Outcome: NotRun, Cause: CauseBusy})
+	if load := d.Load(); load.Slots != 2 || load.Busy != 2 {
+		t.Fatalf("load %+v after a refusal with two running", load)
+	}
+	wantOutcome(t, d.run(4, 1, 1), Queued, CauseNone)
+	d.now += slotRecovery
+	d.send(Tick{})
+	if load := d.Load(); load.Slots != 3 || load.Busy != 3 || load.Queued != 0 {
+		t.Errorf("load %+v after the recovery", load)
+	}
+}
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -33,6 +33,9 @@
 	resting  []*job
 	scratch  []byte
 	stones   tombstones
+	// slots are those that the target seems to have now; slotsChanged is when that changed.
+	slots        int
+	slotsChanged time.Duration
 	// busy counts slots in use, unpacked the memory of unpacked records in bytes, remembered the tasks known.
 	busy       int
 	unpacked   int
@@ -57,6 +60,7 @@
 func New(options Options) *Target {
 	made := &Target{
 		options: options, jobs: map[JobID]*job{}, spots: map[JobID]spot{}, waiters: map[uint64]*waiter{},
+		slots: options.Slots,
 	}
 	for i := range made.archives {
 		made.archives[i].blockBytes = min(max(options.OutcomeBytes/blockShare, minBlockBytes), maxBlockBytes)
@@ -103,6 +107,7 @@
 		t.away = !event.Up
 	case Tick:
 		t.expire()
+		t.recoverSlot()
 	}
 	if outcome, closed := t.closed(); closed {
 		t.returnQueued(outcome)
@@ -112,7 +117,7 @@
 // Load returns the present load without a new sequence number.
 func (t *Target) Load() Load {
 	load := Load{
-		Slots: t.options.Slots, Busy: t.busy, Queued: t.queue.tasks,
+		Slots: t.slots, Busy: min(t.busy, t.slots), Queued: t.queue.tasks,
 		Leaving: t.leaving || t.drained, Sequence: t.sequence,
 	}
 	if t.away {
@@ -192,7 +197,7 @@
 			t.end(head.live.job, head, pastDeadline)
 			continue
 		}
-		if t.busy+head.live.slots > t.options.Slots {
+		if t.busy+head.live.slots > t.slots {
 			return
 		}
 		t.queue.pop()
@@ -234,6 +239,9 @@
 	if event.Outcome == NotRun {
 		each.started = each.live.startedBefore
 	}
+	if event.Outcome == NotRun && event.Cause == CauseBusy {
+		t.loseSlots()
+	}
 	how := ending{event.Outcome, event.Cause, event.Reason}
 	if each.live.stopping {
 		how = stopped(how, j.repeatable)
@@ -241,6 +249,27 @@
 	t.endWith(j, each, how, event.Result)
 }
 
+// slotRecovery is the time after which one more slot is tried.
+const slotRecovery = 2 * time.Second
+
+// loseSlots takes what runs now for all that the target can run: it has refused a task although a slot was free, as
+// one does whose platform lease has shrunk.
+func (t *Target) loseSlots() {
+	t.slots = min(t.slots, max(t.busy, 1))
+	t.slotsChanged = t.now
+	for _, j := range t.queue.list() {
+		t.endQueued(j, tooWide, func(each *task) bool { return each.live.slots > t.slots })
+	}
+}
+
+// recoverSlot tries one more slot, some time after the last refusal.
+func (t *Target) recoverSlot() {
+	if t.slots < t.options.Slots && t.now-t.slotsChanged >= slotRecovery {
+		t.slots++
+		t.slotsChanged = t.now
+	}
+}
+
 // stopped is how a task ends that was asked to stop: if it still got done, that stands.
 func stopped(how ending, repeatable bool) ending {
 	switch {
--- a/node/standin/task.go
+++ b/node/standin/task.go
@@ -70,49 +70,62 @@
 		http.Error(out, "no free slot", http.StatusServiceUnavailable)
 		return
 	}
-	defer t.counts.leave()
-	t.run(out, in, knobs, body)
+	answer := t.run(in, knobs, body)
+	// The slot is free before the answer tells so.
+	t.counts.leave()
+	answer.write(out)
 }
 
-func (t *Target) run(out http.ResponseWriter, in *http.Request, knobs *settings.StandIn, body []byte) {
+// answer is the end of a task. Status 0 is none: the request was closed.
+type answer struct {
+	status int
+	text   string
+	result Result
+}
+
+func (a answer) write(out http.ResponseWriter) {
+	switch a.status {
+	case 0:
+	case http.StatusOK:
+		out.Header().Set("Content-Type", "application/json")
+		writeJSON(out, a.result)
+	default:
+		http.Error(out, a.text, a.status)
+	}
+}
+
+func (t *Target) run(in *http.Request, knobs *settings.StandIn, body []byte) answer {
 	number := t.begun.Add(1)
 	if err := t.record(in); err != nil {
-		http.Error(out, "ledger: "+err.Error(), http.StatusInternalServerError)
-		return
+		return answer{status: http.StatusInternalServerError, text: "ledger: " + err.Error()}
 	}
 	payload, err := decodePayload(body)
 	if err != nil {
 		t.counts.failed.Add(1)
-		http.Error(out, "payload: "+err.Error(), http.StatusBadRequest)
-		return
+		return answer{status: http.StatusBadRequest, text: "payload: " + err.Error()}
 	}
 	if !pause(in.Context(), runTime(knobs, payload, number)) {
 		t.counts.cancelled.Add(1)
-		return
+		return answer{}
 	}
 	switch failure(knobs, payload, number) {
 	case FailTask:
 		t.counts.failed.Add(1)
-		http.Error(out, "the task asked to fail", http.StatusUnprocessableEntity)
+		return answer{status: http.StatusUnprocessableEntity, text: "the task asked to fail"}
 	case FailTarget:
 		t.counts.failed.Add(1)
-		http.Error(out, "the target fails", http.StatusInternalServerError)
+		return answer{status: http.StatusInternalServerError, text: "the target fails"}
 	case FailHang:
 		<-in.Context().Done()
 		t.counts.cancelled.Add(1)
-	default:
-		t.counts.done.Add(1)
-		t.answer(out, knobs, payload, number)
+		return answer{}
 	}
-}
-
-func (t *Target) answer(out http.ResponseWriter, knobs *settings.StandIn, payload Payload, number int64) {
+	t.counts.done.Add(1)
 	id := knobs.ID
 	if id == "" {
 		id = t.Addr()
 	}
-	out.Header().Set("Content-Type", "application/json")
-	writeJSON(out, Result{Echo: payload.Echo, Target: id, Start: number})
+	return answer{status: http.StatusOK, result: Result{Echo: payload.Echo, Target: id, Start: number}}
 }
 
 // record appends one line to the ledger with one write.
