--- a/core/target/regression_test.go
+++ b/core/target/regression_test.go
@@ -169,3 +169,53 @@
 		t.Errorf("%d bytes remembered", bytes)
 	}
 }
+
+func TestStart_NeverRepeatedTaskMayOutliveItsDeadline(t *testing.T) {
+	d := newDriver(roomy)
+	d.run(1, 1, 1)
+	if got := d.starts[0].Deadline; got != time.Minute+roomy.SettleTime {
+		t.Errorf("deadline %s", got)
+	}
+	d.send(Run{
+		Waiter: 50, Job: JobID{2}, Repeatable: true, Deadline: time.Minute, Tasks: []Spec{{Index: 0, Attempt: 1}},
+	})
+	if got := d.starts[1].Deadline; got != time.Minute {
+		t.Errorf("deadline %s of a repeatable task", got)
+	}
+}
+
+func TestQueue_JobsTakeTurnsAndEarlierDeadlinesGoFirst(t *testing.T) {
+	d := newDriver(Options{Slots: 1, Queue: 100, OutcomeBytes: 1 << 20, OutcomeAge: time.Hour, Tombstones: 1})
+	for job, deadline := range []time.Duration{3, 2, 1} {
+		d.send(Run{
+			Waiter: uint64(job + 1), Job: JobID{byte(job)}, Repeatable: true, Deadline: deadline * time.Second,
+			Tasks: []Spec{{Index: 0, Attempt: 1}, {Index: 1, Attempt: 1}},
+		})
+	}
+	var order []byte
+	for range 6 {
+		order = append(order, d.starts[len(d.starts)-1].Job[0])
+		d.finish(Done)
+	}
+	if got, want := string(order), "\x00\x02\x01\x00\x02\x01"; got != want {
+		t.Errorf("order %v, want %v", order, []byte(want))
+	}
+}
+
+func TestSlots_ShrinkWithTheTargetAndComeBack(t *testing.T) {
+	d := newDriver(roomy)
+	for job := range byte(3) {
+		d.run(job+1, 1, 1)
+	}
+	last := d.starts[2]
+	d.send(Finished{Job: last.Job, Index: 0, Attempt: 1, Outcome: NotRun, Cause: CauseBusy})
+	if load := d.Load(); load.Slots != 2 || load.Busy != 2 {
+		t.Fatalf("load %+v after a refusal with two running", load)
+	}
+	wantOutcome(t, d.run(4, 1, 1), Queued, CauseNone)
+	d.now += slotRecovery
+	d.send(Tick{})
+	if load := d.Load(); load.Slots != 3 || load.Busy != 3 || load.Queued != 0 {
+		t.Errorf("load %+v after the recovery", load)
+	}
+}
