Test the whole path by the command line; write docs/CLI.md from the program; scripts for bench rounds

Ruled out: A page of the command line by hand: it would lag. Rounds in one process: the figures would not be a system's.

--- a/Makefile
+++ b/Makefile
@@ -28,9 +28,10 @@
 	cd node && protoc --proto_path=rpc --go_out=rpc --go_opt=paths=source_relative \
 		--twirp_out=rpc --twirp_opt=paths=source_relative rpc/flamingohall.proto
 	cd node && go run ./cmd/flamingohalld events > ../docs/EVENTS.md
+	cd tools && go run ./cmd/flamingohall docs > ../docs/CLI.md
 
 generated-is-current: generate ## fail when committed generated files differ
-	git diff --exit-code -- node/rpc docs/EVENTS.md
+	git diff --exit-code -- node/rpc docs/EVENTS.md docs/CLI.md
 
 format-check: ## fail when a file is not formatted
 	@for m in $(MODULES); do (cd $$m && out=$$(golangci-lint fmt --diff ./...) && [ -z "$$out" ] || { echo "$$out"; exit 1; }) || exit 1; done
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -3,7 +3,8 @@
 #   scripts/cluster.sh start DEPLOYMENT FOLDER     DEPLOYMENT is a folder under examples, FOLDER takes data and logs
 #   scripts/cluster.sh stop FOLDER                 planned stop of every process, entries first
 #   scripts/cluster.sh env FOLDER                  the addresses, to be sourced
-# WORKERS_PER_PLACE, RUN_MS and BASE_PORT may be set in the environment.
+# WORKERS_PER_PLACE, RUN_MS and BASE_PORT may be set in the environment, and ENTRY_SETTINGS to further fields of the
+# entries' section, like '"policy": "random"'.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 DAEMON=${DAEMON:-bin/flamingohalld}
@@ -85,7 +86,7 @@
   for i in "${!ENTRY_IN[@]}"; do
     port=$((BASE_PORT + 20 + 2 * i))
     write_node "$FOLDER/entry-$i.jsonc" "entry-$i" "${ENTRY_IN[$i]}" "$port" \
-      "\"entry\": {\"callers_listen\": \"127.0.0.1:$((port + 1))\"}"
+      "\"entry\": {\"callers_listen\": \"127.0.0.1:$((port + 1))\"${ENTRY_SETTINGS:+, $ENTRY_SETTINGS}}"
     launch "$FOLDER" "entry-$i"
     ENTRY_NODES+=("127.0.0.1:$port")
     ENTRIES+=("http://127.0.0.1:$((port + 1))")
@@ -134,5 +135,5 @@
 start) start "$2" "$3" ;;
 stop) stop "$2" ;;
 env) cat "$2/env.sh" ;;
-*) sed -n '2,6p' "$0"; exit 2 ;;
+*) sed -n '2,7p' "$0"; exit 2 ;;
 esac
--- /dev/null
+++ b/scripts/rounds.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Runs one scenario once for each way that an entry can decide, one after the other, and prints a line for each class.
+#   scripts/rounds.sh DEPLOYMENT CATALOGUE SCENARIO OUT [flags of "flamingohall bench run"]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ $# -ge 4 ] || { sed -n '2,3p' "$0"; exit 2; }
+deployment=$1 catalogue=$2 scenario=$3 out=$4
+shift 4
+
+run_variant() { # run_variant NAME ENTRY_SETTINGS FLAGS...
+  local name=$1
+  echo "== $name"
+  ENTRY_SETTINGS=$2 scripts/bench.sh "$deployment" "$catalogue" "$scenario" "$out/$name" "${@:3}" | grep -v '^process'
+}
+
+run_variant default '' "$@"
+run_variant own '"policy": "own"' "$@"
+run_variant random '"policy": "random"' "$@"
+run_variant round-robin '"policy": "round_robin"' "$@"
+run_variant no-hedging '"hedging": "off"' "$@"
+run_variant no-ejection '"ejection": "off"' "$@"
+run_variant by-arrival '"order": "arrival"' "$@"
--- a/tools/bench/scenario.go
+++ b/tools/bench/scenario.go
@@ -126,7 +126,7 @@
 	decoder := json.NewDecoder(bytes.NewReader(plain))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(scenario); err != nil {
-		return nil, fault.New(fault.Malformed, "see docs/CLI.md for the fields", "scenario %s: %v", name, err)
+		return nil, fault.New(fault.Malformed, "see examples/bench/savinja.jsonc for the fields", "scenario %s: %v", name, err)
 	}
 	if problems := scenario.check(); len(problems) > 0 {
 		return nil, fault.New(fault.Invalid, "mend each of these", "scenario %s has %d problems: %s",
--- a/tools/cli/main.go
+++ b/tools/cli/main.go
@@ -34,6 +34,7 @@
 	StandIn    standInCommand    `cmd:"" group:"experiments" help:"Run a stand-in target until SIGTERM or SIGINT."`
 	Bench      benchCommand      `cmd:"" group:"experiments" help:"Measure a running system under load and faults."`
 	Completion completionCommand `cmd:"" group:"shell" help:"Print the line that makes a shell complete this command."`
+	Docs       docsCommand       `cmd:"" hidden:"" help:"Print docs/CLI.md."`
 
 	Version kong.VersionFlag `help:"Print the version."`
 }
--- a/tools/cli/script_test.go
+++ b/tools/cli/script_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -31,7 +34,7 @@
 	})
 }
 
-// TestScripts runs the scripts against a fake control VM and a fake entry. "exits CODE COMMAND..." checks exit codes.
+// TestScripts runs the scripts against a fake control VM and a fake entry, unless they start processes of their own.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata/script",
@@ -46,11 +49,13 @@
 			env.Setenv("FLAMINGOHALL_AUTHOR", "ana")
 			return nil
 		},
-		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){"exits": exits},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"exits": exits, "ports": ports, "fill": fill, "await": await,
+		},
 	})
 }
 
-// exits runs a command that must end with the code given.
+// exits runs a command that must end with the exit code given.
 func exits(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) < 2 {
 		ts.Fatalf("usage: exits CODE COMMAND...")
@@ -66,3 +71,36 @@
 		ts.Fatalf("exit code %d, want %s", code, args[0])
 	}
 }
+
+// ports sets each variable named to a free port of this machine.
+func ports(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		ts.Setenv(name, fmt.Sprint(listener.Addr().(*net.TCPAddr).Port))
+		defer listener.Close()
+	}
+}
+
+// fill replaces $NAME by the variable's value in files.
+func fill(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
+
+// await waits until a URL answers with 200.
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	for range 600 {
+		response, err := http.Get(args[0])
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("%s does not answer", args[0])
+}
