Carry faults of control VMs through faultrpc; go on to the next VM when one can't write

Cause: tools/client had a mapping of twirp errors of its own, which stood twice once node/faultrpc came. Ruled out: Keeping both: the remedy's name would drift. Change: client.Call uses faultrpc.From and also tries the next VM when one reports a storage fault. The command line's fake control VM answers through faultrpc, as the real one does. Conclusion: one mapping.

--- a/tools/cli/fakes_test.go
+++ b/tools/cli/fakes_test.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"sync"
 
-	"github.com/twitchtv/twirp"
-
 	"flamingohall.example/core/burn"
+	"flamingohall.example/core/fault"
+	"flamingohall.example/node/faultrpc"
 	"flamingohall.example/node/rpc"
 	"flamingohall.example/tools/client"
 )
@@ -58,7 +58,7 @@
 		return &rpc.GetCatalogueResponse{}, nil
 	}
 	if number > uint64(len(f.revision)) {
-		return nil, twirp.NotFoundError("no such revision").WithMeta("remedy", "see flamingohall catalogue history")
+		return nil, faultrpc.To(fault.New(fault.NotFound, "see flamingohall catalogue history", "no such revision"))
 	}
 	return f.revision[number-1], nil
 }
--- a/tools/client/faults.go
+++ b/tools/client/faults.go
@@ -6,9 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/twitchtv/twirp"
-
 	"flamingohall.example/core/fault"
 )
 
@@ -53,50 +50,3 @@
 	}
 	return found.After(time.Duration(seconds) * time.Second)
 }
-
-// kindByCode are the kinds of twirp errors that name none.
-var kindByCode = map[twirp.ErrorCode]fault.Kind{
-	twirp.InvalidArgument:    fault.Invalid,
-	twirp.Malformed:          fault.Malformed,
-	twirp.OutOfRange:         fault.Invalid,
-	twirp.NotFound:           fault.NotFound,
-	twirp.AlreadyExists:      fault.Conflict,
-	twirp.Aborted:            fault.Conflict,
-	twirp.FailedPrecondition: fault.Conflict,
-	twirp.DeadlineExceeded:   fault.Unavailable,
-	twirp.Canceled:           fault.Unavailable,
-	twirp.ResourceExhausted:  fault.Overloaded,
-	twirp.Unavailable:        fault.Unavailable,
-	twirp.BadRoute:           fault.Unavailable,
-	twirp.Unknown:            fault.Unknown,
-}
-
-// Names under which a twirp error carries a fault.
-const (
-	metaKind   = "kind"
-	metaRemedy = "remedy"
-)
-
-// faultOfTwirp returns the fault that a twirp client's error stands for.
-func faultOfTwirp(err error) *fault.Error {
-	var found twirp.Error
-	if !errors.As(err, &found) {
-		return fault.New(fault.Unavailable, "check --control and that the VM runs", "%v", err)
-	}
-	kind := fault.Kind(found.Meta(metaKind))
-	if kind == "" {
-		kind = kindByCode[found.Code()]
-	}
-	if kind == "" {
-		kind = fault.Internal
-	}
-	if unreachable(found) {
-		kind = fault.Unavailable
-	}
-	return fault.New(kind, found.Meta(metaRemedy), "%s", found.Msg())
-}
-
-// unreachable reports whether the error came from the connection, not from the service.
-func unreachable(err twirp.Error) bool {
-	return err.Code() == twirp.Internal && errors.Unwrap(err) != nil
-}
--- a/tools/client/operator.go
+++ b/tools/client/operator.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"flamingohall.example/core/fault"
+	"flamingohall.example/node/faultrpc"
 	"flamingohall.example/node/rpc"
 )
 
@@ -45,16 +46,22 @@
 			o.last = position
 			return response, nil
 		}
-		found := faultOfTwirp(err)
-		if found.Kind != fault.Unavailable && found.Kind != fault.Unknown {
+		found := fault.Of(faultrpc.From(err))
+		if !othersMayAnswer(found.Kind) {
 			return nil, found
 		}
 		failures = append(failures, o.names[position]+": "+found.Error())
 	}
-	return nil, fault.New(fault.Unavailable, "check --control and that a majority of the control VMs runs",
+	return nil, fault.New(fault.Unavailable,
+		"check --control and that a majority of the control VMs runs, then give the same command again",
 		"no control VM answered: %s", strings.Join(failures, ", "))
 }
 
+// othersMayAnswer reports whether a fault is that of one control VM.
+func othersMayAnswer(kind fault.Kind) bool {
+	return kind == fault.Unavailable || kind == fault.Unknown || kind == fault.Storage
+}
+
 func callOne[Request, Response any](ctx context.Context, client rpc.Operator, timeout time.Duration, request *Request,
 	method func(rpc.Operator, context.Context, *Request) (*Response, error),
 ) (*Response, error) {
