Time synced writes beside a bench run; ask further entries for a submission that one doesn't know

And status of a repeatable job is known to the entry that took it only. Ruled out: Reading the disk's statistics from /proc: they tell throughput, not the time of one synced write.

--- /dev/null
+++ b/tools/bench/disk.go
@@ -0,0 +1,65 @@
+package bench
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"flamingohall.example/core/fault"
+)
+
+// The disk is probed with small synced writes, as a log would make them.
+const (
+	probePeriod = 50 * time.Millisecond
+	probeBytes  = 512
+)
+
+// diskProbe measures how long a synced write takes beside the run.
+type diskProbe struct {
+	file *os.File
+	stop context.CancelFunc
+	done chan Quantiles
+}
+
+// startDiskProbe begins to write in a folder; an empty name probes nothing and returns nil.
+func startDiskProbe(ctx context.Context, folder string) (*diskProbe, error) {
+	if folder == "" {
+		return nil, nil //nolint:nilnil // No folder, no probe.
+	}
+	file, err := os.CreateTemp(folder, "sync-probe-*")
+	if err != nil {
+		return nil, fault.New(fault.Malformed, "name a folder that this user can write", "--disk: %v", err)
+	}
+	ctx, stop := context.WithCancel(ctx)
+	probe := &diskProbe{file: file, stop: stop, done: make(chan Quantiles, 1)}
+	go probe.run(ctx)
+	return probe, nil
+}
+
+func (p *diskProbe) run(ctx context.Context) {
+	times := newTimes()
+	block := make([]byte, probeBytes)
+	for sleepUntil(ctx, time.Now().Add(probePeriod)) {
+		start := time.Now()
+		if _, err := p.file.Write(block); err != nil {
+			break
+		}
+		if err := p.file.Sync(); err != nil {
+			break
+		}
+		times.add(time.Since(start).Microseconds())
+	}
+	p.done <- times.quantiles()
+}
+
+// finish ends the probe, removes its file and returns the times of synced writes in microseconds.
+func (p *diskProbe) finish() Quantiles {
+	if p == nil {
+		return Quantiles{}
+	}
+	p.stop()
+	found := <-p.done
+	_ = p.file.Close()
+	_ = os.Remove(p.file.Name())
+	return found
+}
--- a/tools/bench/result.go
+++ b/tools/bench/result.go
@@ -118,4 +118,6 @@
 	// LoadBefore and LoadAfter are the one-minute load averages.
 	LoadBefore float64 `json:"load_before"`
 	LoadAfter  float64 `json:"load_after"`
+	// SyncUS is the time of a small synced write on the disk beside the run, in microseconds.
+	SyncUS Quantiles `json:"sync_us"`
 }
--- a/tools/bench/run.go
+++ b/tools/bench/run.go
@@ -23,6 +23,8 @@
 	Processes []string
 	// Ledgers are the files of the stand-in targets' starts.
 	Ledgers []string
+	// Disk is a folder in which synced writes are timed beside the run; empty for none.
+	Disk string
 	// Slots is the number of slots of each target, for Direct.
 	Slots int
 	// Command is the command line, for the result.
@@ -106,12 +108,17 @@
 	if err != nil {
 		return nil, err
 	}
+	probe, err := startDiskProbe(ctx, options.Disk)
+	if err != nil {
+		return nil, err
+	}
 	result := e.newResult(way)
 	usedBefore := readUsage(e.processes)
 	start := time.Now()
 	observations := e.drive(ctx, to, result)
 	elapsed := time.Since(start)
 	usedAfter := readUsage(e.processes)
+	result.Machine.SyncUS = probe.finish()
 	countersAfter, err := e.nodes.Read(ctx)
 	if err != nil {
 		return nil, err
--- a/tools/cli/bench.go
+++ b/tools/cli/bench.go
@@ -40,6 +40,7 @@
 	Targets   []string `help:"Stand-in targets, in the order that the scenario counts them." env:"FLAMINGOHALL_TARGETS" placeholder:"ADDRESS"`
 	Nodes     []string `help:"Internal addresses of the processes whose counters are read." env:"FLAMINGOHALL_NODES" placeholder:"ADDRESS"`
 	Processes []string `name:"pids" help:"Processes whose cost is read: NAME=PID, or a folder of .pid files." placeholder:"NAME=PID"`
+	Disk      string   `help:"Time synced writes in this folder beside the run." type:"existingdir" placeholder:"FOLDER"`
 	Out       string   `help:"Write the result as JSON to this file." type:"path" placeholder:"FILE"`
 }
 
@@ -67,7 +68,7 @@
 	}
 	return bench.Options{
 		Scenario: scenario, Targets: b.Targets, Nodes: b.Nodes, Processes: b.Processes,
-		Command: os.Args, Run: bench.NewRunName(time.Now()),
+		Disk: b.Disk, Command: os.Args, Run: bench.NewRunName(time.Now()),
 	}, nil
 }
 
@@ -179,6 +180,10 @@
 		_, _ = fmt.Fprintf(out, "process %s: %.1f%% of a core, %.1f MB resident\n", process.Name, 100*process.Core,
 			float64(process.ResidentBytes)/bytesPerMB)
 	}
+	if synced := result.Machine.SyncUS; synced.Count > 0 {
+		_, _ = fmt.Fprintf(out, "disk: synced write p50 %.2f ms, p99 %.2f ms, longest %.2f ms\n",
+			milliseconds(int64(synced.P50)), milliseconds(int64(synced.P99)), milliseconds(int64(synced.Max)))
+	}
 	if ledger := result.Ledger; ledger != nil {
 		_, _ = fmt.Fprintf(out, "ledger: %d starts, %d never-repeated twice, %d not run but started, %d done without start, %d repeated\n",
 			ledger.Starts, ledger.NeverRepeatedTwice, ledger.NotRunButStarted, ledger.DoneWithoutStart, ledger.RepeatedStarts)
--- a/tools/client/entries.go
+++ b/tools/client/entries.go
@@ -18,6 +18,9 @@
 // MaxAnswerBytes bounds the body of a response that is read.
 const MaxAnswerBytes = 64 << 20
 
+// submissionsPath is where submissions are taken; a submission of its own lies below.
+const submissionsPath = "/v1/submissions"
+
 // Entries calls the callers' API. It tries the entries in turn: a submission's key makes a second try safe.
 type Entries struct {
 	urls []string
@@ -52,14 +55,14 @@
 	if err != nil {
 		return nil, fault.New(fault.Malformed, "give payloads that are JSON", "submission: %v", err)
 	}
-	path := "/v1/submissions"
+	path := submissionsPath
 	if !wait {
 		path += "?wait=false"
 	}
 	return e.answer(ctx, http.MethodPost, path, body)
 }
 
-// Status returns what the entries know of a submission.
+// Status returns what the entries know of a submission: one that some entry doesn't know may be another's.
 func (e *Entries) Status(ctx context.Context, owner, key string) (*Answer, error) {
 	return e.answer(ctx, http.MethodGet, submissionPath(owner, key), nil)
 }
@@ -87,7 +90,7 @@
 }
 
 func submissionPath(owner, key string) string {
-	return "/v1/submissions/" + url.PathEscape(owner) + "/" + url.PathEscape(key)
+	return submissionsPath + "/" + url.PathEscape(owner) + "/" + url.PathEscape(key)
 }
 
 func (e *Entries) answer(ctx context.Context, method, path string, body []byte) (*Answer, error) {
@@ -116,18 +119,25 @@
 			return text, nil
 		}
 		last = fault.Of(err)
-		if last.Kind != fault.Unavailable {
+		if !tryOthers(last.Kind, path) {
 			return nil, last
 		}
 		failures = append(failures, base+": "+last.Error())
 	}
-	if len(failures) == 1 {
+	if len(failures) == 1 || last.Kind == fault.NotFound {
 		return nil, last
 	}
 	return nil, fault.New(fault.Unavailable, "check --entries and that an entry runs",
 		"no entry answered: %s", strings.Join(failures, ", ")).After(last.RetryAfter)
 }
 
+// tryOthers reports whether another entry may answer what one could not. A submission that one entry doesn't know may
+// be held by another.
+func tryOthers(kind fault.Kind, path string) bool {
+	isOfSubmission := strings.HasPrefix(path, submissionsPath+"/")
+	return kind == fault.Unavailable || kind == fault.NotFound && isOfSubmission
+}
+
 // send makes one request. A connection that fails is fault.Unavailable; the key makes another try safe.
 func (e *Entries) send(ctx context.Context, method, url string, body []byte) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
