--- a/scripts/rounds.sh
+++ b/scripts/rounds.sh
@@ -1,14 +1,16 @@
 #!/usr/bin/env bash
 # Runs one scenario once for each way that an entry can decide, one after the other, and prints a line for each class.
 #   scripts/rounds.sh DEPLOYMENT CATALOGUE SCENARIO OUT [flags of "flamingohall bench run"]
+# VARIANTS may name the ones to run, like "default random".
 set -euo pipefail
 cd "$(dirname "$0")/.."
-[ $# -ge 4 ] || { sed -n '2,3p' "$0"; exit 2; }
+[ $# -ge 4 ] || { sed -n '2,4p' "$0"; exit 2; }
 deployment=$1 catalogue=$2 scenario=$3 out=$4
 shift 4
 
 run_variant() { # run_variant NAME ENTRY_SETTINGS FLAGS...
   local name=$1
+  case " ${VARIANTS:-$name} " in *" $name "*) ;; *) return 0 ;; esac
   echo "== $name"
   ENTRY_SETTINGS=$2 scripts/bench.sh "$deployment" "$catalogue" "$scenario" "$out/$name" "${@:3}" | grep -v '^process'
 }
