--- a/core/claim/doc.go
+++ b/core/claim/doc.go
@@ -2,8 +2,8 @@
 //
 // A job has at most one holder at a time, an entry's process, under an epoch that grows with each takeover. Epochs are
 // log indexes, so that a job that was forgotten and claimed anew gets a larger one. A takeover names the epoch it saw
-// and succeeds only when the holder is no longer live, so that of two entries that race exactly one wins. Finish counts
-// under the current epoch only.
+// and succeeds only when the holder is no longer live or its process was found ended, so that of two entries that race
+// exactly one wins. Finish counts under the current epoch only.
 //
 // Retention: an answer is kept for Limits.AnswerMS and while all answers fit in Limits.AnswerBytes. The record of the
 // job itself, which keeps it from starting again, is kept for Limits.RecordMS after its last change. When records fill
