Measure proposals, reads, leader changes and idle traffic of the replicated log

Cause: the figures of the replicated log were not measured. Ruled out: measuring the pure state machine alone, as the sync and the network decide. Change: benchmarks over TCP on loopback with real syncs; up to 64 idle connections to a VM stay open, since the default of 2 made callers beside the leader dial anew.

--- a/node/replica/cluster_test.go
+++ b/node/replica/cluster_test.go
@@ -67,7 +67,9 @@
 type cluster struct {
 	t testing.TB
 	// network is nil when the nodes use TCP.
-	network       *network
+	network *network
+	// counter, when set, counts the bytes on TCP.
+	counter       *byteCounter
 	logger        logr.Logger
 	members       []settings.Member
 	nodes         []*node
@@ -147,6 +149,9 @@
 }
 
 func (n *node) transport() transportMaker {
+	if n.cluster.counter != nil {
+		return n.cluster.counter.transport(n.address)
+	}
 	if n.cluster.network == nil {
 		return nil
 	}
--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -98,3 +99,64 @@
 	}
 	return f.File.Sync()
 }
+
+// byteCounter counts what TCP connections carry, by the address that is called, in both directions, and adds the
+// caller's part to the caller.
+type byteCounter struct {
+	mutex sync.Mutex
+	bytes map[string]int64
+}
+
+func (c *byteCounter) add(addresses []string, count int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.bytes == nil {
+		c.bytes = map[string]int64{}
+	}
+	for _, address := range addresses {
+		c.bytes[address] += int64(count)
+	}
+}
+
+func (c *byteCounter) of(address string) int64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.bytes[address]
+}
+
+// transport returns the ordinary transport with its connections counted for both ends.
+func (c *byteCounter) transport(from string) transportMaker {
+	return func(to string) http.RoundTripper {
+		transport, isPlain := newTransport(to).(*http.Transport)
+		if !isPlain {
+			panic("the transport is not net/http's")
+		}
+		dial := transport.DialContext
+		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConnection{connection, c, []string{from, to}}, nil
+		}
+		return transport
+	}
+}
+
+type countedConnection struct {
+	net.Conn
+	counter   *byteCounter
+	addresses []string
+}
+
+func (c *countedConnection) Read(into []byte) (int, error) {
+	count, err := c.Conn.Read(into)
+	c.counter.add(c.addresses, count)
+	return count, err
+}
+
+func (c *countedConnection) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.counter.add(c.addresses, count)
+	return count, err
+}
--- a/node/replica/peer.go
+++ b/node/replica/peer.go
@@ -20,6 +20,8 @@
 	// silent is replaced before the group misses the leader.
 	stepTimeout = 250 * time.Millisecond
 	dialTimeout = 200 * time.Millisecond
+	// idleConnections bounds the open connections to one VM that wait for the next call.
+	idleConnections = 64
 	// peerQueue bounds the messages that wait for one peer.
 	peerQueue = 256
 	// postBytes bounds the entries of one post.
@@ -234,7 +236,9 @@
 	return &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableCompression: true,
-		IdleConnTimeout:    time.Minute,
+		// Calls of many callers share a leader; the default of 2 would close and open connections all the time.
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
 	}
 }
 
