Carry the epoch of a job's first claim to sidecars

Cause: a sidecar that has dropped tombstones answers a takeover's seal of a job that never came with unknown, unless it is told that the job's first claim is newer than all that it dropped. A seal without the attempt kept a task from ever starting there again under the same claim. Ruled out: more tombstones, which only puts the moment off (65,536 never-repeated jobs, 19 minutes at 58 a second). Change, outside the sidecar's own packages: first_epoch in ClaimResponse and in core/claim's record and answer; the entry passes it on with Run and Seal, and names the attempt that it seals.

--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -78,8 +78,10 @@
 
 // Answer tells the state of a job after a request.
 type Answer struct {
-	Status      Status   `cbor:"status"`
-	Epoch       uint64   `cbor:"epoch"`
+	Status Status `cbor:"status"`
+	Epoch  uint64 `cbor:"epoch"`
+	// First is the epoch of the job's first claim.
+	First       uint64   `cbor:"first"`
 	Holder      string   `cbor:"by"`
 	Incarnation string   `cbor:"inc"`
 	HolderLive  bool     `cbor:"live"`
@@ -95,6 +97,7 @@
 	Job         string   `cbor:"job"`
 	Digest      []byte   `cbor:"sum"`
 	Epoch       uint64   `cbor:"epoch"`
+	First       uint64   `cbor:"first"`
 	Replaced    uint64   `cbor:"was"`
 	Holder      string   `cbor:"by"`
 	Incarnation string   `cbor:"inc"`
@@ -157,7 +160,7 @@
 		return Answer{Status: Fenced}
 	}
 	made := &record{
-		Job: request.Job, Digest: request.Digest, Epoch: index, Holder: request.Holder,
+		Job: request.Job, Digest: request.Digest, Epoch: index, First: index, Holder: request.Holder,
 		Incarnation: request.Incarnation, Targets: request.Targets, TouchedMS: nowMS,
 	}
 	if !t.makeRoom(made.size(), nowMS) {
@@ -322,14 +325,14 @@
 
 func (r *record) granted() Answer {
 	return Answer{
-		Status: Granted, Epoch: r.Epoch, Holder: r.Holder, Incarnation: r.Incarnation,
+		Status: Granted, Epoch: r.Epoch, First: r.First, Holder: r.Holder, Incarnation: r.Incarnation,
 		HolderLive: true, Targets: r.Targets,
 	}
 }
 
 func (r *record) answer(status Status, live Live) Answer {
 	return Answer{
-		Status: status, Epoch: r.Epoch, Holder: r.Holder, Incarnation: r.Incarnation,
+		Status: status, Epoch: r.Epoch, First: r.First, Holder: r.Holder, Incarnation: r.Incarnation,
 		HolderLive: live(r.Holder, r.Incarnation), Targets: r.Targets,
 	}
 }
--- a/node/control/claims.go
+++ b/node/control/claims.go
@@ -70,7 +70,7 @@
 			"control remembers as many jobs as it can hold").After(proposeTimeout)
 	}
 	response := &rpc.ClaimResponse{
-		Status: statusToRPC(answer.Status), Epoch: answer.Epoch, Holder: answer.Holder,
+		Status: statusToRPC(answer.Status), Epoch: answer.Epoch, FirstEpoch: answer.First, Holder: answer.Holder,
 		HolderIncarnation: answer.Incarnation, HolderLive: answer.HolderLive, Answer: answer.Body,
 	}
 	for _, target := range answer.Targets {
--- a/node/entry/calls.go
+++ b/node/entry/calls.go
@@ -31,15 +31,18 @@
 	accepted *accepted
 	effect   job.Effect
 	epoch    uint64
-	address  string
-	replaced bool
-	hold     time.Duration
+	// firstEpoch is that of the job's first claim.
+	firstEpoch uint64
+	address    string
+	replaced   bool
+	hold       time.Duration
 }
 
 // newCall looks the target up.
 func (l *loop) newCall(r *record, now time.Time, effect job.Effect) call {
 	c := call{
-		record: r, accepted: r.accepted, effect: effect, epoch: r.job.Epoch(), address: l.addresses[effect.Target],
+		record: r, accepted: r.accepted, effect: effect, epoch: r.job.Epoch(), firstEpoch: r.firstEpoch,
+		address: l.addresses[effect.Target],
 	}
 	if state, known := l.board.Target(effect.Target.ID); known {
 		c.replaced = state.Incarnation != effect.Target.Incarnation
@@ -137,6 +140,7 @@
 	a := c.accepted
 	request := &rpc.RunRequest{
 		EntryId: entryID, Incarnation: c.effect.Target.Incarnation, JobId: a.id, Epoch: c.epoch,
+		FirstEpoch: c.firstEpoch,
 		Repeatable: a.isRepeatable(), Owner: a.Owner, CatalogueEntry: a.Entry,
 		DeadlineMs: time.Until(c.record.deadline).Milliseconds(), HoldMs: c.hold.Milliseconds(),
 		Slots: uint32(a.entry.Slots), Tasks: make([]*rpc.TaskSpec, len(c.effect.Refs)),
@@ -195,7 +199,7 @@
 	}
 	request := &rpc.SealRequest{
 		JobId: c.accepted.id, Epoch: c.epoch, Indexes: indexesOf(refs), Incarnation: target.Incarnation,
-		All: len(refs) > 0 && refs[0].Attempt == 0,
+		All: refs[0].Attempt == 0, Attempt: commonAttempt(refs), FirstEpoch: c.firstEpoch,
 	}
 	response, err := link.Call(l.life, statusTimeout, l.entry.links.Fresh(c.address).Seal, request)
 	if err != nil {
@@ -213,6 +217,16 @@
 	})
 }
 
+// commonAttempt returns the attempt that all refs share, or 0.
+func commonAttempt(refs []job.Ref) uint32 {
+	for _, ref := range refs {
+		if ref.Attempt != refs[0].Attempt {
+			return 0
+		}
+	}
+	return uint32(refs[0].Attempt)
+}
+
 // cancelBatch collects what is to be cancelled at one target, so that a wave costs one message at a time.
 type cancelBatch struct {
 	jobs   map[string]*rpc.CancelledJob
--- a/node/entry/claims.go
+++ b/node/entry/claims.go
@@ -84,7 +84,9 @@
 func (l *loop) claimSettled(ctx context.Context, c *claiming, response *rpc.ClaimResponse) bool {
 	switch response.GetStatus() {
 	case rpc.ClaimStatus_CLAIM_STATUS_GRANTED:
-		granted := claimGranted{record: c.record, epoch: response.GetEpoch(), allowed: c.targets}
+		granted := claimGranted{
+			record: c.record, epoch: response.GetEpoch(), firstEpoch: response.GetFirstEpoch(), allowed: c.targets,
+		}
 		if c.mustSeal || c.request.GetTakeOverEpoch() > 0 {
 			granted.earlier = jobTargets(response.GetTargets())
 		}
@@ -182,10 +184,11 @@
 
 // claimGranted makes this entry the holder.
 type claimGranted struct {
-	record  *record
-	epoch   uint64
-	allowed []job.Target
-	earlier []job.Target
+	record     *record
+	epoch      uint64
+	firstEpoch uint64
+	allowed    []job.Target
+	earlier    []job.Target
 }
 
 func (m claimGranted) apply(l *loop, now time.Time) {
@@ -195,6 +198,7 @@
 	}
 	r.claimTime = now.Sub(r.createdAt)
 	r.isExtending = false
+	r.firstEpoch = m.firstEpoch
 	allowed := m.allowed
 	if len(m.earlier) > 0 {
 		events.JobTakenOver.Log(l.entry.logger, "job", r.accepted.id, "epoch", m.epoch)
--- a/node/entry/record.go
+++ b/node/entry/record.go
@@ -28,7 +28,9 @@
 	// cursor is where the search for the next waiting task begins.
 	cursor int
 	// candidates are the targets that the claim names; nil allows all.
-	candidates  map[string]bool
+	candidates map[string]bool
+	// firstEpoch is that of the job's first claim.
+	firstEpoch  uint64
 	isExtending bool
 	timer       *time.Timer
 	wake        time.Time
