--- a/node/control/claims.go
+++ b/node/control/claims.go
@@ -30,6 +30,7 @@
 	asked := claim.Request{
 		Job: request.GetJobId(), Holder: request.GetHolder(), Incarnation: request.GetHolderIncarnation(),
 		Digest: request.GetBodyDigest(), TakeOver: request.GetTakeOverEpoch(), Extend: request.GetExtendEpoch(),
+		Gone: request.GetHolderGone(),
 	}
 	for _, target := range request.GetTargets() {
 		asked.Targets = append(asked.Targets, claim.Target{ID: target.GetId(), Incarnation: target.GetIncarnation()})
@@ -69,7 +70,7 @@
 			"control remembers as many jobs as it can hold").After(proposeTimeout)
 	}
 	response := &rpc.ClaimResponse{
-		Status: statusToRPC(answer.Status), Epoch: answer.Epoch, Holder: answer.Holder,
+		Status: statusToRPC(answer.Status), Epoch: answer.Epoch, FirstEpoch: answer.First, Holder: answer.Holder,
 		HolderIncarnation: answer.Incarnation, HolderLive: answer.HolderLive, Answer: answer.Body,
 	}
 	for _, target := range answer.Targets {
--- a/tools/bench/result.go
+++ b/tools/bench/result.go
@@ -80,6 +80,8 @@
 	Submissions   int64 `json:"submissions"`
 	Resubmissions int64 `json:"resubmissions"`
 	Cancellations int64 `json:"cancellations"`
+	// WrongAnswers counts answers that were not the caller's own or were partial, during the warm-up too.
+	WrongAnswers int64 `json:"wrong_answers"`
 	// NotSent counts submissions that the bench held back because too many had no answer.
 	NotSent int64 `json:"not_sent"`
 	// SendDelayUS is how late the bench itself was, in microseconds.
@@ -118,4 +120,6 @@
 	// LoadBefore and LoadAfter are the one-minute load averages.
 	LoadBefore float64 `json:"load_before"`
 	LoadAfter  float64 `json:"load_after"`
+	// SyncUS is the time of a small synced write on the disk beside the run, in microseconds.
+	SyncUS Quantiles `json:"sync_us"`
 }
