Spread followers over the control VMs in time

Cause: followers stay with the VM that answered last, so rolling restarts would leave most of them on a few VMs. Ruled out: a share kept by the servers, which need each other's counts for it. Errors of questions that are forwarded to the leader keep their kind. Figures: in virtual time 40 followers that all start at one of two VMs are spread within an hour (share between 0.3 and 0.7 over the next).

--- a/node/control/operator.go
+++ b/node/control/operator.go
@@ -136,7 +136,8 @@
 func (o *operator) Nodes(ctx context.Context, request *rpc.NodesRequest) (*rpc.NodesResponse, error) {
 	status := o.role.group.Status()
 	if !status.IsLeader && !request.GetLocal() && status.LeaderAddress != "" {
-		return o.role.leaderClient(status).Nodes(ctx, &rpc.NodesRequest{Local: true})
+		response, err := o.role.leaderClient(status).Nodes(ctx, &rpc.NodesRequest{Local: true})
+		return response, faultrpc.To(faultrpc.From(err))
 	}
 	if err := o.confirm(ctx); err != nil {
 		return nil, faultrpc.To(err)
@@ -179,7 +180,8 @@
 func (o *operator) Members(ctx context.Context, request *rpc.MembersRequest) (*rpc.MembersResponse, error) {
 	status := o.role.group.Status()
 	if !status.IsLeader && !request.GetLocal() && status.LeaderAddress != "" {
-		return o.role.leaderClient(status).Members(ctx, &rpc.MembersRequest{Local: true})
+		response, err := o.role.leaderClient(status).Members(ctx, &rpc.MembersRequest{Local: true})
+		return response, faultrpc.To(faultrpc.From(err))
 	}
 	return &rpc.MembersResponse{
 		Leader: status.Leader, Term: status.Term, CommitIndex: status.CommitIndex, Members: membersToRPC(status),
--- a/node/controlclient/follower.go
+++ b/node/controlclient/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -26,8 +27,12 @@
 	firstAnswer = 4 * time.Second
 	// maxAnswerStaleness is how long a control VM may have been out of touch before another one is tried.
 	maxAnswerStaleness = 5 * time.Second
-	minBackoff         = 50 * time.Millisecond
-	maxBackoff         = 2 * time.Second
+	// minStay and maxStay bound how long a follower stays with one control VM, so that the load evens out after VMs
+	// have restarted or joined.
+	minStay    = 5 * time.Minute
+	maxStay    = 15 * time.Minute
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 2 * time.Second
 )
 
 // Options configure a Follower.
@@ -148,7 +153,12 @@
 // loop polls until ctx ends.
 func (f *Follower) loop(ctx context.Context) {
 	backoff := newBackoff()
+	leaveAt := time.Now().Add(stay())
 	for ctx.Err() == nil {
+		if time.Now().After(leaveAt) {
+			f.pool.pick()
+			leaveAt = time.Now().Add(stay())
+		}
 		server := f.pool.current()
 		err := f.poll(ctx, server)
 		if ctx.Err() != nil {
@@ -165,6 +175,11 @@
 	}
 }
 
+// stay draws how long to stay with one control VM.
+func stay() time.Duration {
+	return minStay + rand.N(maxStay-minStay) //nolint:gosec // Not a secret.
+}
+
 // poll sends one message and applies its answer. An announcement cuts the wait short.
 func (f *Follower) poll(ctx context.Context, server *server) error {
 	request := f.request()
--- a/node/controlclient/follower_test.go
+++ b/node/controlclient/follower_test.go
@@ -285,6 +285,24 @@
 	})
 }
 
+func TestFollower_SpreadsOverTheControlVMsInTime(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		// All start at the first, as after the other one was away.
+		first, second := &fakeControl{sync: serving(10, 1)}, &fakeControl{sync: serving(10, 1)}
+		const followers = 40
+		for range followers {
+			newHarness(t, first, second).follower.Start(ctx)
+		}
+		time.Sleep(time.Hour)
+		before, beforeSecond := first.count(), second.count()
+		time.Sleep(time.Hour)
+		share := float64(second.count()-beforeSecond) / float64(first.count()-before+second.count()-beforeSecond)
+		if share < 0.3 || share > 0.7 {
+			t.Fatalf("the second VM serves %.2f of the polls", share)
+		}
+	})
+}
+
 func TestFollower_GoodbyeIsTheLastMessage(t *testing.T) {
 	inBubble(t, func(t *testing.T, ctx context.Context) {
 		first := &fakeControl{sync: serving(10, 1)}
--- a/node/controlclient/pool.go
+++ b/node/controlclient/pool.go
@@ -51,7 +51,7 @@
 		made.servers = append(made.servers, made.server(address))
 	}
 	// A random start spreads the followers over the control VMs.
-	made.preferred = rand.IntN(len(made.servers)) //nolint:gosec // Not a secret.
+	made.pick()
 	return made
 }
 
@@ -117,6 +117,13 @@
 	failed.renew()
 }
 
+// pick prefers any of the control VMs, each as likely as the others.
+func (p *pool) pick() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.preferred = rand.IntN(len(p.servers)) //nolint:gosec // Not a secret.
+}
+
 // adopt replaces the list by what control says, followed by the configured addresses that it lacks.
 func (p *pool) adopt(addresses []string) {
 	p.mutex.Lock()
