--- a/core/catalogue/store.go
+++ b/core/catalogue/store.go
@@ -166,6 +166,14 @@
 	Answers   []remembered `cbor:"answers"`
 }
 
+// storedOverhead estimates the encoded size of a revision and of an answer beyond the documents, in bytes.
+const storedOverhead = 200
+
+// Size estimates the encoded size of an image, in bytes.
+func (s *Store) Size() int {
+	return s.documentBytes + storedOverhead*(len(s.revisions)+len(s.answers))
+}
+
 // Image returns the store's content; it shares memory with the store.
 func (s *Store) Image() StoreImage {
 	return StoreImage{Revisions: s.revisions, Answers: s.answers}
--- a/core/claim/image.go
+++ b/core/claim/image.go
@@ -3,12 +3,20 @@
 // Image is the table in a snapshot, least recently touched job first.
 type Image struct {
 	Records []record `cbor:"records"`
-	Stubs   []stub   `cbor:"stubs"`
+	// Stubs holds the stubs one after the other, packed.
+	Stubs []byte `cbor:"stubs"`
+}
+
+// Size estimates the encoded size of an image, in bytes.
+func (t *Table) Size() int {
+	stubs := t.stubs.len()
+	unfinished := t.recordBytes - stubSize*(stubs+len(t.answered))
+	return packedStub*stubs + t.answerBytes + unfinished
 }
 
 // Image returns the table's content; it shares memory with the table.
 func (t *Table) Image() Image {
-	image := Image{Records: make([]record, 0, t.order.Len()), Stubs: t.stubs.queue[t.stubs.head:]}
+	image := Image{Records: make([]record, 0, t.order.Len()), Stubs: t.stubs.pack()}
 	for element := t.order.Front(); element != nil; element = element.Next() {
 		image.Records = append(image.Records, *element.Value.(*record))
 	}
@@ -18,10 +26,8 @@
 // Restore returns the table that an image describes.
 func Restore(limits Limits, image Image) *Table {
 	restored := NewTable(limits)
-	for _, one := range image.Stubs {
-		restored.stubs.push(one)
-		restored.recordBytes += stubSize
-	}
+	restored.stubs.unpack(image.Stubs)
+	restored.recordBytes = stubSize * restored.stubs.len()
 	for i := range image.Records {
 		job := &image.Records[i]
 		restored.insert(job)
--- a/core/claim/stubs.go
+++ b/core/claim/stubs.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/binary"
 	"encoding/hex"
 )
 
@@ -15,10 +16,10 @@
 
 // stub is what remains of a finished job whose answer is no longer kept.
 type stub struct {
-	Job       short  `cbor:"job"`
-	Digest    short  `cbor:"sum"`
-	Epoch     uint64 `cbor:"epoch"`
-	TouchedMS int64  `cbor:"at"`
+	Job       short
+	Digest    short
+	Epoch     uint64
+	TouchedMS int64
 }
 
 // stubs is a queue of stubs in the order of their last touch, with an index by job.
@@ -68,6 +69,36 @@
 	s.head = 0
 }
 
+// packedStub is the size of a packed stub: job, digest, epoch and time, the numbers in big-endian order.
+const packedStub = 2*shortSize + 8 + 8
+
+// pack returns the stubs as bytes, oldest first.
+func (s *stubs) pack() []byte {
+	packed := make([]byte, 0, packedStub*s.len())
+	for _, one := range s.queue[s.head:] {
+		packed = append(packed, one.Job[:]...)
+		packed = append(packed, one.Digest[:]...)
+		packed = binary.BigEndian.AppendUint64(packed, one.Epoch)
+		packed = binary.BigEndian.AppendUint64(packed, uint64(one.TouchedMS))
+	}
+	return packed
+}
+
+// unpack fills an empty queue from what pack returned. Bytes that make no whole stub are ignored.
+func (s *stubs) unpack(packed []byte) {
+	count := len(packed) / packedStub
+	s.queue = make([]stub, 0, count)
+	s.byJob = make(map[short]uint64, count)
+	for ; len(packed) >= packedStub; packed = packed[packedStub:] {
+		numbers := packed[2*shortSize:]
+		s.push(stub{
+			Job: short(packed[:shortSize]), Digest: short(packed[shortSize : 2*shortSize]),
+			Epoch:     binary.BigEndian.Uint64(numbers),
+			TouchedMS: int64(binary.BigEndian.Uint64(numbers[8:])),
+		})
+	}
+}
+
 // shortJob returns the 16 bytes that a job id of 32 hexadecimal digits stands for, and a hash of any other id.
 func shortJob(job string) short {
 	var id short
--- a/core/state/codec.go
+++ b/core/state/codec.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"bytes"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 )
@@ -11,6 +13,9 @@
 	MaxCommandBytes = 8 << 20
 	maxListElements = 4 << 20
 	maxNesting      = 16
+	// smallEstimate is the first buffer of commands and results; snapshotSlack that of a snapshot beyond its parts.
+	smallEstimate = 512
+	snapshotSlack = 256 << 10
 )
 
 var (
@@ -18,8 +23,8 @@
 	decoder = newDecoder()
 )
 
-func newEncoder() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
+func newEncoder() cbor.UserBufferEncMode {
+	mode, err := cbor.CoreDetEncOptions().UserBufferEncMode()
 	if err != nil {
 		panic(err)
 	}
@@ -34,13 +39,14 @@
 	return mode
 }
 
-// encode returns the deterministic CBOR of a value.
-func encode(what string, value any) ([]byte, error) {
-	encoded, err := encoder.Marshal(value)
-	if err != nil {
+// encode returns the deterministic CBOR of a value, whose size the caller estimates in bytes.
+func encode(what string, value any, estimate int) ([]byte, error) {
+	var buffer bytes.Buffer
+	buffer.Grow(estimate)
+	if err := encoder.MarshalToBuffer(value, &buffer); err != nil {
 		return nil, errors.Wrap(err, "encode "+what)
 	}
-	return encoded, nil
+	return buffer.Bytes(), nil
 }
 
 // decode fills value from the whole of encoded.
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -75,7 +75,7 @@
 
 // Encode returns the command's bytes.
 func (c Command) Encode() ([]byte, error) {
-	return encode("command", c)
+	return encode("command", c, smallEstimate)
 }
 
 // DecodeCommand reads the bytes of Encode.
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -30,7 +30,7 @@
 		Version: imageVersion, Index: s.Index, CatalogueIndex: s.CatalogueIndex, RegistryIndex: s.RegistryIndex,
 		ClockMS: s.ClockMS, TickIndex: s.TickIndex, Catalogue: s.Catalogue.Image(), Claims: s.Claims.Image(),
 		Registry: s.Registry.Image(),
-	})
+	}, s.Catalogue.Size()+s.Claims.Size()+snapshotSlack)
 }
 
 // Restore returns the state of a snapshot.
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -41,7 +41,7 @@
 	for _, step := range command.Steps {
 		results = append(results, s.step(step, command.UnixMS))
 	}
-	return encode("results", results)
+	return encode("results", results, smallEstimate)
 }
 
 func (s *State) step(step Step, unixMS int64) Result {
--- a/node/control/operator.go
+++ b/node/control/operator.go
@@ -20,6 +20,8 @@
 	maxHistory     = 1_000
 	// neverHeard stands for a node that nobody has heard since this leader took over.
 	neverHeard = -1
+	// leaderTimeout bounds a question that is handed on to the leader.
+	leaderTimeout = 2 * time.Second
 )
 
 // operator serves rpc.Operator.
@@ -136,8 +138,9 @@
 func (o *operator) Nodes(ctx context.Context, request *rpc.NodesRequest) (*rpc.NodesResponse, error) {
 	status := o.role.group.Status()
 	if !status.IsLeader && !request.GetLocal() && status.LeaderAddress != "" {
-		response, err := o.role.leaderClient(status).Nodes(ctx, &rpc.NodesRequest{Local: true})
-		return response, faultrpc.To(faultrpc.From(err))
+		return askLeader(ctx, o.role, status, func(ctx context.Context, leader rpc.Operator) (*rpc.NodesResponse, error) {
+			return leader.Nodes(ctx, &rpc.NodesRequest{Local: true})
+		})
 	}
 	if err := o.confirm(ctx); err != nil {
 		return nil, faultrpc.To(err)
@@ -180,8 +183,9 @@
 func (o *operator) Members(ctx context.Context, request *rpc.MembersRequest) (*rpc.MembersResponse, error) {
 	status := o.role.group.Status()
 	if !status.IsLeader && !request.GetLocal() && status.LeaderAddress != "" {
-		response, err := o.role.leaderClient(status).Members(ctx, &rpc.MembersRequest{Local: true})
-		return response, faultrpc.To(faultrpc.From(err))
+		return askLeader(ctx, o.role, status, func(ctx context.Context, leader rpc.Operator) (*rpc.MembersResponse, error) {
+			return leader.Members(ctx, &rpc.MembersRequest{Local: true})
+		})
 	}
 	return &rpc.MembersResponse{
 		Leader: status.Leader, Term: status.Term, CommitIndex: status.CommitIndex, Members: membersToRPC(status),
@@ -205,6 +209,19 @@
 	return &rpc.ChangeMemberResponse{Members: membersToRPC(o.role.group.Status())}, nil
 }
 
+// askLeader hands a question on to the leader. A call that fails drops the connections: one may have gone silent.
+func askLeader[T any](
+	ctx context.Context, role *Role, status Status, ask func(context.Context, rpc.Operator) (T, error),
+) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	answer, err := ask(ctx, rpc.NewOperatorProtobufClient("http://"+status.LeaderAddress, role.http))
+	if err != nil {
+		role.http.CloseIdleConnections()
+	}
+	return answer, faultrpc.To(faultrpc.From(err))
+}
+
 func membersToRPC(status Status) []*rpc.Member {
 	var members []*rpc.Member
 	for _, member := range status.Members {
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -148,8 +148,3 @@
 		events.QuorumLost.Log(r.logger, "silence", silence.String())
 	}
 }
-
-// leaderClient returns the leader's Operator service.
-func (r *Role) leaderClient(status Status) rpc.Operator {
-	return rpc.NewOperatorProtobufClient("http://"+status.LeaderAddress, r.http)
-}
