--- a/core/raft/log.go
+++ b/core/raft/log.go
@@ -129,6 +129,20 @@
 	l.configurations = append(held, l.configurations[later:]...)
 }
 
+// tailStart returns the position behind which up to count entries of up to maxBytes lead to the index.
+func (l *replicaLog) tailStart(to, count uint64, maxBytes int) uint64 {
+	size := 0
+	start := to
+	for start > l.base && to-start < count {
+		size += l.entries[start-l.base-1].size()
+		if size > maxBytes {
+			break
+		}
+		start--
+	}
+	return start
+}
+
 // slice returns entries from the index on, at least one and at most maxBytes of them unless there are none.
 func (l *replicaLog) slice(from, to uint64, maxBytes int) []Entry {
 	if from > to {
--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -150,9 +150,8 @@
 }
 
 func (r *Replica) compactBehind(index uint64) {
-	if index > r.config.KeepEntries {
-		r.log.compact(min(index-r.config.KeepEntries, r.log.applied))
-	}
+	to := min(index, r.log.applied)
+	r.log.compact(r.log.tailStart(to, r.config.KeepEntries, r.config.KeepBytes))
 }
 
 // Unreachable tells that messages to the member were lost.
--- a/core/raft/replica.go
+++ b/core/raft/replica.go
@@ -50,6 +50,8 @@
 	ChunkBytes int
 	// KeepEntries is how many entries stay in the log behind a snapshot, for followers that lag a little.
 	KeepEntries uint64
+	// KeepBytes bounds the size of these entries.
+	KeepBytes int
 
 	// Tests switch safeguards off to show that they are needed.
 	withoutPreVote     bool
--- a/core/raft/simulation_test.go
+++ b/core/raft/simulation_test.go
@@ -96,7 +96,7 @@
 	}
 	config := Config{
 		ID: n.member.ID, ElectionTicks: simElectionTicks, HeartbeatTicks: simHeartbeatTicks,
-		Seed: s.random.Uint64(), MaxAppendBytes: 200, MaxInflight: 4, ChunkBytes: 10, KeepEntries: 3,
+		Seed: s.random.Uint64(), MaxAppendBytes: 200, MaxInflight: 4, ChunkBytes: 10, KeepEntries: 3, KeepBytes: 200,
 	}
 	s.adjust(&config)
 	restart := n.disk
--- a/node/replica/group.go
+++ b/node/replica/group.go
@@ -31,8 +31,9 @@
 	maxInflight    = 64
 	chunkBytes     = 512 << 10
 	keepEntries    = 1000
+	keepBytes      = 8 << 20
 	// maxLogBytes is the size of applied entries that makes a snapshot due before Options.SnapshotEvery does.
-	maxLogBytes = 32 << 20
+	maxLogBytes = 16 << 20
 	// maxCommandBytes bounds one command.
 	maxCommandBytes = 8 << 20
 	// inputQueue bounds what waits for the raft loop.
@@ -121,7 +122,9 @@
 	view     atomic.Pointer[raft.Status]
 	failure  atomic.Pointer[fault.Error]
 	stopping atomic.Bool
-	started  atomic.Bool
+	// hasAskedToJoin belongs to the bootstrap loop.
+	hasAskedToJoin bool
+	started        atomic.Bool
 	// changed is closed and replaced when the leader, the membership or the group changes.
 	changed changeSignal
 }
@@ -190,6 +193,7 @@
 	core, err := raft.New(raft.Config{
 		ID: g.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: uint64(g.id),
 		MaxAppendBytes: maxAppendBytes, MaxInflight: maxInflight, ChunkBytes: chunkBytes, KeepEntries: keepEntries,
+		KeepBytes: keepBytes,
 	}, restart)
 	if err != nil {
 		return err
--- a/node/replica/group_test.go
+++ b/node/replica/group_test.go
@@ -6,6 +6,8 @@
 	"os"
 	"testing"
 	"testing/synctest"
+
+	"flamingohall.example/node/settings"
 )
 
 func TestGroup_SingleMember(t *testing.T) {
@@ -158,5 +160,14 @@
 		waitVoters(t, c, 3)
 		c.leader().propose("c")
 		c.follower().wantList("a", "b", "c")
+		// A leader that is to go hands over first, and the next one removes it.
+		old := c.leader()
+		gone := settings.Member{ID: old.id, Address: old.address}
+		if err := old.group.ChangeMember(testContext(t), gone, true); err != nil {
+			t.Fatal(err)
+		}
+		old.kill()
+		waitVoters(t, c, 2)
+		c.leader().propose("d")
 	})
 }
--- a/node/replica/members.go
+++ b/node/replica/members.go
@@ -116,10 +116,16 @@
 	ctx context.Context, change *memberChange, view *raft.Status, isCommitted bool,
 ) (bool, error) {
 	for _, member := range view.Members {
-		if member.Name == change.member.Name {
-			change.member.ID = member.ID
-			return false, g.ask(ctx, change)
+		if member.Name != change.member.Name {
+			continue
 		}
+		change.member.ID = member.ID
+		if member.ID == g.id && len(view.Members) > 1 {
+			// The next leader removes this one, and answers the caller.
+			g.put(ctx, input{transfer: true})
+			return false, nil
+		}
+		return false, g.ask(ctx, change)
 	}
 	if change.member.ID == raft.None {
 		return false, fault.New(fault.NotFound, "list the members", "no member is named %q", change.member.Name)
@@ -284,7 +290,10 @@
 		// The leader knows this VM and writes to it.
 		return nil
 	}
-	events.ReplicaReplacing.Log(g.options.Logger, "member", g.options.ID)
+	if !g.hasAskedToJoin {
+		g.hasAskedToJoin = true
+		events.ReplicaReplacing.Log(g.options.Logger, "member", g.options.ID)
+	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	// Any refusal leaves this VM waiting; the next round tries again.
