--- a/node/entry/claims.go
+++ b/node/entry/claims.go
@@ -84,7 +84,9 @@
 func (l *loop) claimSettled(ctx context.Context, c *claiming, response *rpc.ClaimResponse) bool {
 	switch response.GetStatus() {
 	case rpc.ClaimStatus_CLAIM_STATUS_GRANTED:
-		granted := claimGranted{record: c.record, epoch: response.GetEpoch(), allowed: c.targets}
+		granted := claimGranted{
+			record: c.record, epoch: response.GetEpoch(), firstEpoch: response.GetFirstEpoch(), allowed: c.targets,
+		}
 		if c.mustSeal || c.request.GetTakeOverEpoch() > 0 {
 			granted.earlier = jobTargets(response.GetTargets())
 		}
@@ -107,7 +109,7 @@
 
 // awaitHolder waits for the holder's answer while it lives; a dead holder's claim is taken over with the next try.
 func (l *loop) awaitHolder(ctx context.Context, c *claiming, held *rpc.ClaimResponse) bool {
-	c.request.TakeOverEpoch = 0
+	c.request.TakeOverEpoch, c.request.HolderGone = 0, false
 	if held.GetHolderIncarnation() == l.entry.incarnation {
 		// An earlier try of this process took the job over, and its answer was lost.
 		c.mustSeal = true
@@ -127,6 +129,10 @@
 	if err != nil {
 		l.entry.links.Retire(held.GetHolderAddress())
 	}
+	if link.IsRefused(err) {
+		c.request.TakeOverEpoch, c.request.HolderGone = held.GetEpoch(), true
+		return false
+	}
 	if err != nil || !response.GetKnown() {
 		sleep(ctx, claimBackoff)
 	}
@@ -178,10 +184,11 @@
 
 // claimGranted makes this entry the holder.
 type claimGranted struct {
-	record  *record
-	epoch   uint64
-	allowed []job.Target
-	earlier []job.Target
+	record     *record
+	epoch      uint64
+	firstEpoch uint64
+	allowed    []job.Target
+	earlier    []job.Target
 }
 
 func (m claimGranted) apply(l *loop, now time.Time) {
@@ -191,6 +198,7 @@
 	}
 	r.claimTime = now.Sub(r.createdAt)
 	r.isExtending = false
+	r.firstEpoch = m.firstEpoch
 	allowed := m.allowed
 	if len(m.earlier) > 0 {
 		events.JobTakenOver.Log(l.entry.logger, "job", r.accepted.id, "epoch", m.epoch)
