--- a/node/daemon/process.go
+++ b/node/daemon/process.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,9 @@
 		_, _ = fmt.Fprintln(w, "alive")
 	})
 	mux.HandleFunc("GET /readyz", p.serveReady)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.Handle("GET /debug/pprof/heap", pprof.Handler("heap"))
+	mux.Handle("GET /debug/pprof/goroutine", pprof.Handler("goroutine"))
 	for _, r := range p.roles {
 		r.Register(mux)
 	}
--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs a scenario at several multiples of its rate and prints what each role's processes cost, for docs/CAPACITY.md.
+#   scripts/slopes.sh SCENARIO OUT LOAD...
+# The deployment is examples/bench/savinja with the catalogue of experiments.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ $# -ge 3 ] || { sed -n '2,4p' "$0"; exit 2; }
+scenario=$1 out=$2
+shift 2
+for load in "$@"; do
+  echo "== load $load"
+  scripts/bench.sh bench/savinja examples/bench/catalogue.jsonc "$scenario" "$out/load-$load" --load "$load" |
+    grep -E '^(all|messages|control|process (control|entry|sidecar-[01]):?)' || true
+done
