End forwarded calls with the leader they were sent to, and check callers' answers through kills and cuts

Cause: a proposal forwarded over a connection that went silent waited for its own deadline (5 s) although a new leader was there after one second; the runtime's answers had no test under faults. Ruled out: sending the command again inside Propose, since the caller is owed the truth that it is uncertain. Change: a forwarded call ends when this VM takes another for the leader; gauges of term, leader, indexes and staleness. A history test under synctest kills, restarts and silently cuts VMs while callers propose and read at each: accepted commands stay, refused ones never come into force, none is doubled, all lists are equal, confirmed reads miss nothing.

--- a/node/replica/fakes_test.go
+++ b/node/replica/fakes_test.go
@@ -160,3 +160,9 @@
 	c.counter.add(c.addresses, count)
 	return count, err
 }
+
+func (n *network) isCut(address string) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.cuts[address]
+}
--- a/node/replica/group.go
+++ b/node/replica/group.go
@@ -185,6 +185,7 @@
 		return nil, err
 	}
 	g.peers = newPeerTable(g)
+	g.publishGauges()
 	return g, nil
 }
 
--- /dev/null
+++ b/node/replica/history_test.go
@@ -0,0 +1,173 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"flamingohall.example/core/fault"
+)
+
+// ledger is what callers were told of their commands.
+type ledger struct {
+	mutex    sync.Mutex
+	accepted map[string]bool
+	refused  map[string]bool
+	unknown  int
+}
+
+func (l *ledger) note(command string, err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch {
+	case err == nil:
+		l.accepted[command] = true
+	case fault.Is(err, fault.Unavailable):
+		l.refused[command] = true
+	default:
+		l.unknown++
+	}
+}
+
+func (l *ledger) snapshot() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var all []string
+	for command := range l.accepted {
+		all = append(all, command)
+	}
+	return all
+}
+
+// TestGroup_AnswersTruly runs callers at every VM while VMs are killed, started again and cut off silently: what was
+// accepted stays, what was refused never comes into force, all VMs hold the same list, and confirmed reads see all that
+// was accepted before.
+func TestGroup_AnswersTruly(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runHistory(t, seed) })
+		})
+	}
+}
+
+func runHistory(t *testing.T, seed uint64) {
+	const length = 15 * time.Second
+	random := rand.New(rand.NewPCG(seed, 1))
+	c := newCluster(t, 3+2*int(seed%2))
+	c.snapshotEvery = 50
+	c.start()
+	c.leader()
+	told := &ledger{accepted: map[string]bool{}, refused: map[string]bool{}}
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	var callers sync.WaitGroup
+	// The guard is a channel, as synctest's clock stands still for a mutex.
+	guard := make(chan struct{}, 1)
+	for i, n := range c.nodes {
+		callers.Go(func() { callAt(ctx, t, n, guard, told, i) })
+	}
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+		disturb(c, guard, random)
+	}
+	callers.Wait()
+	for _, n := range c.nodes {
+		c.network.cut(n.address, false)
+		if n.group == nil {
+			n.start()
+		}
+	}
+	c.leader()
+	want := c.nodes[0]
+	if _, err := want.group.Confirm(testContext(t)); err != nil {
+		t.Fatal(err)
+	}
+	list := want.machine.list()
+	for _, n := range c.nodes {
+		n.wantList(list...)
+	}
+	told.check(t, list)
+}
+
+// disturb kills, starts, cuts off or heals one VM. At most a minority is away at once, so that callers get on.
+func disturb(c *cluster, guard chan struct{}, random *rand.Rand) {
+	guard <- struct{}{}
+	defer func() { <-guard }()
+	n := c.nodes[random.IntN(len(c.nodes))]
+	away := 0
+	for _, other := range c.nodes {
+		if other != n && (other.group == nil || c.network.isCut(other.address)) {
+			away++
+		}
+	}
+	switch {
+	case n.group == nil:
+		n.start()
+	case c.network.isCut(n.address):
+		c.network.cut(n.address, false)
+	case away >= len(c.nodes)/2:
+	case random.IntN(2) == 0:
+		n.kill()
+	default:
+		c.network.cut(n.address, true)
+	}
+}
+
+// callAt proposes and reads at one VM.
+func callAt(ctx context.Context, t *testing.T, n *node, guard chan struct{}, told *ledger, number int) {
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(40 * time.Millisecond)
+		guard <- struct{}{}
+		group, machine := n.group, n.machine
+		<-guard
+		if group == nil {
+			continue
+		}
+		if i%5 == 0 {
+			before := told.snapshot()
+			if _, err := group.Confirm(ctx); err == nil {
+				wantAll(t, before, machine.list())
+			}
+			continue
+		}
+		command := fmt.Sprintf("%d-%d", number, i)
+		_, _, err := group.Propose(ctx, []byte(command))
+		told.note(command, err)
+	}
+}
+
+func wantAll(t *testing.T, commands, list []string) {
+	t.Helper()
+	held := map[string]bool{}
+	for _, command := range list {
+		held[command] = true
+	}
+	for _, command := range commands {
+		if !held[command] {
+			t.Errorf("a confirmed read lacks %s, which was accepted before", command)
+		}
+	}
+}
+
+func (l *ledger) check(t *testing.T, list []string) {
+	t.Helper()
+	t.Logf("%d accepted, %d refused, %d unknown, %d in force", len(l.accepted), len(l.refused), l.unknown, len(list))
+	if len(l.accepted) < 100 {
+		t.Error("too few commands were accepted for the history to show anything")
+	}
+	wantAll(t, l.snapshot(), list)
+	slices.Sort(list)
+	for i, command := range list {
+		if l.refused[command] {
+			t.Errorf("%s was refused and is in force", command)
+		}
+		if i > 0 && list[i-1] == command {
+			t.Errorf("%s is in force twice", command)
+		}
+	}
+}
--- a/node/replica/propose.go
+++ b/node/replica/propose.go
@@ -106,6 +106,8 @@
 	if address == "" {
 		return outcome{err: errNotLeader}
 	}
+	ctx, cancel := g.whileLeading(ctx, address)
+	defer cancel()
 	call := g.calls.line(address)
 	response, err := call.client().Forward(ctx, &rpc.ForwardRequest{Command: command})
 	switch {
@@ -122,6 +124,27 @@
 	return outcome{err: fromTwirp(err)}
 }
 
+// whileLeading returns a context that ends when this VM no longer takes the one at the address for the leader. A call
+// over a connection that went silent then ends with the election, and not with its deadline.
+func (g *Group) whileLeading(ctx context.Context, address string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		for {
+			changed := g.changed.wait()
+			if g.Status().LeaderAddress != address {
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // isDialError reports whether the call failed before anything was sent.
 func isDialError(err error) bool {
 	var operation *net.OpError
@@ -155,6 +178,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
+	ctx, release := g.whileLeading(ctx, address)
+	defer release()
 	call := g.calls.line(address)
 	response, err := call.client().Confirm(ctx, &rpc.ConfirmRequest{})
 	if err != nil {
--- a/node/replica/status.go
+++ b/node/replica/status.go
@@ -34,6 +34,19 @@
 	g.status.Store(status)
 }
 
+// publishGauges makes the view visible in /debug/vars.
+func (g *Group) publishGauges() {
+	gauge := func(name string, value func(Status) any) {
+		g.options.Metrics.Gauge(name, func() any { return value(g.Status()) })
+	}
+	gauge("replica_leader", func(s Status) any { return s.Leader })
+	gauge("replica_term", func(s Status) any { return s.Term })
+	gauge("replica_commit_index", func(s Status) any { return s.CommitIndex })
+	gauge("replica_applied_index", func(s Status) any { return s.AppliedIndex })
+	gauge("replica_members", func(s Status) any { return len(s.Members) })
+	gauge("replica_staleness_ms", func(s Status) any { return time.Since(s.ConfirmedAt).Milliseconds() })
+}
+
 // changeSignal lets many goroutines wait for the next change.
 type changeSignal struct {
 	mutex sync.Mutex
