Say what the caller was told of a task that is not run but started

Ruled out: Keeping all answers in the result: too large. Change: the ledger check's examples hold outcome, attempts, cause and reason.

--- a/tools/bench/ledger.go
+++ b/tools/bench/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"os"
 	"strconv"
 
@@ -84,7 +85,7 @@
 		l.RepeatedStarts += count - 1
 	case count == 1 && task.Outcome == "not_run":
 		l.NotRunButStarted++
-		l.example("started " + id)
+		l.example(fmt.Sprintf("started %s: told %s after %d attempts, %s %s", id, task.Outcome, task.Attempts, task.Cause, task.Reason))
 	case count == 0 && task.Outcome == client.OutcomeDone:
 		l.DoneWithoutStart++
 		l.example("no start " + id)
