--- a/node/control/cluster_test.go
+++ b/node/control/cluster_test.go
@@ -198,7 +198,7 @@
 }
 
 func (c *cluster) operator(number int) rpc.Operator {
-	return rpc.NewOperatorProtobufClient("http://"+c.groups[number].address, http.DefaultClient)
+	return rpc.NewOperatorProtobufClient("http://"+c.servers[number].Listener.Addr().String(), http.DefaultClient)
 }
 
 // follow starts a follower of the cluster that stops with the test.
