--- a/node/control/claims.go
+++ b/node/control/claims.go
@@ -99,7 +99,11 @@
 		finish.Body = nil
 		r.metrics.Add("answers_too_large", 1)
 	}
-	_, result, err := r.proposer.propose(ctx, state.Step{Finish: &finish})
+	propose := r.proposer.propose
+	if request.GetCanWait() {
+		propose = r.proposer.proposeLater
+	}
+	_, result, err := propose(ctx, state.Step{Finish: &finish})
 	if err != nil {
 		return nil, err
 	}
--- a/node/control/proposer.go
+++ b/node/control/proposer.go
@@ -18,7 +18,9 @@
 	maxBatchesAtOne = 8
 	proposeTimeout  = 1500 * time.Millisecond
 	stepOverhead    = 64
-	targetSize      = 48
+	// patientPeriod is how long a step that can wait is held for a command that goes anyway.
+	patientPeriod = 50 * time.Millisecond
+	targetSize    = 48
 )
 
 // proposal is one step that waits for its result.
@@ -41,6 +43,8 @@
 	group   Group
 	metrics *metrics.Role
 	queue   chan *proposal
+	// patient holds the steps that can wait.
+	patient chan *proposal
 	// slots bounds the commands under way.
 	slots    chan struct{}
 	inFlight sync.WaitGroup
@@ -51,16 +55,25 @@
 func newProposer(group Group, role *metrics.Role) *proposer {
 	return &proposer{
 		group: group, metrics: role,
-		queue: make(chan *proposal, maxQueuedSteps),
+		queue: make(chan *proposal, maxQueuedSteps), patient: make(chan *proposal, maxQueuedSteps),
 		slots: make(chan struct{}, maxBatchesAtOne), stopped: make(chan struct{}),
 	}
 }
 
 // propose returns a step's result and the index of its command. Its errors are *fault.Error.
 func (p *proposer) propose(ctx context.Context, step state.Step) (uint64, state.Result, error) {
+	return p.proposeBy(ctx, p.queue, step)
+}
+
+// proposeLater is propose for a step that can wait up to patientPeriod for a command that goes anyway.
+func (p *proposer) proposeLater(ctx context.Context, step state.Step) (uint64, state.Result, error) {
+	return p.proposeBy(ctx, p.patient, step)
+}
+
+func (p *proposer) proposeBy(ctx context.Context, ring chan<- *proposal, step state.Step) (uint64, state.Result, error) {
 	waiting := &proposal{step: step, size: sizeOf(step), done: make(chan outcome, 1)}
 	select {
-	case p.queue <- waiting:
+	case ring <- waiting:
 	default:
 		refused := fault.New(fault.Overloaded, "send fewer claims at once", "control: %d steps are queued", maxQueuedSteps)
 		return 0, state.Result{}, refused.After(proposeTimeout)
@@ -89,33 +102,49 @@
 func (p *proposer) run(ctx context.Context) {
 	defer close(p.stopped)
 	defer p.inFlight.Wait()
+	patience := time.NewTicker(patientPeriod)
+	defer patience.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case p.slots <- struct{}{}:
 		}
-		select {
-		case <-ctx.Done():
+		batch := p.next(ctx, patience.C)
+		if len(batch) == 0 {
 			<-p.slots
-			return
-		case first := <-p.queue:
-			batch := p.collect(first)
-			p.inFlight.Go(func() {
-				defer func() { <-p.slots }()
-				p.commit(context.WithoutCancel(ctx), batch)
-			})
+			continue
 		}
+		p.inFlight.Go(func() {
+			defer func() { <-p.slots }()
+			p.commit(context.WithoutCancel(ctx), batch)
+		})
 	}
 }
 
-// collect adds to first what waits already.
-func (p *proposer) collect(first *proposal) []*proposal {
-	batch := []*proposal{first}
-	size := first.size
+// next waits for a step that can't wait, or for the end of patience, and returns it with all else that waits.
+func (p *proposer) next(ctx context.Context, impatient <-chan time.Time) []*proposal {
+	var batch []*proposal
+	select {
+	case <-ctx.Done():
+		return nil
+	case first := <-p.queue:
+		batch = append(batch, first)
+	case <-impatient:
+	}
+	batch = collect(batch, p.queue)
+	return collect(batch, p.patient)
+}
+
+// collect adds to the batch what waits in the ring already.
+func collect(batch []*proposal, ring <-chan *proposal) []*proposal {
+	size := 0
+	for _, waiting := range batch {
+		size += waiting.size
+	}
 	for len(batch) < maxBatchSteps && size < maxBatchBytes {
 		select {
-		case next := <-p.queue:
+		case next := <-ring:
 			batch = append(batch, next)
 			size += next.size
 		default:
--- a/node/entry/claims.go
+++ b/node/entry/claims.go
@@ -296,7 +296,8 @@
 func (l *loop) startFinish(r *record, now time.Time) {
 	until := r.deadline.Add(finishGrace)
 	found := r.result
-	if found == nil {
+	isGiven := found != nil
+	if !isGiven {
 		found = newResult(newAnswer(r, now).final(r.job.IsComplete()))
 	} else {
 		until = now.Add(storeTimeout)
@@ -305,7 +306,7 @@
 	go func() {
 		ctx, cancel := context.WithDeadline(l.life, until)
 		defer cancel()
-		request := &rpc.FinishRequest{JobId: id, Epoch: epoch, Answer: found.bytes()}
+		request := &rpc.FinishRequest{JobId: id, Epoch: epoch, Answer: found.bytes(), CanWait: isGiven}
 		response, err := l.entry.follower.Control().Finish(ctx, request)
 		if err != nil {
 			events.FinishFailed.LogError(l.entry.logger, err, "job", id)
