--- a/core/job/gate_test.go
+++ b/core/job/gate_test.go
@@ -75,8 +75,9 @@
 		g.tasks[ref.Index] = task
 	}
 	if !task.started {
-		// A takeover, which names no attempt, seals older epochs only.
-		task.sealed = ref.Attempt > 0
+		// A takeover, which names no attempt, seals older epochs only; a late copy of it lifts no later seal.
+		isNewer := c.epoch > g.fence
+		task.sealed = ref.Attempt > 0 || (task.sealed && !isNewer)
 	}
 	return task.report(ref.Index)
 }
