Tell no task as not run that ran in an earlier attempt

A repeatable task whose first attempt had failed and whose retry was refused at the deadline, or too often, was settled by the retry alone. Ruled out: the sidecar's gate (the ledgers hold one start, as attempt 1, and the answer names one attempt); hedges (they keep the task open). Change: a refused last attempt settles the task as failed when an earlier one started. Conclusion: the promise holds on what was run.

--- a/core/job/answers.go
+++ b/core/job/answers.go
@@ -208,8 +208,7 @@
 		return
 	}
 	if report.Cause == CauseDeadline {
-		j.settle(t, NotRun, CauseDeadline, report.Reason)
-		j.failJob(report.Index)
+		j.settleRefused(t, report)
 		return
 	}
 	if report.Cause == CauseFenced {
@@ -221,13 +220,22 @@
 		t.refusals++
 	}
 	if t.refusals > maxRefusals {
-		j.settle(t, NotRun, report.Cause, report.Reason)
-		j.failJob(report.Index)
+		j.settleRefused(t, report)
 		return
 	}
 	j.wait(t, report.Cause, report.Reason)
 }
 
+// settleRefused ends a task whose last attempt did not start. One with an earlier start has failed: it did run.
+func (j *Job) settleRefused(t *task, report Report) {
+	outcome := NotRun
+	if t.starts > 0 {
+		outcome = Failed
+	}
+	j.settle(t, outcome, report.Cause, report.Reason)
+	j.failJob(report.Index)
+}
+
 func (j *Job) tryCancelled(t *task, report Report) {
 	if j.dropTry(t, report.Attempt) {
 		return
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -138,3 +138,26 @@
 		t.Fatalf("task is %+v", j.Task(0))
 	}
 }
+
+// A task that ran once is not told as not run, whatever becomes of its later attempts.
+func TestJob_RefusedRetryOfAStartedTaskIsNotToldAsNotRun(t *testing.T) {
+	for _, cause := range []Cause{CauseDeadline, CauseTarget} {
+		j := New(Spec{ID: "j", Repeatable: true, Attempts: 9, Deadline: time.Unix(10, 0), Tasks: make([]TaskSpec, 1)})
+		target := Target{ID: "a", Incarnation: "1"}
+		answer := func(attempt int, outcome Outcome, cause Cause) {
+			ref := Ref{0, attempt}
+			j.Step(time.Unix(0, 0), Place{Target: target, Indexes: []int{0}})
+			j.Step(time.Unix(0, 0), RunAnswered{Target: target, Asked: []Ref{ref}, Reports: []Report{
+				{Ref: ref, Outcome: outcome, Cause: cause, Reason: "reason"},
+			}})
+		}
+		j.Step(time.Unix(0, 0), Begin{})
+		answer(1, Failed, CauseTarget)
+		for attempt := 2; !j.IsAnswered(); attempt++ {
+			answer(attempt, NotRun, cause)
+		}
+		if j.Task(0).Outcome != Failed {
+			t.Errorf("refused for %s: task is %+v", cause, j.Task(0))
+		}
+	}
+}
