Print no slowdown for a stored answer

Cause: the demo's resubmission printed "slowdown 0.005". Ruled out: a field in the answer that says it was stored (an answer of a job in progress has the same fault). Change: an answer that came sooner than its longest task ran says that the job had run before. Conclusion: the printed figure is a slowdown or absent.

--- a/tools/cli/submit.go
+++ b/tools/cli/submit.go
@@ -160,6 +160,17 @@
 	}
 }
 
+// printTiming prints the response time beside that of the longest task, both in microseconds. An answer that came
+// sooner than its longest task ran was a stored one, or of a job in progress, and has no slowdown.
+func printTiming(out io.Writer, response, longest int64) {
+	_, _ = fmt.Fprintf(out, "response %.1f ms, longest task %.1f ms, ", milliseconds(response), milliseconds(longest))
+	if response < longest {
+		_, _ = fmt.Fprintln(out, "the job had run before")
+		return
+	}
+	_, _ = fmt.Fprintf(out, "slowdown %.3f\n", float64(response)/float64(longest))
+}
+
 // printAnswer prints an answer as text or JSON. Elapsed is the response time seen here; 0 leaves slowdown out.
 func printAnswer(out io.Writer, globals *Globals, answer *client.Answer, elapsed time.Duration) error {
 	if globals.JSON {
@@ -168,8 +179,7 @@
 	_, _ = fmt.Fprintf(out, "%s %s of %s (%s): %s, %d of %d tasks done\n",
 		answer.Job, answer.Key, answer.Owner, answer.Entry, answer.State, answer.Done(), len(answer.Tasks))
 	if longest := answer.LongestRunUS(); elapsed > 0 && longest > 0 {
-		_, _ = fmt.Fprintf(out, "response %.1f ms, longest task %.1f ms, slowdown %.3f\n",
-			milliseconds(elapsed.Microseconds()), milliseconds(longest), float64(elapsed.Microseconds())/float64(longest))
+		printTiming(out, elapsed.Microseconds(), longest)
 	}
 	rows := newTable(out, "TASK\tOUTCOME\tTARGET\tATTEMPTS\tQUEUED MS\tRAN MS\tREASON")
 	for _, task := range answer.Tasks {
