Let the histories of a job have targets that see the deadline early

Cause: the property of core/job had not found that a refused retry made a started task "not run"; its targets refused for the deadline only when the entry's own deadline had come. Ruled out: leaving it to the directed test alone. Change: each history draws by how much targets see the deadline earlier.

--- a/core/job/gate_test.go
+++ b/core/job/gate_test.go
@@ -54,7 +54,7 @@
 		return refused(ref, NotRun, CauseFenced)
 	case task != nil && task.sealed:
 		return refused(ref, NotRun, CauseSealed)
-	case !w.now.Before(w.deadline):
+	case !w.now.Before(w.deadline.Add(-w.skew)):
 		return refused(ref, NotRun, CauseDeadline)
 	}
 	g.tasks[ref.Index] = &gateTask{attempt: ref.Attempt, outcome: Running, started: true}
--- a/core/job/world_test.go
+++ b/core/job/world_test.go
@@ -16,12 +16,14 @@
 	repeatable bool
 	tasks      int
 	deadline   time.Time
-	claim      claimState
-	entries    []*entryState
-	targets    []*targetState
-	calls      []*callState
-	starts     map[int]int
-	off        safeguards
+	// skew is how much earlier than the entries the targets see the deadline.
+	skew    time.Duration
+	claim   claimState
+	entries []*entryState
+	targets []*targetState
+	calls   []*callState
+	starts  map[int]int
+	off     safeguards
 }
 
 // safeguards are switched off to show that the check would notice.
@@ -85,6 +87,7 @@
 	w := &world{t: t, now: time.Unix(0, 0), repeatable: repeatable, starts: map[int]int{}}
 	w.tasks = rapid.IntRange(1, 4).Draw(t, "tasks")
 	w.deadline = w.now.Add(2 * time.Second)
+	w.skew = time.Duration(rapid.IntRange(0, 2000).Draw(t, "skew")) * time.Millisecond
 	for i := range worldTargets {
 		w.targets = append(w.targets, &targetState{id: fmt.Sprint("t", i), tasks: map[int]*gateTask{}})
 	}
