Decide at entry and sidecar for jobs that are kept in memory

Two pure cores: runner holds what one worker runs, under fence, lease and the entries' grants; dispatch places tasks, learns run times and refuses what can't end in time. Jobs whose callers wait are not stored: a control outage doesn't stop them.

--- /dev/null
+++ b/core/dispatch/estimate.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// learnWeight is the weight of one more run in what is learned of a queue or a worker.
+	learnWeight = 0.05
+	// minSpeed and maxSpeed bound what is learned of a worker.
+	minSpeed = 0.25
+	maxSpeed = 2.0
+	// declaredWeight is the weight of a job's own estimate against the queue's mean.
+	declaredWeight = 0.5
+)
+
+// estimate is what is learned of a queue: the mean of the logarithm of run times, in milliseconds at speed 1, and of
+// how far estimates are off.
+type estimate struct {
+	logMean float64
+	known   bool
+}
+
+// estimate sets the expected run times of a job's steps. Declared times are rough, as is the queue's mean; the
+// geometric mean of both is off by less than either.
+func (d *Dispatcher) estimate(j *job) {
+	known := d.learned[j.Queue.Name]
+	for i := range j.steps {
+		declared := j.Steps[i].Expected
+		switch {
+		case known == nil || !known.known:
+			continue
+		case declared <= 0:
+			j.steps[i].expected = fromLog(known.logMean)
+		default:
+			blended := declaredWeight*toLog(declared) + (1-declaredWeight)*known.logMean
+			j.steps[i].expected = fromLog(blended)
+		}
+	}
+}
+
+// learn takes in how long a run took.
+func (d *Dispatcher) learn(w *worker, t *task, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	expected := t.job.stepOf(t).expected
+	if expected > 0 {
+		ratio := min(maxSpeed, max(minSpeed, float64(expected)/float64(took)))
+		w.speed = math.Exp((1-learnWeight)*math.Log(w.speed) + learnWeight*math.Log(ratio))
+	}
+	known := d.learned[t.job.Queue.Name]
+	if known == nil {
+		known = &estimate{}
+		d.learned[t.job.Queue.Name] = known
+	}
+	atSpeedOne := toLog(took) + math.Log(w.speed)
+	if !known.known {
+		known.known, known.logMean = true, atSpeedOne
+		return
+	}
+	known.logMean += learnWeight * (atSpeedOne - known.logMean)
+}
+
+func toLog(d time.Duration) float64 {
+	return math.Log(max(1, float64(d)/float64(time.Millisecond)))
+}
+
+func fromLog(l float64) time.Duration {
+	return time.Duration(math.Exp(l) * float64(time.Millisecond))
+}
--- /dev/null
+++ b/core/dispatch/place.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import "time"
+
+const (
+	// otherZoneCost is added to a task's expected time on a worker in another data centre: the way there and back.
+	otherZoneCost = 3 * time.Millisecond
+	// occupancyCost is added on a worker that is full, and in proportion on others: estimates of run times are rough,
+	// and the more runs on a worker the sooner one of them keeps another waiting.
+	occupancyCost = 30 * time.Millisecond
+	// avoidCost is added on the worker that failed the task last.
+	avoidCost = 2 * time.Second
+	// remoteDataFactor is how much longer a task takes away from its data.
+	remoteDataFactor = 1.5
+)
+
+// choice is a worker for a task with the times expected there.
+type choice struct {
+	worker *worker
+	wait   time.Duration
+	// cost is the time until the end, and what else counts against the worker.
+	cost time.Duration
+}
+
+// choose returns the worker on which the task is expected to end first. It answers loads in which workers of unequal
+// size and speed fill up unevenly. The worker is nil when none suits.
+func (d *Dispatcher) choose(now time.Duration, t *task) choice {
+	var best choice
+	progress := t.job.stepOf(t)
+	for _, w := range d.order {
+		if !w.suits(t.job.Queue.Pool, t.step) || w.aside && !w.onTrial || w.onTrial && len(w.pending) > 0 {
+			continue
+		}
+		if limit := t.step.MaxPerWorker; limit > 0 && progress.perWorker[w.id] >= limit {
+			continue
+		}
+		made := d.evaluate(now, t, w, progress.expected)
+		if best.worker == nil || made.cost < best.cost {
+			best = made
+		}
+	}
+	return best
+}
+
+func (d *Dispatcher) evaluate(now time.Duration, t *task, w *worker, expected time.Duration) choice {
+	wait := w.expectedWait(now, t.step.Needs)
+	runs := time.Duration(float64(expected) / w.speed)
+	if t.step.DataRack != "" && !w.hasLabel(t.step.DataRack) {
+		runs = time.Duration(float64(runs) * remoteDataFactor)
+	}
+	cost := wait + runs + time.Duration(float64(occupancyCost)*min(1, w.committed().ShareOf(w.Capacity)))
+	if !w.sameZone {
+		cost += otherZoneCost
+	}
+	if t.avoid == w.id {
+		cost += avoidCost
+	}
+	return choice{worker: w, wait: wait, cost: cost}
+}
+
+func (w *worker) hasLabel(label string) bool {
+	for _, one := range w.Labels {
+		if one == label {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/dispatch/submit.go
@@ -0,0 +1,187 @@
+package dispatch
+
+import (
+	"time"
+
+	"flamingohall.example/core/work"
+)
+
+const (
+	// minRetryAfter is the least time after which a refused caller may come back.
+	minRetryAfter = time.Second
+	// lateFactor bounds the time that a job may be expected to take, in terms of its objective.
+	lateFactor = 1.0
+)
+
+// Submit takes a job, or answers at once why it is not taken. A job that is under way gains a caller.
+func (d *Dispatcher) Submit(now time.Duration, s Submission) {
+	if known := d.jobs[s.ID]; known != nil {
+		known.waiters++
+		if s.Patience > 0 {
+			known.deadline = max(known.deadline, now+s.Patience)
+		}
+		return
+	}
+	j := newJob(now, s)
+	d.estimate(j)
+	j.objective = now + j.span()
+	wait, cause := d.expectedWait(now, j)
+	j.trace.PredictedWait = wait
+	if cause != 0 {
+		d.answer(now, j, Answer{Result: Refused, Cause: cause, RetryAfter: max(minRetryAfter, wait)})
+		return
+	}
+	d.jobs[j.ID] = j
+	for _, t := range j.tasks {
+		d.tasks[t.name] = t
+	}
+	d.waiting = append(d.waiting, j.ready()...)
+	d.finishIfDone(now, j)
+}
+
+// span returns the time in which the job should end.
+func (j *job) span() time.Duration {
+	return time.Duration(j.Queue.Slack*float64(j.longestChain())) + j.Queue.Target
+}
+
+// expectedWait returns how long the job's first tasks would wait, and why that is too long. It answers bursts: what
+// can't end in time anyway is refused at once, before it keeps others from ending in time.
+func (d *Dispatcher) expectedWait(now time.Duration, j *job) (time.Duration, Cause) {
+	allowed := time.Duration(lateFactor*float64(j.span())) - j.longestChain()
+	if j.deadline != 0 {
+		allowed = min(allowed, j.deadline-now-j.longestChain())
+	}
+	var longest time.Duration
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		if len(step.After) > 0 || step.Count == 0 {
+			continue
+		}
+		wait, cause := d.stepWait(now, j, step)
+		if cause != 0 {
+			return minRetryAfter, cause
+		}
+		longest = max(longest, wait)
+	}
+	if longest > max(0, allowed) {
+		return longest, Overloaded
+	}
+	return longest, 0
+}
+
+// stepWait returns how long the last task of a step would wait, by spreading the tasks over the workers.
+func (d *Dispatcher) stepWait(now time.Duration, j *job, step *Step) (time.Duration, Cause) {
+	room := map[*worker]work.Needs{}
+	suitable, isLargeEnough := 0, false
+	shortest := time.Duration(-1)
+	left := step.Count
+	for _, w := range d.order {
+		if w.isUp && w.Pool == j.Queue.Pool && step.Needs.FitsIn(w.Capacity) {
+			isLargeEnough = true
+		}
+		if !w.suits(j.Queue.Pool, step) || w.aside {
+			continue
+		}
+		suitable++
+		room[w] = w.Capacity.Minus(w.committed())
+		for left > 0 && step.Needs.FitsIn(room[w]) {
+			room[w] = room[w].Minus(step.Needs)
+			left--
+		}
+		if wait := w.expectedWait(now, step.Needs); shortest < 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	switch {
+	case suitable == 0 && len(d.order) > 0 && !isLargeEnough:
+		return 0, TooLarge
+	case suitable == 0:
+		return 0, NoWorkers
+	case left <= 0:
+		return 0, 0
+	}
+	// What does not fit at once waits for a share of the workers' turnover.
+	rest := time.Duration(float64(j.stepExpected(step)) * float64(left) * step.Needs.ShareOf(d.pooled(j.Queue.Pool)))
+	return max(shortest, minimalWait) + rest, 0
+}
+
+func (j *job) stepExpected(step *Step) time.Duration {
+	for i := range j.Steps {
+		if &j.Steps[i] == step {
+			return j.steps[i].expected
+		}
+	}
+	return 0
+}
+
+// pooled returns the capacity of all workers of a pool that take work.
+func (d *Dispatcher) pooled(pool string) work.Needs {
+	var total work.Needs
+	for _, w := range d.order {
+		if w.isUp && w.load.Accepts && w.Pool == pool {
+			total = total.Plus(w.Capacity)
+		}
+	}
+	return total
+}
+
+// CallerLeft takes one caller of a job away. Without any caller the job is stopped.
+func (d *Dispatcher) CallerLeft(now time.Duration, id string) {
+	j := d.jobs[id]
+	if j == nil {
+		return
+	}
+	j.waiters--
+	if j.waiters <= 0 {
+		d.abandon(now, j, GivenUp, CallerGone)
+	}
+}
+
+// Cancel stops a job here and, through the sidecars, wherever it runs. It reports whether the job was known here.
+func (d *Dispatcher) Cancel(now time.Duration, id string) bool {
+	j := d.jobs[id]
+	for _, w := range d.order {
+		if w.isUp {
+			w.frame.CancelledJobs = append(w.frame.CancelledJobs, id)
+		}
+	}
+	d.abandon(now, j, JobCancelled, Requested)
+	return j != nil
+}
+
+// abandon answers a job before it is done, and stops its tasks.
+func (d *Dispatcher) abandon(now time.Duration, j *job, result Result, cause Cause) {
+	if j == nil {
+		return
+	}
+	for _, t := range j.tasks {
+		if t.state == offered || t.state == started {
+			w := d.workers[t.worker]
+			w.frame.Stops = append(w.frame.Stops, t.id())
+		}
+	}
+	if result == GivenUp && !j.hasRun() {
+		result = Refused
+	}
+	d.answer(now, j, Answer{Result: result, Cause: cause, RetryAfter: minRetryAfter})
+}
+
+// answer ends a job.
+func (d *Dispatcher) answer(now time.Duration, j *job, answer Answer) {
+	answer.Job, answer.Queue, answer.Trace = j.ID, j.Queue.Name, j.trace
+	answer.Trace.Took, answer.Trace.Objective = now-j.arrivedAt, j.objective-j.arrivedAt
+	d.effects.Answers = append(d.effects.Answers, answer)
+	if d.jobs[j.ID] != j {
+		return
+	}
+	delete(d.jobs, j.ID)
+	for _, t := range j.tasks {
+		delete(d.tasks, t.name)
+	}
+}
+
+func (d *Dispatcher) finishIfDone(now time.Duration, j *job) {
+	if j.isDone() {
+		d.answer(now, j, Answer{Result: Completed})
+	}
+}
--- /dev/null
+++ b/core/dispatch/types.go
@@ -0,0 +1,190 @@
+package dispatch
+
+import (
+	"time"
+
+	"flamingohall.example/core/work"
+)
+
+// Limits are the fixed times of a dispatcher.
+type Limits struct {
+	// Grant is how long what was offered may run on after this entry's last answer to a probe.
+	Grant time.Duration
+}
+
+// DefaultLimits agree with runner.DefaultLimits: the grant, the slow rate of the worker's clock, and a stop's time.
+var DefaultLimits = Limits{Grant: 1100 * time.Millisecond}
+
+// Submission is one job as its caller sent it.
+type Submission struct {
+	// ID is unique among the jobs of the system; the same ID names the same job.
+	ID    string
+	Queue Queue
+	Spec  string
+	Steps []Step
+	// Patience is how long the caller waits for the answer; 0 for no bound.
+	Patience time.Duration
+}
+
+// Queue is a catalogue entry as far as it matters to its jobs.
+type Queue struct {
+	Name string
+	// Pool names the workers that run the tasks.
+	Pool string
+	// Priority 0 comes first.
+	Priority int
+	// Attempts bounds the runs of one task that may fail.
+	Attempts int
+	// Slack and Target give the time in which a job should end: Slack times its longest chain of work, and Target.
+	Slack  float64
+	Target time.Duration
+}
+
+// Step is a set of equal tasks.
+type Step struct {
+	Count int
+	Needs work.Needs
+	// Expected is a rough estimate of one task's run time.
+	Expected time.Duration
+	// After lists earlier steps that must be done first.
+	After []int
+	// Label must be among the worker's labels; empty for any worker.
+	Label string
+	// DataRack is the label of the rack on which the tasks run fastest.
+	DataRack string
+	// MaxPerWorker bounds the tasks of the step on one worker; 0 for no bound.
+	MaxPerWorker int
+}
+
+// Result is how a job ended.
+type Result uint8
+
+// Results of jobs.
+const (
+	// Completed means that every task is done.
+	Completed Result = iota + 1
+	// JobFailed means that a task has failed as often as its queue allows.
+	JobFailed
+	// Refused means that nothing of the job ran or will run.
+	Refused
+	// GivenUp means that the job can't end in time. Some of it may have run, and may be run again.
+	GivenUp
+	// JobCancelled was asked for.
+	JobCancelled
+)
+
+// String returns the result's name in logs.
+func (r Result) String() string {
+	names := [...]string{"none", "completed", "failed", "refused", "given up", "cancelled"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
+
+// Cause says why a job was refused or given up.
+type Cause uint8
+
+// Causes.
+const (
+	// NoWorkers means that no worker of the pool can be reached.
+	NoWorkers Cause = iota + 1
+	// Overloaded means that the work would wait too long.
+	Overloaded
+	// TooLarge means that no worker is large enough for a task.
+	TooLarge
+	// DeadlinePassed means that the caller's time is over, or can't be met any more.
+	DeadlinePassed
+	// TaskFailed means that the task itself failed.
+	TaskFailed
+	// CallerGone means that the caller has closed its connection.
+	CallerGone
+	// Stopping means that this entry is about to end.
+	Stopping
+	// Requested means that a cancel was asked for.
+	Requested
+)
+
+// String returns the cause's name in logs.
+func (c Cause) String() string {
+	names := [...]string{
+		"none", "no workers", "overloaded", "too large", "deadline passed", "task failed", "caller gone", "stopping",
+		"requested",
+	}
+	if int(c) < len(names) {
+		return names[c]
+	}
+	return "unknown"
+}
+
+// Answer is the end of a job.
+type Answer struct {
+	Job    string
+	Queue  string
+	Result Result
+	Cause  Cause
+	// RetryAfter is when the caller may come back, if the job was refused.
+	RetryAfter time.Duration
+	Trace      Trace
+}
+
+// Trace sums a job up for the log.
+type Trace struct {
+	Tasks int
+	// Waited is the time until the last first start, Took the time until the answer.
+	Waited time.Duration
+	Took   time.Duration
+	// Objective is the time in which the job should have ended.
+	Objective time.Duration
+	// Offers and Failures count over all tasks.
+	Offers   int
+	Failures int
+	// PredictedWait was the longest wait expected when the job came.
+	PredictedWait time.Duration
+	// Worker is the one whose task ended last or failed.
+	Worker string
+}
+
+// Effects are what the dispatcher wants done.
+type Effects struct {
+	Frames  []Frame
+	Answers []Answer
+	Notes   []Note
+}
+
+// Frame goes to one worker's sidecar.
+type Frame struct {
+	Worker string
+	work.ToSidecar
+}
+
+// Note is one decision for the log.
+type Note struct {
+	Kind NoteKind
+	work.RunID
+	Worker string
+	Reason string
+	// Age is how old the worker's load was.
+	Age time.Duration
+}
+
+// NoteKind says what was decided.
+type NoteKind uint8
+
+// Kinds of notes.
+const (
+	// OfferTurnedDown means that a sidecar refused an offer.
+	OfferTurnedDown NoteKind = iota + 1
+	// RunEndedBadly means that a run failed, stalled or was lost.
+	RunEndedBadly
+	// SessionLost means that a sidecar is out of reach; its tasks wait until they are over for certain.
+	SessionLost
+	// SessionFound means that a sidecar is in reach.
+	SessionFound
+	// WorkerSetAside means that a worker fails work that succeeds elsewhere.
+	WorkerSetAside
+	// WorkerOnTrial means that a worker set aside gets a little work again.
+	WorkerOnTrial
+	// WorkerTrusted means that a trial succeeded.
+	WorkerTrusted
+)
--- /dev/null
+++ b/core/runner/advance.go
@@ -0,0 +1,202 @@
+package runner
+
+import (
+	"time"
+
+	"flamingohall.example/core/work"
+)
+
+const (
+	// loadPeriod is the least time between two loads told to an entry that has nothing else to hear.
+	loadPeriod = 25 * time.Millisecond
+	// minGrant is the least rest of a grant under which a task is started.
+	minGrant = 300 * time.Millisecond
+	// maxSilence is how long the worker may be silent and still get new tasks.
+	maxSilence = 2 * idleHold
+	// StartTimeout and StopTimeout are how long an answer of the worker may take. A stop may be repeated at no cost,
+	// and must be through before a grant ends.
+	StartTimeout = 300 * time.Millisecond
+	StopTimeout  = 100 * time.Millisecond
+	// HoldTimeout is how long an answer of the worker to a Hold may take.
+	HoldTimeout = holdWait + 300*time.Millisecond
+)
+
+// Advance does what is due at a time and fills the frames.
+func (r *Runner) Advance(now time.Duration) {
+	r.worker.silence = now - r.worker.heardAt
+	r.endGrants(now)
+	for _, one := range r.sorted() {
+		r.advanceRun(now, one)
+	}
+	if r.isBusy() && r.lapsed(now) {
+		r.loseOrdered(now)
+	}
+	r.startQueued(now)
+	r.sendStops(now)
+	r.sendHold(now)
+	r.fillFrames(now)
+}
+
+// isBusy reports whether anything may run at the worker.
+func (r *Runner) isBusy() bool {
+	for _, one := range r.runs {
+		if one.takesRoom() {
+			return true
+		}
+	}
+	return false
+}
+
+// loseOrdered gives up everything whose lease has lapsed.
+func (r *Runner) loseOrdered(now time.Duration) {
+	for _, one := range r.sorted() {
+		if one.takesRoom() {
+			r.lose(now, one)
+		}
+	}
+}
+
+func (r *Runner) advanceRun(now time.Duration, one *run) {
+	if one.state == queued && now-one.arrivedAt > time.Duration(one.StartWithinMS)*time.Millisecond {
+		r.turnDown(one, work.Expired)
+		return
+	}
+	r.stopStalled(now, one)
+}
+
+// endGrants stops the tasks of entries that do not answer, and closes their sessions.
+func (r *Runner) endGrants(now time.Duration) {
+	for id, s := range r.sessions {
+		if now < s.answeredAt+r.limits.Grant-r.limits.StopAhead {
+			continue
+		}
+		r.note(Note{Kind: GrantEnded, Session: id, Reason: s.entry})
+		r.effects.Close = append(r.effects.Close, id)
+		r.Closed(now, id)
+	}
+}
+
+// mayStart reports whether the worker gets new tasks.
+func (r *Runner) mayStart(now time.Duration) bool {
+	w := &r.worker
+	return w.accepts() && !r.draining && now >= w.restUntil && w.silence < maxSilence
+}
+
+// startQueued orders what fits, those with the least slack first.
+func (r *Runner) startQueued(now time.Duration) {
+	if !r.mayStart(now) {
+		return
+	}
+	free := r.free()
+	for _, one := range r.sorted() {
+		if one.state != queued || now < one.retryAt || !one.Needs.FitsIn(free) {
+			continue
+		}
+		if !one.owner.hasAnswered || one.owner.answeredAt+r.limits.Grant-now < minGrant {
+			continue
+		}
+		free = free.Minus(one.Needs)
+		one.state, one.changedAt = ordered, now
+		r.worker.nextHold = min(r.worker.nextHold, now)
+		r.effects.Starts = append(r.effects.Starts, Start{
+			Order: r.order(now), RunID: one.RunID, Spec: one.Spec, Checkpoint: one.Offer.Checkpoint,
+		})
+	}
+}
+
+// free returns what no run may be using.
+func (r *Runner) free() work.Needs {
+	free := r.worker.Capacity
+	for _, one := range r.runs {
+		if one.takesRoom() {
+			free = free.Minus(one.Needs)
+		}
+	}
+	return free
+}
+
+// never is a time that does not come.
+const never = time.Duration(1<<63 - 1)
+
+func (r *Runner) sendStops(now time.Duration) {
+	for _, one := range r.sorted() {
+		if one.state != stopping || now < one.retryAt {
+			continue
+		}
+		one.retryAt = never
+		r.effects.Stops = append(r.effects.Stops, Stop{Order: r.order(now), RunID: one.RunID})
+	}
+}
+
+func (r *Runner) sendHold(now time.Duration) {
+	w := &r.worker
+	if !w.known || w.holding || now < w.nextHold {
+		return
+	}
+	var wait time.Duration
+	if r.isBusy() && !r.awaitsConfirmation() {
+		wait = holdWait
+	}
+	w.holdNumber++
+	w.holding, w.hasNews, w.holdSentAt = true, false, now
+	r.effects.Hold = &Hold{Order: r.order(now), Number: w.holdNumber, Confirmed: w.confirmed, Wait: wait}
+}
+
+// awaitsConfirmation reports whether a stopped run waits for the next report.
+func (r *Runner) awaitsConfirmation() bool {
+	for _, one := range r.runs {
+		if one.state == stopped {
+			return true
+		}
+	}
+	return false
+}
+
+// fillFrames adds probes, the worker's record and the load, and hands the frames out.
+func (r *Runner) fillFrames(now time.Duration) {
+	load := r.load(now)
+	for id, s := range r.sessions {
+		r.fillFrame(now, s, load)
+		if isEmpty(&s.frame) {
+			continue
+		}
+		r.effects.Frames = append(r.effects.Frames, Frame{Session: id, ToEntry: s.frame})
+		s.frame = work.ToEntry{}
+	}
+}
+
+func (r *Runner) fillFrame(now time.Duration, s *session, load work.Load) {
+	if now >= s.nextProbe {
+		r.nextProbe++
+		s.probes[r.nextProbe] = now
+		s.frame.Probe, s.nextProbe = r.nextProbe, now+r.limits.Probe
+	}
+	if r.worker.known && !s.knowsWorker {
+		known := r.worker.Worker
+		s.frame.Worker, s.knowsWorker = &known, true
+	}
+	load.Through = s.through
+	isDue := load.Accepts != s.toldLoad.Accepts || now >= s.toldAt+loadPeriod
+	if load != s.toldLoad && (isDue || !isEmpty(&s.frame)) {
+		s.frame.Load = &load
+		s.toldLoad, s.toldAt = load, now
+	}
+}
+
+func isEmpty(frame *work.ToEntry) bool {
+	return frame.Probe == 0 && frame.Worker == nil && frame.Load == nil && len(frame.Started) == 0 &&
+		len(frame.Ended) == 0 && len(frame.Refused) == 0 && len(frame.CancelledJobs) == 0
+}
+
+// load returns how busy the worker is.
+func (r *Runner) load(now time.Duration) work.Load {
+	load := work.Load{Accepts: r.mayStart(now)}
+	for _, one := range r.runs {
+		load.Committed = load.Committed.Plus(one.Needs)
+		if one.state == queued {
+			load.Waiting++
+		}
+	}
+	load.WaitMS = r.expectedWait(now).Milliseconds()
+	return load
+}
--- /dev/null
+++ b/core/runner/report.go
@@ -0,0 +1,147 @@
+package runner
+
+import (
+	"time"
+
+	"flamingohall.example/core/work"
+)
+
+const (
+	// lostAfter is how many reports in a row must lack a run before it counts as gone.
+	lostAfter = 2
+	// stallFactor and stallSlack bound how long a run without progress may take beyond what is expected of it.
+	stallFactor = 3
+	stallSlack  = 500 * time.Millisecond
+	// stallPause is how long the progress must have stood still.
+	stallPause = 700 * time.Millisecond
+)
+
+// Reported takes the answer to a Hold in.
+func (r *Runner) Reported(now time.Duration, report *Report) {
+	w := &r.worker
+	if report.Number != w.holdNumber || !w.holding {
+		return
+	}
+	w.holding = false
+	w.nextHold = now
+	switch report.Answer {
+	case Accepted:
+	case ConnectionRefused:
+		w.nextHold = now + holdPause
+		r.leave(now)
+		return
+	case Fenced:
+		r.raiseFence()
+		return
+	case NoAnswer, Outrun, LeasePassed, NoRoom, Unreadable, Unhealthy, WrongIncarnation:
+		w.nextHold = now + holdPause
+		return
+	}
+	w.gone = false
+	r.read(now, report.Reading)
+	r.takeEnds(now, report)
+	r.takeRunning(now, report)
+	if !w.hasNews && len(r.runs) == 0 {
+		w.nextHold = now + idleHold
+	}
+}
+
+func (r *Runner) takeEnds(now time.Duration, report *Report) {
+	w := &r.worker
+	for i := range report.Ended {
+		listed := &report.Ended[i]
+		if listed.Number <= w.confirmed {
+			continue
+		}
+		w.confirmed, w.hasNews = listed.Number, true
+		one := r.runs[listed.Task]
+		if one == nil || one.Run != listed.Run || one.state == queued {
+			continue
+		}
+		if listed.Checkpoint != "" {
+			one.checkpoint = listed.Checkpoint
+		}
+		outcome := listed.Outcome
+		if outcome == work.Stopped && one.outcome != 0 {
+			outcome = one.outcome
+		}
+		if !one.wasStarted {
+			one.wasStarted, one.startedAt = true, one.changedAt
+		}
+		r.end(now, one, outcome)
+	}
+}
+
+func (r *Runner) takeRunning(now time.Duration, report *Report) {
+	listed := make(map[work.RunID]bool, len(report.Running))
+	for i := range report.Running {
+		found := &report.Running[i]
+		listed[found.RunID] = true
+		r.takeProgress(now, found)
+	}
+	for _, one := range r.sorted() {
+		if listed[one.RunID] {
+			one.absences = 0
+			continue
+		}
+		r.missing(now, one, report)
+	}
+}
+
+func (r *Runner) takeProgress(now time.Duration, found *Listed) {
+	one := r.runs[found.Task]
+	if one == nil || one.Run != found.Run {
+		r.note(Note{Kind: RunUnknown, RunID: found.RunID})
+		r.effects.Stops = append(r.effects.Stops, Stop{
+			Order: Order{Incarnation: r.worker.Incarnation, Fence: r.worker.fence}, RunID: found.RunID,
+		})
+		return
+	}
+	if found.Checkpoint != "" {
+		one.checkpoint = found.Checkpoint
+	}
+	if found.Percent != one.percent {
+		one.percent, one.progressAt = found.Percent, now
+	}
+	if one.state == ordered {
+		r.confirmStart(now, one)
+	}
+}
+
+// missing handles a run that the report does not list as running. Ends are taken in before.
+func (r *Runner) missing(now time.Duration, one *run, report *Report) {
+	switch one.state {
+	case queued, ordered, stopping:
+	case running:
+		if report.Number < one.confirmedBy {
+			return
+		}
+		one.absences++
+		if one.absences >= lostAfter {
+			r.lose(now, one)
+		}
+	case stopped:
+		if report.Number < one.confirmedBy {
+			return
+		}
+		if one.wasStarted {
+			r.end(now, one, one.outcome)
+			return
+		}
+		// The order was never carried out, and the stop keeps it from being so later.
+		r.turnDown(one, work.Unanswered)
+	}
+}
+
+// stopStalled stops runs whose progress stands still well beyond what is expected of them.
+func (r *Runner) stopStalled(now time.Duration, one *run) {
+	expected := time.Duration(one.ExpectedMS) * time.Millisecond
+	if one.state != running || one.ExpectedMS == 0 || now-one.startedAt < stallFactor*expected+stallSlack {
+		return
+	}
+	if now-one.progressAt < stallPause || r.worker.silence > stallPause {
+		return
+	}
+	r.note(Note{Kind: RunStalled, RunID: one.RunID, Session: one.session})
+	r.stop(now, one, work.Stalled)
+}
