Let the highest version win, and control VMs form and heal without an operator

A catalogue change may carry a version instead of a base revision. Entries may have an address and pools may be declared. Control VMs find the group through seeds, stand by as learners beyond a number of voters, and take the place of a voter that has been silent for 1.5 s.

--- a/core/catalogue/document.go
+++ b/core/catalogue/document.go
@@ -31,13 +31,22 @@
 	// MaxDeadlineMS bounds an entry's default deadline, in milliseconds.
 	MaxDeadlineMS = 15 * 60 * 1000
 	// MaxAttempts bounds the tries of one task.
-	MaxAttempts = 10
+	MaxAttempts = 1000
 )
 
 // Document is one revision of the catalogue.
 type Document struct {
 	Owners  []Owner `json:"owners"`
 	Entries []Entry `json:"entries"`
+	// Pools lists the sets of workers that entries may name. Without it entries may name any.
+	Pools []Pool `json:"pools,omitempty"`
+	// Source is the text that the document was made from, if another system's. It is kept and not read.
+	Source string `json:"source,omitempty"`
+}
+
+// Pool is a set of workers.
+type Pool struct {
+	Name string `json:"name"`
 }
 
 // Owner is a team with a share and a quota.
@@ -72,6 +81,18 @@
 	// Attempts bounds the starts of one repeatable task; it defaults to 3.
 	Attempts  int       `json:"attempts,omitempty"`
 	Objective Objective `json:"objective"`
+	// Address is where callers reach the entry; nil when they name it.
+	Address *Address `json:"address,omitempty"`
+	// Priority 0 comes first.
+	Priority int `json:"priority,omitempty"`
+}
+
+// Address is a place in the namespace of HTTP requests.
+type Address struct {
+	// Host is compared without regard to case and without the port.
+	Host string `json:"host"`
+	// Prefix is what paths begin with. The longest one wins.
+	Prefix string `json:"prefix"`
 }
 
 // Objective is the service level that the entry promises.
@@ -80,6 +101,8 @@
 	LatencyMS int `json:"latency_ms"`
 	// Ratio is the share of submissions that must be good, between 0 and 1.
 	Ratio float64 `json:"ratio"`
+	// Slack is added to LatencyMS as a multiple of the work that a submission takes on workers that are idle.
+	Slack float64 `json:"slack,omitempty"`
 }
 
 // Default values of optional fields.
@@ -166,17 +189,45 @@
 		problems = append(problems, owner.check(owners)...)
 		owners[owner.Name] = true
 	}
+	pools := map[string]bool{}
+	for _, pool := range d.Pools {
+		if pools[pool.Name] || pool.Name == "" {
+			problems = append(problems, fmt.Sprintf("pool %q stands twice or has no name", pool.Name))
+		}
+		pools[pool.Name] = true
+	}
 	entries := map[string]bool{}
+	addresses := map[Address]string{}
 	for _, entry := range d.Entries {
 		if entries[entry.Name] {
 			problems = append(problems, fmt.Sprintf("entry %q stands twice", entry.Name))
 		}
 		entries[entry.Name] = true
 		problems = append(problems, entry.check(owners)...)
+		if len(d.Pools) > 0 && !pools[entry.Pool] {
+			problems = append(problems, fmt.Sprintf("entry %q: pool %q is not declared", entry.Name, entry.Pool))
+		}
+		problems = append(problems, entry.checkAddress(addresses)...)
 	}
 	return problems
 }
 
+// checkAddress notes the entry's address among those of the entries before.
+func (e Entry) checkAddress(taken map[Address]string) []string {
+	if e.Address == nil {
+		return nil
+	}
+	if e.Address.Host == "" || !strings.HasPrefix(e.Address.Prefix, "/") {
+		return []string{fmt.Sprintf("entry %q: address needs a host and a prefix that begins with /", e.Name)}
+	}
+	address := Address{Host: strings.ToLower(e.Address.Host), Prefix: e.Address.Prefix}
+	if other, found := taken[address]; found {
+		return []string{fmt.Sprintf("entry %q: address %s%s is that of entry %q", e.Name, address.Host, address.Prefix, other)}
+	}
+	taken[address] = e.Name
+	return nil
+}
+
 func (o Owner) check(earlier map[string]bool) []string {
 	var problems []string
 	if o.Name == "" {
@@ -232,6 +283,9 @@
 	if e.Slots < 1 || e.Cores < 0 || e.MemoryMB < 0 || e.Accelerators < 0 {
 		fail("needs can't be negative, and slots must be 1 or more")
 	}
+	if e.Priority < 0 || e.Objective.Slack < 0 {
+		fail("priority and objective.slack can't be negative")
+	}
 	if e.Objective.LatencyMS < 1 || e.Objective.Ratio <= 0 || e.Objective.Ratio >= 1 {
 		fail("objective needs latency_ms of 1 or more and a ratio between 0 and 1")
 	}
--- a/core/catalogue/store.go
+++ b/core/catalogue/store.go
@@ -25,8 +25,11 @@
 	ChangeID string `cbor:"id"`
 	// BaseRevision must be the current revision for the change to apply.
 	BaseRevision uint64 `cbor:"base"`
-	Document     []byte `cbor:"doc"`
-	Author       string `cbor:"by"`
+	// Version, when it is not 0, replaces the rule of BaseRevision: the change applies if Version is above the current
+	// revision, which it then becomes, and otherwise changes nothing. ChangeID is not looked at.
+	Version  uint64 `cbor:"version,omitempty"`
+	Document []byte `cbor:"doc"`
+	Author   string `cbor:"by"`
 }
 
 // Answer tells what became of a change.
@@ -101,6 +104,9 @@
 // Apply answers a change: compare-and-set on BaseRevision, or the first answer to a resend. The error is
 // ErrChangeIDReused.
 func (s *Store) Apply(change Change, nowMS int64) (Answer, error) {
+	if change.Version != 0 {
+		return s.applyVersion(change, nowMS), nil
+	}
 	digest := change.digest()
 	if position, known := s.byChange[change.ChangeID]; known {
 		first := s.answers[position-s.dropped]
@@ -124,6 +130,21 @@
 	return answer, nil
 }
 
+// applyVersion lets the highest version win. A resend needs no memory: it is not above the version that it made.
+func (s *Store) applyVersion(change Change, nowMS int64) Answer {
+	isApplied := change.Version > s.Current().Number
+	if isApplied {
+		s.append(Revision{
+			Number: change.Version, ChangeID: change.ChangeID, Author: change.Author,
+			AppliedUnixMS: nowMS, Document: change.Document,
+		})
+	}
+	current := s.Current()
+	return Answer{
+		Applied: isApplied, Revision: current.Number, ChangedBy: current.Author, ChangeID: current.ChangeID,
+	}
+}
+
 func (s *Store) append(revision Revision) {
 	s.revisions = append(s.revisions, revision)
 	s.documentBytes += len(revision.Document)
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -60,12 +60,27 @@
 			}
 			return
 		}
+		if r.config.Voters > 0 && len(current.Voters()) >= r.config.Voters {
+			r.removeSilentVoter()
+			return
+		}
 		member.Learner = false
 		_, _, _ = r.proposeConfiguration(current.With(member))
 		return
 	}
 }
 
+// removeSilentVoter makes room for a learner that has caught up.
+func (r *Replica) removeSilentVoter() {
+	for _, id := range r.log.configuration().Voters() {
+		p := r.leading.members[id]
+		if id != r.config.ID && p != nil && r.now-p.ackedTick >= r.config.SilentTicks {
+			_, _, _ = r.Remove(id)
+			return
+		}
+	}
+}
+
 // isHeard reports whether the member answered within an election timeout.
 func (r *Replica) isHeard(id ID) bool {
 	if id == r.config.ID {
--- a/core/raft/replica.go
+++ b/core/raft/replica.go
@@ -53,6 +53,11 @@
 	// KeepBytes bounds the size of these entries.
 	KeepBytes int
 
+	// Voters is how many members are to count; 0 lets every learner that has caught up count.
+	Voters int
+	// SilentTicks is how long a voter may be silent before a learner takes its place, if there are Voters of them.
+	SilentTicks uint64
+
 	// Tests switch safeguards off to show that they are needed.
 	withoutPreVote     bool
 	withoutCheckQuorum bool
--- a/node/control/group.go
+++ b/node/control/group.go
@@ -37,6 +37,7 @@
 	return replica.New(replica.Options{
 		ID: file.Node.ID, Address: file.Node.Advertise, DataCentre: file.Node.DataCentre,
 		DataFolder: file.Control.DataFolder, InitialMembers: file.Control.InitialMembers,
+		Seeds: file.Control.Seeds, Voters: file.Control.Voters,
 		SnapshotEvery: file.Control.SnapshotEvery, Machine: m, Logger: logger, Metrics: metrics.NewRole("replica", file.Node.ID),
 	})
 }
--- a/node/controlclient/follower.go
+++ b/node/controlclient/follower.go
@@ -19,8 +19,8 @@
 
 // Times of the follower's loop.
 const (
-	// Hold is how long a control VM may hold a poll when nothing changes.
-	Hold = 5 * time.Second
+	// DefaultHold is how long a control VM may hold a poll when nothing changes, unless the options say otherwise.
+	DefaultHold = 5 * time.Second
 	// answerSlack is what an answer may take beyond the hold before the connection counts as silent.
 	answerSlack = time.Second
 	// firstAnswer is how long the first answer of a control VM may take.
@@ -48,6 +48,9 @@
 	Logger        logr.Logger
 	// Metrics receives control_messages and control_bytes.
 	Metrics *metrics.Role
+	// Hold is how long a control VM may hold a poll when nothing changes; DefaultHold when 0. It bounds how long a
+	// connection may be silent before another one is tried.
+	Hold time.Duration
 	// HTTP replaces the follower's own client; control_bytes then counts message bodies only.
 	HTTP *http.Client
 }
@@ -80,6 +83,9 @@
 	if options.Metrics == nil {
 		options.Metrics = metrics.NewRole("follower", options.Self().GetId())
 	}
+	if options.Hold == 0 {
+		options.Hold = DefaultHold
+	}
 	shared := newPool(options)
 	return &Follower{
 		options: options, pool: shared, caller: &caller{pool: shared},
@@ -233,7 +239,7 @@
 // request returns the next poll. The record is left out while its number stands for it.
 func (f *Follower) request() *rpc.SyncRequest {
 	request := &rpc.SyncRequest{
-		HoldMs:    Hold.Milliseconds(),
+		HoldMs:    f.options.Hold.Milliseconds(),
 		WantNodes: f.options.WantNodes, WantCatalogue: f.options.WantCatalogue, AddressesDigest: f.addressesDigest,
 	}
 	self := f.options.Self()
--- a/node/controlclient/follower_test.go
+++ b/node/controlclient/follower_test.go
@@ -205,7 +205,7 @@
 			t.Fatalf("first view %+v", view)
 		}
 		h.follower.pool.rotate(h.follower.pool.current())
-		time.Sleep(2 * Hold)
+		time.Sleep(2 * DefaultHold)
 		if view := h.follower.View(); view.Index != 12 || view.Revision != 3 {
 			t.Fatalf("later view %+v", view)
 		}
--- a/node/replica/group.go
+++ b/node/replica/group.go
@@ -26,6 +26,8 @@
 	TickPeriod     = 50 * time.Millisecond
 	heartbeatTicks = 3
 	electionTicks  = 10
+	// silentTicks is how long a member may be silent before one that stands by takes its place.
+	silentTicks = 30
 
 	maxAppendBytes = 512 << 10
 	maxInflight    = 64
@@ -62,6 +64,12 @@
 	DataFolder string
 	// InitialMembers found a new group together. It is empty on a VM that joins later.
 	InitialMembers []settings.Member
+	// Seeds are host:port pairs at which this VM looks for the group when it belongs to none or was removed. Without
+	// them an operator adds VMs.
+	Seeds []string
+	// Voters is how many members are to count; 0 lets all count. Further ones stand by and take the place of a member
+	// that is silent.
+	Voters int
 	// SnapshotEvery is the number of applied entries between snapshots.
 	SnapshotEvery int
 	Machine       Machine
@@ -194,7 +202,7 @@
 	core, err := raft.New(raft.Config{
 		ID: g.id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: uint64(g.id),
 		MaxAppendBytes: maxAppendBytes, MaxInflight: maxInflight, ChunkBytes: chunkBytes, KeepEntries: keepEntries,
-		KeepBytes: keepBytes,
+		KeepBytes: keepBytes, Voters: g.options.Voters, SilentTicks: silentTicks,
 	}, restart)
 	if err != nil {
 		return err
--- a/node/replica/members.go
+++ b/node/replica/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,6 +25,8 @@
 	remove bool
 	// replace lets the member take the place of a silent one of the same name, and of no other.
 	replace bool
+	// join lets the member become a learner, in the place of a silent one of the same name if there is one.
+	join bool
 }
 
 // ChangeMember adds or removes a member, one at a time. An added VM must run; it learns the log and the call returns
@@ -60,7 +63,7 @@
 // sendChange asks the VM at the address for the change. One that does not lead names the leader's address.
 func (g *Group) sendChange(ctx context.Context, address string, change memberChange) (leader string, err error) {
 	response, err := g.calls.line(address).client().ChangeReplica(ctx, &rpc.ChangeReplicaRequest{
-		Member: raftwire.Member(change.member), Remove: change.remove, Replace: change.replace,
+		Member: raftwire.Member(change.member), Remove: change.remove, Replace: change.replace, Join: change.join,
 	})
 	switch {
 	case isDialError(err):
@@ -139,7 +142,7 @@
 	hasNamesake := false
 	for _, member := range view.Members {
 		if member.ID == change.member.ID {
-			return isCommitted && (!member.Learner || change.replace), nil
+			return isCommitted && (!member.Learner || change.replace || change.join), nil
 		}
 		if member.Name != change.member.Name {
 			continue
@@ -150,7 +153,7 @@
 				"member %q is alive at %s", member.Name, member.Address)
 		}
 	}
-	if change.replace && !hasNamesake {
+	if change.replace && !change.join && !hasNamesake {
 		return false, fault.New(fault.NotFound, `run "flamingohall members add"`,
 			"no member is named %q", change.member.Name)
 	}
@@ -212,14 +215,15 @@
 	waitingRounds = 50
 )
 
-// bootstrapLoop runs until the data folder belongs to a group.
+// bootstrapLoop runs until the data folder belongs to a group and, with Options.Seeds, as long as the process: a VM that
+// was removed while it was away joins again.
 func (g *Group) bootstrapLoop(ctx context.Context) {
-	for tries := 1; g.view.Load().Group == 0; tries++ {
-		if err := g.bootstrap(ctx); err != nil {
+	for tries := 1; g.view.Load().Group == 0 || len(g.options.Seeds) > 0; tries++ {
+		if err := g.seekGroup(ctx); err != nil {
 			g.stopWith(err)
 			return
 		}
-		if tries == waitingRounds {
+		if tries == waitingRounds && g.view.Load().Group == 0 {
 			events.ReplicaWaiting.Log(g.options.Logger)
 		}
 		timer := time.NewTimer(bootstrapPeriod)
@@ -232,6 +236,44 @@
 	}
 }
 
+// seekGroup founds or joins a group if this VM belongs to none, and joins again if it was removed.
+func (g *Group) seekGroup(ctx context.Context) error {
+	if g.view.Load().Group == 0 {
+		if err := g.bootstrap(ctx); err != nil || g.isInitial() {
+			return err
+		}
+	}
+	if len(g.options.Seeds) == 0 || g.Status().Leader != "" {
+		return nil
+	}
+	return g.joinThroughSeeds(ctx)
+}
+
+// joinThroughSeeds asks the seeds, and the members that this VM knows, for the group.
+func (g *Group) joinThroughSeeds(ctx context.Context) error {
+	addresses := slices.Clone(g.options.Seeds)
+	for _, member := range g.view.Load().Members {
+		addresses = append(addresses, member.Address)
+	}
+	slices.Sort(addresses)
+	for _, address := range slices.Compact(addresses) {
+		if address == g.options.Address {
+			continue
+		}
+		found, err := g.whoIs(ctx, address)
+		own := g.view.Load().Group
+		if err != nil || found.GetGroup() == 0 || own != 0 && own != found.GetGroup() {
+			continue
+		}
+		if _, isMember := raftwire.ToConfiguration(found.GetConfiguration()).Find(g.id); isMember && own != 0 {
+			// The leader knows this VM, and an election is under way or this VM will hear of it.
+			return nil
+		}
+		return g.join(ctx, address, found)
+	}
+	return nil
+}
+
 // bootstrap founds a group when every initial member answers that it has none, and joins the group when one has. A VM
 // that lost its data folder therefore never founds a second group: somebody it needs belongs to the first.
 func (g *Group) bootstrap(ctx context.Context) error {
@@ -297,7 +339,7 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	// Any refusal leaves this VM waiting; the next round tries again.
-	change := memberChange{member: g.self(), replace: true}
+	change := memberChange{member: g.self(), replace: true, join: len(g.options.Seeds) > 0}
 	leader, _ := g.sendChange(ctx, address, change)
 	if leader != "" {
 		_, _ = g.sendChange(ctx, leader, change)
--- a/node/replica/service.go
+++ b/node/replica/service.go
@@ -92,6 +92,7 @@
 ) (*rpc.ChangeReplicaResponse, error) {
 	change := memberChange{
 		member: raftwire.ToMember(request.GetMember()), remove: request.GetRemove(), replace: request.GetReplace(),
+		join: request.GetJoin(),
 	}
 	err := s.group.changeHere(ctx, change)
 	if errors.Is(err, errNotLeader) {
--- a/node/settings/control.go
+++ b/node/settings/control.go
@@ -9,6 +9,10 @@
 	// InitialMembers are the control VMs of a new system. A VM that joins later leaves it empty and is added with
 	// "flamingohall members add".
 	InitialMembers []Member `json:"initial_members"`
+	// Seeds are host:port pairs at which this VM looks for the group by itself, when it belongs to none or was removed.
+	Seeds []string `json:"seeds"`
+	// Voters is how many control VMs are to count; 0 lets all count. Further ones take the place of silent ones.
+	Voters int `json:"voters"`
 	// SnapshotEvery is the number of log records between snapshots.
 	SnapshotEvery int `json:"snapshot_every"`
 	// TargetLeaseMS is how long a node counts as alive after its last message, in milliseconds.
@@ -40,6 +44,8 @@
 	c.between("/control/snapshot_every", k.SnapshotEvery, 1, maxSnapshotEvery)
 	c.between("/control/target_lease_ms", k.TargetLeaseMS, 1, maxTargetLeaseMS)
 	c.between("/control/initial_members", len(k.InitialMembers), 0, maxMembers)
+	c.between("/control/voters", k.Voters, 0, maxMembers)
+	c.addresses("/control/seeds", k.Seeds)
 	seen := map[string]bool{}
 	for i, member := range k.InitialMembers {
 		path := fmt.Sprintf("/control/initial_members/%d", i)
