--- /dev/null
+++ b/node/agent/report.go
@@ -0,0 +1,59 @@
+package agent
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"sync/atomic"
+
+	"flamingohall.example/core/runner"
+	"flamingohall.example/node/events"
+)
+
+// counters are read by the metrics.
+type counters struct {
+	starts    atomic.Int64
+	stops     atomic.Int64
+	holds     atomic.Int64
+	malformed atomic.Int64
+}
+
+func (a *Agent) publishGauges() {
+	role := a.options.Metrics
+	if role == nil {
+		return
+	}
+	role.Gauge("starts", func() any { return a.counters.starts.Load() })
+	role.Gauge("stops", func() any { return a.counters.stops.Load() })
+	role.Gauge("holds", func() any { return a.counters.holds.Load() })
+	role.Gauge("malformed_frames", func() any { return a.counters.malformed.Load() })
+}
+
+// log writes a decision of the core.
+func (a *Agent) log(note runner.Note) {
+	logger := a.options.Logger
+	age := note.Age.Milliseconds()
+	switch note.Kind {
+	case runner.RunRevoked:
+		events.RunRevoked.Log(logger, "task", note.Task, "run", note.Run, "entry", a.entryOf(note.Session), "age_ms", age)
+	case runner.RunUnknown:
+		events.RunUnknown.Log(logger, "task", note.Task, "run", note.Run, "age_ms", age)
+	case runner.RunLost:
+		events.RunLost.Log(logger, "task", note.Task, "run", note.Run, "entry", a.entryOf(note.Session), "age_ms", age)
+	case runner.RunStalled:
+		events.RunStalled.Log(logger, "task", note.Task, "run", note.Run, "entry", a.entryOf(note.Session), "age_ms", age)
+	case runner.OfferRefused:
+		events.OfferRefused.Log(logger, "task", note.Task, "run", note.Run, "entry", a.entryOf(note.Session),
+			"reason", note.Reason, "age_ms", age)
+	case runner.GrantEnded:
+		events.GrantEnded.Log(logger, "entry", note.Reason, "age_ms", age)
+	case runner.WorkerChanged:
+		events.WorkerChanged.Log(logger, "state", note.Reason, "age_ms", age)
+	}
+}
+
+// incarnation returns a name that no process ever had.
+func incarnation() string {
+	var drawn [8]byte
+	_, _ = rand.Read(drawn[:])
+	return hex.EncodeToString(drawn[:])
+}
--- /dev/null
+++ b/node/gateway/gateway.go
@@ -0,0 +1,248 @@
+// Package gateway is the runtime of an entry for jobs that are kept in memory while their callers wait: the loop around
+// dispatch.Dispatcher, and the sessions with sidecars.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/core/catalogue"
+	"flamingohall.example/core/dispatch"
+	"flamingohall.example/core/fault"
+	"flamingohall.example/node/boottime"
+	"flamingohall.example/node/controlclient"
+	"flamingohall.example/node/metrics"
+	"flamingohall.example/node/rpc"
+	"flamingohall.example/node/stream"
+	"flamingohall.example/node/workwire"
+)
+
+const (
+	// inputRing bounds what waits for the loop.
+	inputRing = 4096
+	// inputBatch bounds what the loop takes before it acts.
+	inputBatch = 256
+	// busyTick and idleTick are the longest times between two looks at the clock.
+	busyTick = 10 * time.Millisecond
+	idleTick = 100 * time.Millisecond
+)
+
+// Options describe an entry. All fields are required.
+type Options struct {
+	ID         string
+	DataCentre string
+	// Address is the host:port of this process's internal listener, for the registry.
+	Address string
+	// Control are the host:port pairs of control VMs.
+	Control []string
+	// ControlHold is the longest time that a control VM may hold a poll.
+	ControlHold time.Duration
+	Logger      logr.Logger
+	Metrics     *metrics.Role
+}
+
+// Gateway is the entry role of a process.
+type Gateway struct {
+	options  Options
+	follower *controlclient.Follower
+	core     *dispatch.Dispatcher
+	inputs   chan func(now time.Duration)
+	// callers and peers belong to the loop.
+	callers map[string][]chan dispatch.Answer
+	peers   map[string]*stream.Peer
+
+	counters counters
+	jobs     atomic.Int64
+	leaving  atomic.Bool
+	context  context.Context
+	cancel   context.CancelFunc
+	duties   sync.WaitGroup
+}
+
+// New returns a gateway that does nothing before Start.
+func New(options Options) *Gateway {
+	g := &Gateway{
+		options: options, core: dispatch.New(dispatch.DefaultLimits, options.DataCentre),
+		inputs: make(chan func(time.Duration), inputRing), callers: map[string][]chan dispatch.Answer{},
+		peers: map[string]*stream.Peer{},
+	}
+	record := &rpc.Node{
+		Id: options.ID, Role: rpc.Role_ROLE_ENTRY, Incarnation: incarnation(), DataCentre: options.DataCentre,
+		Address: options.Address,
+	}
+	g.follower = controlclient.NewFollower(controlclient.Options{
+		Addresses: options.Control, Self: func() *rpc.Node { return record }, WantNodes: true, WantCatalogue: true,
+		Logger: options.Logger, Metrics: options.Metrics, Hold: options.ControlHold,
+	})
+	g.publishGauges()
+	return g
+}
+
+// Register adds nothing: callers reach an entry through listeners of their own.
+func (g *Gateway) Register(*http.ServeMux) {}
+
+// Start starts the loops.
+func (g *Gateway) Start(ctx context.Context) error {
+	g.context, g.cancel = context.WithCancel(ctx)
+	g.follower.Start(g.context)
+	g.duties.Go(g.loop)
+	g.duties.Go(func() { (&roster{gateway: g, kept: map[string]*keptSession{}}).run(g.context) })
+	return nil
+}
+
+// Ready returns nil while the entry takes jobs.
+func (g *Gateway) Ready() error {
+	if g.leaving.Load() {
+		return fault.New(fault.Unavailable, "use another entry", "the entry is stopping")
+	}
+	return g.follower.Ready()
+}
+
+// Leave makes Ready fail. Jobs are still taken until Stop.
+func (g *Gateway) Leave() {
+	g.leaving.Store(true)
+}
+
+// Stop waits for the jobs under way until ctx ends, and ends the loops.
+func (g *Gateway) Stop(ctx context.Context) error {
+	g.Leave()
+	ticker := time.NewTicker(busyTick)
+	defer ticker.Stop()
+	for g.jobs.Load() > 0 && ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	g.cancel()
+	g.duties.Wait()
+	return nil
+}
+
+// Catalogue returns the catalogue in force, and false before the first one.
+func (g *Gateway) Catalogue() (catalogue.Document, bool) {
+	view := g.follower.View()
+	if view == nil || view.Revision == 0 {
+		return catalogue.Document{}, false
+	}
+	return view.Catalogue, true
+}
+
+// Submit hands a job in and returns its answer. When ctx ends first, the job loses this caller, and the answer is that
+// it was given up.
+func (g *Gateway) Submit(ctx context.Context, job dispatch.Submission) dispatch.Answer {
+	caller := make(chan dispatch.Answer, 1)
+	isIn := g.put(func(now time.Duration) {
+		g.callers[job.ID] = append(g.callers[job.ID], caller)
+		g.core.Submit(now, job)
+	})
+	if !isIn {
+		return dispatch.Answer{Job: job.ID, Queue: job.Queue.Name, Result: dispatch.Refused, Cause: dispatch.Stopping}
+	}
+	select {
+	case answer := <-caller:
+		return answer
+	case <-ctx.Done():
+	case <-g.context.Done():
+	}
+	g.put(func(now time.Duration) { g.core.CallerLeft(now, job.ID) })
+	return dispatch.Answer{Job: job.ID, Queue: job.Queue.Name, Result: dispatch.GivenUp, Cause: dispatch.CallerGone}
+}
+
+// Cancel stops a job wherever it runs. It reports whether the job was under way here.
+func (g *Gateway) Cancel(ctx context.Context, job string) bool {
+	known := make(chan bool, 1)
+	g.put(func(now time.Duration) { known <- g.core.Cancel(now, job) })
+	select {
+	case found := <-known:
+		return found
+	case <-ctx.Done():
+	case <-g.context.Done():
+	}
+	return false
+}
+
+// Pending returns how many of a queue's jobs have not begun here.
+func (g *Gateway) Pending(ctx context.Context, queue string) int {
+	counted := make(chan int, 1)
+	g.put(func(time.Duration) { counted <- g.core.Pending(queue) })
+	select {
+	case count := <-counted:
+		return count
+	case <-ctx.Done():
+	case <-g.context.Done():
+	}
+	return 0
+}
+
+// put hands an input to the loop, and reports whether it was taken.
+func (g *Gateway) put(input func(now time.Duration)) bool {
+	select {
+	case g.inputs <- input:
+		return true
+	case <-g.context.Done():
+		return false
+	}
+}
+
+// loop is the only goroutine that uses the core.
+func (g *Gateway) loop() {
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-g.context.Done():
+			return
+		case input := <-g.inputs:
+			input(boottime.Now())
+			g.drainInputs()
+		case <-timer.C:
+		}
+		g.core.Advance(boottime.Now())
+		g.carryOut(g.core.Effects())
+		g.jobs.Store(int64(g.core.Jobs()))
+		if g.core.Jobs() == 0 {
+			timer.Reset(idleTick)
+		} else {
+			timer.Reset(busyTick)
+		}
+	}
+}
+
+func (g *Gateway) drainInputs() {
+	for range inputBatch {
+		select {
+		case input := <-g.inputs:
+			input(boottime.Now())
+		default:
+			return
+		}
+	}
+}
+
+// carryOut sends what the core wants sent.
+func (g *Gateway) carryOut(effects dispatch.Effects) {
+	for i := range effects.Frames {
+		frame := &effects.Frames[i]
+		if peer := g.peers[frame.Worker]; peer != nil {
+			peer.Send(workwire.EncodeToSidecar(&frame.ToSidecar))
+		}
+	}
+	for i := range effects.Answers {
+		answer := effects.Answers[i]
+		for _, caller := range g.callers[answer.Job] {
+			caller <- answer
+		}
+		delete(g.callers, answer.Job)
+		g.counters.answered(&answer)
+		g.logAnswer(&answer)
+	}
+	for _, note := range effects.Notes {
+		g.log(note)
+	}
+}
--- /dev/null
+++ b/node/gateway/report.go
@@ -0,0 +1,97 @@
+package gateway
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"sync/atomic"
+
+	"flamingohall.example/core/dispatch"
+	"flamingohall.example/node/events"
+)
+
+// counters are read by the metrics.
+type counters struct {
+	completed atomic.Int64
+	failed    atomic.Int64
+	refused   atomic.Int64
+	givenUp   atomic.Int64
+	cancelled atomic.Int64
+	inTime    atomic.Int64
+	offers    atomic.Int64
+	malformed atomic.Int64
+}
+
+func (c *counters) answered(answer *dispatch.Answer) {
+	c.offers.Add(int64(answer.Trace.Offers))
+	switch answer.Result {
+	case dispatch.Completed:
+		c.completed.Add(1)
+		if answer.Trace.Took <= answer.Trace.Objective {
+			c.inTime.Add(1)
+		}
+	case dispatch.JobFailed:
+		c.failed.Add(1)
+	case dispatch.Refused:
+		c.refused.Add(1)
+	case dispatch.GivenUp:
+		c.givenUp.Add(1)
+	case dispatch.JobCancelled:
+		c.cancelled.Add(1)
+	}
+}
+
+func (g *Gateway) publishGauges() {
+	role := g.options.Metrics
+	if role == nil {
+		return
+	}
+	for name, counter := range map[string]*atomic.Int64{
+		"jobs_completed": &g.counters.completed, "jobs_failed": &g.counters.failed, "jobs_refused": &g.counters.refused,
+		"jobs_given_up": &g.counters.givenUp, "jobs_cancelled": &g.counters.cancelled,
+		"jobs_in_time": &g.counters.inTime, "offers": &g.counters.offers, "malformed_frames": &g.counters.malformed,
+		"jobs": &g.jobs,
+	} {
+		role.Gauge(name, func() any { return counter.Load() })
+	}
+}
+
+// logAnswer writes the one line that every job gets.
+func (g *Gateway) logAnswer(answer *dispatch.Answer) {
+	trace := &answer.Trace
+	events.JobEnded.Log(g.options.Logger, "job", answer.Job, "queue", answer.Queue, "result", answer.Result.String(),
+		"cause", answer.Cause.String(), "tasks", trace.Tasks, "offers", trace.Offers, "failures", trace.Failures,
+		"waited_ms", trace.Waited.Milliseconds(), "took_ms", trace.Took.Milliseconds(),
+		"objective_ms", trace.Objective.Milliseconds(), "predicted_wait_ms", trace.PredictedWait.Milliseconds(),
+		"worker", trace.Worker)
+}
+
+// log writes a decision of the core.
+func (g *Gateway) log(note dispatch.Note) {
+	logger := g.options.Logger
+	age := note.Age.Milliseconds()
+	switch note.Kind {
+	case dispatch.OfferTurnedDown:
+		events.OfferDeclined.Log(logger, "task", note.Task, "run", note.Run, "worker", note.Worker,
+			"reason", note.Reason, "load_age_ms", age)
+	case dispatch.RunEndedBadly:
+		events.RunEndedBadly.Log(logger, "task", note.Task, "run", note.Run, "worker", note.Worker,
+			"outcome", note.Reason, "load_age_ms", age)
+	case dispatch.SessionLost:
+		events.SessionLost.Log(logger, "worker", note.Worker, "silence_ms", age)
+	case dispatch.SessionFound:
+		events.SessionFound.Log(logger, "worker", note.Worker)
+	case dispatch.WorkerSetAside:
+		events.WorkerSetAside.Log(logger, "worker", note.Worker)
+	case dispatch.WorkerOnTrial:
+		events.WorkerOnTrial.Log(logger, "worker", note.Worker)
+	case dispatch.WorkerTrusted:
+		events.WorkerTrusted.Log(logger, "worker", note.Worker)
+	}
+}
+
+// incarnation returns a name that no process ever had.
+func incarnation() string {
+	var drawn [8]byte
+	_, _ = rand.Read(drawn[:])
+	return hex.EncodeToString(drawn[:])
+}
