--- a/node/daemon/main.go
+++ b/node/daemon/main.go
@@ -24,16 +24,19 @@
 
 // commandLine is the whole command line.
 type commandLine struct {
-	Run     runCommand       `cmd:"" help:"Run the roles that FILE names until SIGTERM or SIGINT."`
-	Check   checkCommand     `cmd:"" help:"Check FILE and report all its faults with line and remedy."`
-	Events  eventsCommand    `cmd:"" help:"Print the catalogue of log events as Markdown."`
-	Version kong.VersionFlag `help:"Print the version."`
+	Run      runCommand       `cmd:"" help:"Run the roles that FILE names until SIGTERM or SIGINT."`
+	Platform platformCommand  `cmd:"" help:"Run the roles that the platform's settings file asks for until SIGTERM."`
+	Check    checkCommand     `cmd:"" help:"Check FILE and report all its faults with line and remedy."`
+	Events   eventsCommand    `cmd:"" help:"Print the catalogue of log events as Markdown."`
+	Version  kong.VersionFlag `help:"Print the version."`
 }
 
 type runCommand struct {
 	File string `arg:"" help:"Settings file: JSON with comments." type:"path"`
 }
 
+type platformCommand struct{}
+
 type checkCommand struct {
 	File string `arg:"" help:"Settings file: JSON with comments." type:"path"`
 }
--- a/node/daemon/process.go
+++ b/node/daemon/process.go
@@ -32,14 +32,19 @@
 	stopping atomic.Bool
 }
 
-// newProcess opens the internal listener and builds the roles, in the order in which they start.
+// newProcess opens the internal listener and builds the roles that the file has sections for.
 func newProcess(file *settings.File, logger logr.Logger) (*process, error) {
+	return newProcessOf(file, logger, func() ([]namedRole, error) { return buildRoles(file, logger) })
+}
+
+// newProcessOf opens the internal listener and builds the roles, in the order in which they start.
+func newProcessOf(file *settings.File, logger logr.Logger, build func() ([]namedRole, error)) (*process, error) {
 	listener, err := net.Listen("tcp", file.Node.Listen)
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, "free the port or change node.listen", "listen: %v", err)
 	}
 	p := &process{file: file, logger: logger, listener: listener}
-	if p.roles, err = buildRoles(file, logger); err != nil {
+	if p.roles, err = build(); err != nil {
 		return nil, errors.Join(err, listener.Close())
 	}
 	p.server = &http.Server{
--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -7,8 +7,11 @@
 	"runtime"
 	"syscall"
 
+	"github.com/go-logr/logr"
+
 	"flamingohall.example/node/events"
 	"flamingohall.example/node/settings"
+	"flamingohall.example/platform"
 )
 
 // processorsVariable is the variable of the Go runtime by which an operator overrides the settings.
@@ -30,9 +33,35 @@
 	logger := newLogger(file, os.Stderr)
 	limitProcessors(file.Node.Processors)
 	events.ProcessStarting.Log(logger, "version", Version, "settings", c.File, "processors", runtime.GOMAXPROCS(0))
+	return runProcess(logger, func() (*process, error) { return newProcess(file, logger) })
+}
+
+// Run runs the roles that the platform asks for.
+func (c *platformCommand) Run() error {
+	given, err := platform.LoadSettings()
+	if err != nil {
+		return err
+	}
+	file := given.File()
+	logger := newLogger(file, os.Stdout)
+	events.ProcessStarting.Log(logger, "version", Version, "name", given.NodeName, "processors", runtime.GOMAXPROCS(0))
+	return runProcess(logger, func() (*process, error) {
+		return newProcessOf(file, logger, func() ([]namedRole, error) {
+			var roles []namedRole
+			made, err := platform.Roles(given, file, logger)
+			for _, one := range made {
+				roles = append(roles, namedRole{name: one.Name, role: one.Duty})
+			}
+			return roles, err
+		})
+	})
+}
+
+// runProcess makes a process and runs it until a signal asks it to stop.
+func runProcess(logger logr.Logger, build func() (*process, error)) error {
 	ctx, release := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer release()
-	p, err := newProcess(file, logger)
+	p, err := build()
 	if err == nil {
 		err = p.run(ctx)
 	}
