--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -66,7 +66,7 @@
 
 // endGrants stops the tasks of entries that do not answer, and closes their sessions.
 func (r *Runner) endGrants(now time.Duration) {
-	for id, s := range r.sessions {
+	for id, s := range r.inOrder() {
 		if now < s.answeredAt+r.limits.Grant-r.limits.StopAhead {
 			continue
 		}
@@ -155,7 +155,7 @@
 // fillFrames adds probes, the worker's record and the load, and hands the frames out.
 func (r *Runner) fillFrames(now time.Duration) {
 	load := r.load(now)
-	for id, s := range r.sessions {
+	for id, s := range r.inOrder() {
 		r.fillFrame(now, s, load)
 		if isEmpty(&s.frame) {
 			continue
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -110,6 +112,17 @@
 	}
 }
 
+// inOrder iterates over the sessions by their numbers, so that the same inputs have the same effects.
+func (r *Runner) inOrder() iter.Seq2[Session, *session] {
+	return func(yield func(Session, *session) bool) {
+		for _, id := range slices.Sorted(maps.Keys(r.sessions)) {
+			if s := r.sessions[id]; s != nil && !yield(id, s) {
+				return
+			}
+		}
+	}
+}
+
 // Take handles one frame of a session.
 func (r *Runner) Take(now time.Duration, id Session, frame *work.ToSidecar) {
 	s := r.sessions[id]
@@ -181,7 +194,7 @@
 			r.stop(now, one, work.Stopped)
 		}
 	}
-	for id, s := range r.sessions {
+	for id, s := range r.inOrder() {
 		if id != from {
 			s.frame.CancelledJobs = append(s.frame.CancelledJobs, job)
 		}
