--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # flamingohall: build, test and demonstrate. "make help" lists the targets.
 SHELL := /bin/bash
-MODULES := core node tools
+MODULES := core node platform tools
 BIN := $(CURDIR)/bin
 TOOLBIN := $(shell go env GOPATH)/bin
 export PATH := $(TOOLBIN):$(PATH)
--- a/core/catalogue/document.go
+++ b/core/catalogue/document.go
@@ -283,6 +283,10 @@
 	if e.Slots < 1 || e.Cores < 0 || e.MemoryMB < 0 || e.Accelerators < 0 {
 		fail("needs can't be negative, and slots must be 1 or more")
 	}
+	e.checkObjective(fail)
+}
+
+func (e Entry) checkObjective(fail func(format string, args ...any)) {
 	if e.Priority < 0 || e.Objective.Slack < 0 {
 		fail("priority and objective.slack can't be negative")
 	}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -152,8 +152,3 @@
 func (t *task) id() work.RunID {
 	return work.RunID{Task: t.name, Run: t.run}
 }
-
-// isOut reports whether a worker may run the task.
-func (t *task) isOut() bool {
-	return t.state == offered || t.state == started || t.state == uncertain
-}
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -71,33 +71,21 @@
 
 // stepWait returns how long the last task of a step would wait, by spreading the tasks over the workers.
 func (d *Dispatcher) stepWait(now time.Duration, j *job, step *Step) (time.Duration, Cause) {
-	room := map[*worker]work.Needs{}
-	suitable, isLargeEnough := 0, false
 	shortest := time.Duration(-1)
 	left := step.Count
 	for _, w := range d.order {
-		if w.isUp && w.Pool == j.Queue.Pool && step.Needs.FitsIn(w.Capacity) {
-			isLargeEnough = true
-		}
 		if !w.suits(j.Queue.Pool, step) || w.aside {
 			continue
 		}
-		suitable++
-		room[w] = w.Capacity.Minus(w.committed())
-		for left > 0 && step.Needs.FitsIn(room[w]) {
-			room[w] = room[w].Minus(step.Needs)
-			left--
-		}
+		left -= w.room(step.Needs, left)
 		if wait := w.expectedWait(now, step.Needs); shortest < 0 || wait < shortest {
 			shortest = wait
 		}
 	}
-	switch {
-	case suitable == 0 && len(d.order) > 0 && !isLargeEnough:
-		return 0, TooLarge
-	case suitable == 0:
-		return 0, NoWorkers
-	case left <= 0:
+	if shortest < 0 {
+		return 0, d.causeOfNone(j.Queue.Pool, step)
+	}
+	if left <= 0 {
 		return 0, 0
 	}
 	// What does not fit at once waits for a share of the workers' turnover.
@@ -105,6 +93,21 @@
 	return max(shortest, minimalWait) + rest, 0
 }
 
+// causeOfNone says why no worker suits a step.
+func (d *Dispatcher) causeOfNone(pool string, step *Step) Cause {
+	isAny := false
+	for _, w := range d.order {
+		isAny = isAny || w.isUp && w.Pool == pool
+		if w.isUp && w.Pool == pool && step.Needs.FitsIn(w.Capacity) {
+			return NoWorkers
+		}
+	}
+	if isAny {
+		return TooLarge
+	}
+	return NoWorkers
+}
+
 func (j *job) stepExpected(step *Step) time.Duration {
 	for i := range j.Steps {
 		if &j.Steps[i] == step {
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -54,6 +54,17 @@
 	return total
 }
 
+// room returns how many tasks of a size fit now, at most limit.
+func (w *worker) room(needs work.Needs, limit int) int {
+	free := w.Capacity.Minus(w.committed())
+	count := 0
+	for count < limit && needs.FitsIn(free) {
+		free = free.Minus(needs)
+		count++
+	}
+	return count
+}
+
 // expectedWait returns how long a task would wait for room.
 func (w *worker) expectedWait(now time.Duration, needs work.Needs) time.Duration {
 	if needs.FitsIn(w.Capacity.Minus(w.committed())) {
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -13,10 +13,11 @@
 	minGrant = 300 * time.Millisecond
 	// maxSilence is how long the worker may be silent and still get new tasks.
 	maxSilence = 2 * idleHold
-	// StartTimeout and StopTimeout are how long an answer of the worker may take. A stop may be repeated at no cost,
-	// and must be through before a grant ends.
+	// StartTimeout is how long an answer of the worker to a Start may take.
 	StartTimeout = 300 * time.Millisecond
-	StopTimeout  = 100 * time.Millisecond
+	// StopTimeout is how long an answer to a Stop may take. A stop may be repeated at no cost, and must be through
+	// before a grant ends.
+	StopTimeout = 100 * time.Millisecond
 	// HoldTimeout is how long an answer of the worker to a Hold may take.
 	HoldTimeout = holdWait + 300*time.Millisecond
 )
@@ -99,7 +100,7 @@
 		one.state, one.changedAt = ordered, now
 		r.worker.nextHold = min(r.worker.nextHold, now)
 		r.effects.Starts = append(r.effects.Starts, Start{
-			Order: r.order(now), RunID: one.RunID, Spec: one.Spec, Checkpoint: one.Offer.Checkpoint,
+			Order: r.order(now), RunID: one.RunID, Spec: one.Spec, Checkpoint: one.Checkpoint,
 		})
 	}
 }
--- a/node/controlclient/follower_test.go
+++ b/node/controlclient/follower_test.go
@@ -263,7 +263,7 @@
 		h.follower.Start(ctx)
 		synctest.Wait()
 		h.follower.pool.rotate(h.follower.pool.current())
-		time.Sleep(Hold + time.Second)
+		time.Sleep(DefaultHold + time.Second)
 		if view := h.follower.View(); view.Index != 20 {
 			t.Fatalf("view %+v", view)
 		}
--- a/node/stream/dial.go
+++ b/node/stream/dial.go
@@ -35,7 +35,7 @@
 // errUnknownSession means that the other side has ended the session, or is another process.
 var errUnknownSession = errors.New("the other side does not know the session")
 
-// Events are told to the dialing side, from one goroutine a session.
+// Events are told to the dialling side, from one goroutine a session.
 type Events struct {
 	// Opened tells that a session has begun.
 	Opened func(peer *Peer)
--- a/node/stream/doc.go
+++ b/node/stream/doc.go
@@ -3,7 +3,7 @@
 // acknowledged it, and send it again on the next connection.
 //
 // A frame on the wire is its length (4 bytes), its number (8) and the number of the last frame received (8), then the
-// payload. A connection begins with a greeting of the dialing side: the session's identity (16 bytes) and the number of
+// payload. A connection begins with a greeting of the dialling side: the session's identity (16 bytes) and the number of
 // the last frame received (8). The other side answers with one byte, 0 if it knows no such session, 1 if the
 // session goes on and 2 if it is a new one, and the number of the last frame that it has received (8).
 //
