--- a/node/control/versions.go
+++ b/node/control/versions.go
@@ -47,3 +47,8 @@
 	r.machine.read(func(s *state.State) { current = s.Catalogue.Current() })
 	return current, nil
 }
+
+// Members returns the control VMs that this one knows.
+func (r *Role) Members() []Member {
+	return r.group.Status().Members
+}
