Follow the settings file, let callers in once jobs can run, elect sooner after a start

Ruled out: the workers' heartbeats (all there 0.3 s after the start). Change: a reloader; the callers' listener opens with the first worker in reach, 3 s at the latest; a replica that starts waits two rounds of heartbeats and up to one election timeout less.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -62,6 +62,17 @@
 	return len(d.jobs)
 }
 
+// Workers returns the number of workers that take tasks.
+func (d *Dispatcher) Workers() int {
+	count := 0
+	for _, w := range d.order {
+		if w.isUp && w.isAttached && w.load.Accepts {
+			count++
+		}
+	}
+	return count
+}
+
 // Pending returns how many of a queue's jobs have not begun.
 func (d *Dispatcher) Pending(queue string) int {
 	count := 0
--- a/core/raft/replica.go
+++ b/core/raft/replica.go
@@ -33,6 +33,9 @@
 	ErrWrongConfig = errors.New("raft config: ID must be set and ElectionTicks larger than HeartbeatTicks")
 )
 
+// startTimeoutRounds is how many rounds of heartbeats a replica that starts waits for a leader, at least.
+const startTimeoutRounds = 2
+
 // Config are the fixed parameters of a replica.
 type Config struct {
 	ID ID
@@ -140,6 +143,9 @@
 	r.log.stable = r.log.last()
 	r.log.committed = max(r.log.committed, min(restart.HardState.Commit, r.log.last()))
 	r.becomeFollower(r.hard.Term, None)
+	// A leader that lives is heard within a few heartbeats. Where there is none, as after a loss of power everywhere,
+	// nobody gains from a full timeout; pre-votes keep an early candidate from disturbing anyone.
+	r.electionTimeout = startTimeoutRounds*config.HeartbeatTicks + r.random.Uint64N(config.ElectionTicks)
 	return r, nil
 }
 
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -27,6 +27,8 @@
 	inputRing = 1024
 	// inputBatch bounds what the loop takes before it acts.
 	inputBatch = 128
+	// controlBackoff bounds the pause between two control VMs that fail.
+	controlBackoff = 300 * time.Millisecond
 	// busyTick and idleTick are the longest times between two looks at the clock.
 	busyTick = 20 * time.Millisecond
 	idleTick = 100 * time.Millisecond
@@ -98,7 +100,7 @@
 	}
 	a.follower = controlclient.NewFollower(controlclient.Options{
 		Addresses: options.Control, Self: func() *rpc.Node { return record }, Logger: options.Logger,
-		Metrics: options.Metrics, Hold: options.ControlHold,
+		Metrics: options.Metrics, Hold: options.ControlHold, MaxBackoff: controlBackoff,
 	})
 	a.publishGauges()
 	return a
@@ -149,6 +151,11 @@
 	return nil
 }
 
+// SetControl replaces the addresses of control VMs that the settings name.
+func (a *Agent) SetControl(addresses []string) {
+	a.follower.SetAddresses(addresses)
+}
+
 // Announced takes in what the worker says of itself.
 func (a *Agent) Announced(said runner.Announcement) {
 	a.put(func(now time.Duration) { a.core.Announced(now, said) })
--- a/node/control/cluster_test.go
+++ b/node/control/cluster_test.go
@@ -296,3 +296,6 @@
 	c.log.leader = number
 	c.log.term++
 }
+
+// SetSeeds does nothing: the members of these groups are fixed.
+func (g *memoryGroup) SetSeeds([]string) {}
--- a/node/control/group.go
+++ b/node/control/group.go
@@ -24,6 +24,8 @@
 	Confirm(ctx context.Context) (index uint64, err error)
 	ChangeMember(ctx context.Context, member settings.Member, remove bool) error
 	Status() Status
+	// SetSeeds replaces the addresses at which this VM looks for the group.
+	SetSeeds(addresses []string)
 }
 
 // Status is what a member knows of its group.
--- a/node/control/proposer_test.go
+++ b/node/control/proposer_test.go
@@ -76,3 +76,6 @@
 		done.Wait()
 	})
 }
+
+// SetSeeds does nothing: this group has no members.
+func (g *countingGroup) SetSeeds([]string) {}
--- a/node/control/versions.go
+++ b/node/control/versions.go
@@ -48,6 +48,11 @@
 	return current, nil
 }
 
+// SetSeeds replaces the addresses at which this VM looks for the group.
+func (r *Role) SetSeeds(addresses []string) {
+	r.group.SetSeeds(addresses)
+}
+
 // Members returns the control VMs that this one knows.
 func (r *Role) Members() []Member {
 	return r.group.Status().Members
--- a/node/controlclient/caller.go
+++ b/node/controlclient/caller.go
@@ -52,7 +52,7 @@
 // retry calls until an answer, a refusal that no other VM would change, or the end of ctx. The error is fault.Unknown
 // when any of the attempts may have taken effect.
 func (c *caller) retry(ctx context.Context, call func(context.Context, rpc.Control) (any, error)) (any, error) {
-	backoff := newBackoff()
+	backoff := newBackoff(DefaultMaxBackoff)
 	mayHaveRun := false
 	for {
 		server := c.pool.current()
--- a/node/controlclient/follower.go
+++ b/node/controlclient/follower.go
@@ -32,7 +32,8 @@
 	minStay    = 5 * time.Minute
 	maxStay    = 15 * time.Minute
 	minBackoff = 50 * time.Millisecond
-	maxBackoff = 2 * time.Second
+	// DefaultMaxBackoff bounds the pause after failures, unless the options say otherwise.
+	DefaultMaxBackoff = 2 * time.Second
 )
 
 // Options configure a Follower.
@@ -51,6 +52,8 @@
 	// Hold is how long a control VM may hold a poll when nothing changes; DefaultHold when 0. It bounds how long a
 	// connection may be silent before another one is tried.
 	Hold time.Duration
+	// MaxBackoff bounds the pause between two control VMs that fail; DefaultMaxBackoff when 0.
+	MaxBackoff time.Duration
 	// HTTP replaces the follower's own client; control_bytes then counts message bodies only.
 	HTTP *http.Client
 }
@@ -86,6 +89,9 @@
 	if options.Hold == 0 {
 		options.Hold = DefaultHold
 	}
+	if options.MaxBackoff == 0 {
+		options.MaxBackoff = DefaultMaxBackoff
+	}
 	shared := newPool(options)
 	return &Follower{
 		options: options, pool: shared, caller: &caller{pool: shared},
@@ -127,6 +133,11 @@
 	return f.changed
 }
 
+// SetAddresses replaces the addresses of the control VMs that the settings name.
+func (f *Follower) SetAddresses(addresses []string) {
+	f.pool.configure(addresses)
+}
+
 // Announce sends Self at once instead of with the next poll.
 func (f *Follower) Announce() {
 	select {
@@ -158,7 +169,7 @@
 
 // loop polls until ctx ends.
 func (f *Follower) loop(ctx context.Context) {
-	backoff := newBackoff()
+	backoff := newBackoff(f.options.MaxBackoff)
 	leaveAt := time.Now().Add(stay())
 	for ctx.Err() == nil {
 		if time.Now().After(leaveAt) {
--- a/node/controlclient/pool.go
+++ b/node/controlclient/pool.go
@@ -153,6 +153,18 @@
 	p.servers, p.preferred = servers, preferred
 }
 
+// configure replaces the addresses from the settings. Those that are not known yet are tried after the others.
+func (p *pool) configure(addresses []string) {
+	p.mutex.Lock()
+	p.configured = addresses
+	var known []string
+	for _, one := range p.servers {
+		known = append(known, one.address)
+	}
+	p.mutex.Unlock()
+	p.adopt(known)
+}
+
 // countedConn counts the bytes of a connection, both ways.
 type countedConn struct {
 	net.Conn
@@ -177,10 +189,11 @@
 type backoff struct {
 	mutex sync.Mutex
 	limit time.Duration
+	most  time.Duration
 }
 
-func newBackoff() *backoff {
-	return &backoff{limit: minBackoff}
+func newBackoff(most time.Duration) *backoff {
+	return &backoff{limit: minBackoff, most: most}
 }
 
 func (b *backoff) reset() {
@@ -193,6 +206,6 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	drawn := minBackoff/2 + time.Duration(rand.Int64N(int64(b.limit))) //nolint:gosec // Not a secret.
-	b.limit = min(2*b.limit, maxBackoff)
+	b.limit = min(2*b.limit, b.most)
 	return drawn
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -27,6 +27,8 @@
 	inputRing = 4096
 	// inputBatch bounds what the loop takes before it acts.
 	inputBatch = 256
+	// controlBackoff bounds the pause between two control VMs that fail.
+	controlBackoff = 300 * time.Millisecond
 	// busyTick and idleTick are the longest times between two looks at the clock.
 	busyTick = 10 * time.Millisecond
 	idleTick = 100 * time.Millisecond
@@ -58,6 +60,8 @@
 
 	counters counters
 	jobs     atomic.Int64
+	// workers is the number of workers that take tasks.
+	workers atomic.Int64
 	leaving  atomic.Bool
 	context  context.Context
 	cancel   context.CancelFunc
@@ -78,6 +82,7 @@
 	g.follower = controlclient.NewFollower(controlclient.Options{
 		Addresses: options.Control, Self: func() *rpc.Node { return record }, WantNodes: true, WantCatalogue: true,
 		Logger: options.Logger, Metrics: options.Metrics, Hold: options.ControlHold,
+		MaxBackoff: controlBackoff,
 	})
 	g.publishGauges()
 	return g
@@ -103,6 +108,38 @@
 	return g.follower.Ready()
 }
 
+// SetControl replaces the addresses of control VMs that the settings name.
+func (g *Gateway) SetControl(addresses []string) {
+	g.follower.SetAddresses(addresses)
+}
+
+const (
+	// openPatience is how long a process that starts waits for workers before it lets callers in all the same: it then
+	// tells them at once that there are none.
+	openPatience = 3 * time.Second
+	openPoll     = 10 * time.Millisecond
+)
+
+// AwaitWorkers returns once jobs can be run: a catalogue is in force and a worker can be reached. Callers who find no
+// listener try another entry, or this one a moment later; those who are let in too early are refused. It returns after
+// openPatience in any case.
+func (g *Gateway) AwaitWorkers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, openPatience)
+	defer cancel()
+	ticker := time.NewTicker(openPoll)
+	defer ticker.Stop()
+	for {
+		if _, known := g.Catalogue(); known && g.workers.Load() > 0 {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Leave makes Ready fail. Jobs are still taken until Stop.
 func (g *Gateway) Leave() {
 	g.leaving.Store(true)
@@ -206,6 +243,7 @@
 		g.core.Advance(boottime.Now())
 		g.carryOut(g.core.Effects())
 		g.jobs.Store(int64(g.core.Jobs()))
+		g.workers.Store(int64(g.core.Workers()))
 		if g.core.Jobs() == 0 {
 			timer.Reset(idleTick)
 		} else {
--- a/node/replica/group.go
+++ b/node/replica/group.go
@@ -130,6 +130,7 @@
 	view     atomic.Pointer[raft.Status]
 	failure  atomic.Pointer[fault.Error]
 	stopping atomic.Bool
+	seeds    atomic.Pointer[[]string]
 	// hasAskedToJoin belongs to the bootstrap loop.
 	hasAskedToJoin bool
 	started        atomic.Bool
@@ -177,6 +178,7 @@
 		applies: make(chan []applyJob), synced: make(chan struct{}, 1), compacts: make(chan compaction, 1),
 		ended: make(chan struct{}), calls: &lineTable{transport: options.transport, lines: map[string]*line{}},
 	}
+	g.SetSeeds(options.Seeds)
 	g.changed.init()
 	g.applied.init()
 	g.waiters.init()
@@ -282,6 +284,11 @@
 	}()
 }
 
+// SetSeeds replaces the addresses at which this VM looks for the group.
+func (g *Group) SetSeeds(addresses []string) {
+	g.seeds.Store(&addresses)
+}
+
 // Ready returns nil while this VM is in touch with a leader.
 func (g *Group) Ready() error {
 	if failure := g.failure.Load(); failure != nil {
--- a/node/replica/members.go
+++ b/node/replica/members.go
@@ -218,7 +218,7 @@
 // bootstrapLoop runs until the data folder belongs to a group and, with Options.Seeds, as long as the process: a VM that
 // was removed while it was away joins again.
 func (g *Group) bootstrapLoop(ctx context.Context) {
-	for tries := 1; g.view.Load().Group == 0 || len(g.options.Seeds) > 0; tries++ {
+	for tries := 1; g.view.Load().Group == 0 || len(*g.seeds.Load()) > 0; tries++ {
 		if err := g.seekGroup(ctx); err != nil {
 			g.stopWith(err)
 			return
@@ -243,7 +243,7 @@
 			return err
 		}
 	}
-	if len(g.options.Seeds) == 0 || g.Status().Leader != "" {
+	if len(*g.seeds.Load()) == 0 || g.Status().Leader != "" {
 		return nil
 	}
 	return g.joinThroughSeeds(ctx)
@@ -251,7 +251,7 @@
 
 // joinThroughSeeds asks the seeds, and the members that this VM knows, for the group.
 func (g *Group) joinThroughSeeds(ctx context.Context) error {
-	addresses := slices.Clone(g.options.Seeds)
+	addresses := slices.Clone(*g.seeds.Load())
 	for _, member := range g.view.Load().Members {
 		addresses = append(addresses, member.Address)
 	}
@@ -339,7 +339,7 @@
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	// Any refusal leaves this VM waiting; the next round tries again.
-	change := memberChange{member: g.self(), replace: true, join: len(g.options.Seeds) > 0}
+	change := memberChange{member: g.self(), replace: true, join: len(*g.seeds.Load()) > 0}
 	leader, _ := g.sendChange(ctx, address, change)
 	if leader != "" {
 		_, _ = g.sendChange(ctx, leader, change)
