--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -41,6 +41,8 @@
 	checkpoint string
 	// retryAt is when a refused task is offered again.
 	retryAt time.Duration
+	// moves counts how often the task was taken off a slow worker.
+	moves int
 	// avoid is the worker that failed the task last.
 	avoid string
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -44,7 +44,7 @@
 
 func (d *Dispatcher) evaluate(now time.Duration, t *task, w *worker, expected time.Duration) choice {
 	wait := w.expectedWait(now, t.step.Needs)
-	runs := time.Duration(float64(expected) / w.speed)
+	runs := time.Duration(float64(expected) / w.presentSpeed())
 	if t.step.DataRack != "" && !w.hasLabel(t.step.DataRack) {
 		runs = time.Duration(float64(runs) * remoteDataFactor)
 	}
@@ -58,6 +58,17 @@
 	return choice{worker: w, wait: wait, cost: cost}
 }
 
+// slowPace is the pace, in percent, from which on a worker counts as slowed at present: beyond the errors of estimates.
+const slowPace = 200
+
+// presentSpeed returns the speed that was learned, or the present one of a worker that has become slow.
+func (w *worker) presentSpeed() float64 {
+	if w.load.PacePercent >= slowPace {
+		return min(w.speed, 100/float64(w.load.PacePercent))
+	}
+	return w.speed
+}
+
 func (w *worker) hasLabel(label string) bool {
 	for _, one := range w.Labels {
 		if one == label {
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -185,6 +185,8 @@
 	WorkerSetAside
 	// WorkerOnTrial means that a worker set aside gets a little work again.
 	WorkerOnTrial
+	// RunMoved means that a run is stopped since another worker will be done sooner.
+	RunMoved
 	// WorkerTrusted means that a trial succeeded.
 	WorkerTrusted
 )
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -501,13 +501,21 @@
 		return runner.NoRoom
 	}
 	f.world.begins(f, order.RunID)
-	one := &fakeRun{run: order.Run, startAt: f.world.now, length: 40*time.Millisecond + time.Duration(f.world.random.Int64N(int64(800*time.Millisecond)))}
+	one := &fakeRun{run: order.Run, startAt: f.world.now, length: f.world.runLength()}
 	f.runs[order.Task] = one
 	life := f.life
 	f.watch(order.Task, one, life)
 	return runner.Accepted
 }
 
+// runLength draws how long a run takes: one in five much longer than its caller has said.
+func (w *world) runLength() time.Duration {
+	if w.random.IntN(5) == 0 {
+		return time.Second + time.Duration(w.random.Int64N(int64(1500*time.Millisecond)))
+	}
+	return 40*time.Millisecond + time.Duration(w.random.Int64N(int64(800*time.Millisecond)))
+}
+
 // watch ends the run when its work is done or its lease has lapsed.
 func (f *fakeWorker) watch(task string, one *fakeRun, life int) {
 	f.world.after(5*time.Millisecond, func() {
@@ -547,7 +555,11 @@
 		return report
 	}
 	for _, task := range slices.Sorted(maps.Keys(f.runs)) {
-		report.Running = append(report.Running, runner.Listed{RunID: work.RunID{Task: task, Run: f.runs[task].run}})
+		one := f.runs[task]
+		report.Running = append(report.Running, runner.Listed{
+			RunID:   work.RunID{Task: task, Run: one.run},
+			Percent: float64(100 * (f.world.now - one.startAt) / one.length),
+		})
 	}
 	report.Ended = append(report.Ended, f.ends...)
 	return report
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -25,6 +25,9 @@
 // Advance does what is due at a time and fills the frames.
 func (r *Runner) Advance(now time.Duration) {
 	r.worker.silence = now - r.worker.heardAt
+	if w := &r.worker; w.holding && now > w.holdSentAt+w.holdWait+suspectAfter {
+		r.suspect()
+	}
 	r.endGrants(now)
 	for _, one := range r.sorted() {
 		r.advanceRun(now, one)
@@ -63,6 +66,7 @@
 		return
 	}
 	r.stopStalled(now, one)
+	r.tellBehind(now, one)
 }
 
 // endGrants stops the tasks of entries that do not answer, and closes their sessions.
@@ -139,7 +143,7 @@
 		wait = holdWait
 	}
 	w.holdNumber++
-	w.holding, w.hasNews, w.holdSentAt = true, false, now
+	w.holding, w.hasNews, w.holdSentAt, w.holdWait = true, false, now, wait
 	r.effects.Hold = &Hold{Order: r.order(now), Number: w.holdNumber, Confirmed: w.confirmed, Wait: wait}
 }
 
@@ -186,7 +190,7 @@
 
 func isEmpty(frame *work.ToEntry) bool {
 	return frame.Probe == 0 && frame.Worker == nil && frame.Load == nil && len(frame.Started) == 0 &&
-		len(frame.Ended) == 0 && len(frame.Refused) == 0 && len(frame.CancelledJobs) == 0
+		len(frame.Ended) == 0 && len(frame.Refused) == 0 && len(frame.Behind) == 0 && len(frame.CancelledJobs) == 0
 }
 
 // load returns how busy the worker is.
@@ -199,5 +203,6 @@
 		}
 	}
 	load.WaitMS = r.expectedWait(now).Milliseconds()
+	load.PacePercent = r.pace(now)
 	return load
 }
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -24,8 +24,12 @@
 	}
 	w.holding = false
 	w.nextHold = now
+	if report.Answer != Accepted {
+		r.suspect()
+	}
 	switch report.Answer {
 	case Accepted:
+		r.trust()
 	case ConnectionRefused:
 		w.nextHold = now + holdPause
 		r.leave(now)
@@ -46,6 +50,23 @@
 	}
 }
 
+// suspect keeps new tasks from a worker that does not answer in time, and gives back what has not started.
+func (r *Runner) suspect() {
+	if r.worker.suspect {
+		return
+	}
+	r.worker.suspect = true
+	r.refuseQueued(work.Unavailable)
+	r.note(Note{Kind: WorkerChanged, Reason: r.describe()})
+}
+
+func (r *Runner) trust() {
+	if r.worker.suspect {
+		r.worker.suspect = false
+		r.note(Note{Kind: WorkerChanged, Reason: r.describe()})
+	}
+}
+
 func (r *Runner) takeEnds(now time.Duration, report *Report) {
 	w := &r.worker
 	for i := range report.Ended {
@@ -103,6 +124,7 @@
 	if found.Percent != one.percent {
 		one.percent, one.progressAt = found.Percent, now
 	}
+	one.reportedAt = now
 	if one.state == ordered {
 		r.confirmStart(now, one)
 	}
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -48,8 +48,12 @@
 	// outcome is what a stopped run is told to be.
 	outcome    work.Outcome
 	checkpoint string
+	// percent is the progress last reported, at reportedAt; it last changed at progressAt.
 	percent    float64
+	reportedAt time.Duration
 	progressAt time.Duration
+	// toldBehindAt is when the entry was last told that the run is behind.
+	toldBehindAt time.Duration
 }
 
 // takesRoom reports whether the run may use the worker's resources.
--- a/core/runner/wait.go
+++ b/core/runner/wait.go
@@ -51,8 +51,11 @@
 	return at, free
 }
 
-// remaining returns how long the run is expected to go on.
+// remaining returns how long the run is expected to go on: by its progress, as soon as there is some.
 func (r *run) remaining(now time.Duration) time.Duration {
+	if total := r.impliedLength(); total > 0 {
+		return max(minRemaining, total-(now-r.startedAt))
+	}
 	expected := time.Duration(r.ExpectedMS) * time.Millisecond
 	since := r.changedAt
 	if r.wasStarted {
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -11,8 +11,11 @@
 	clockSlack = 0.03
 	// idleHold is the time between two holds while nothing runs: it keeps the clock reading fresh.
 	idleHold = time.Second
-	// holdWait is how long the worker may hold an answer. It is well below the lease, which each answer renews.
-	holdWait = 250 * time.Millisecond
+	// holdWait is how long the worker may hold an answer. It bounds how long a worker that has gone silent is taken for
+	// a sound one, and is well below the lease, which each answer renews.
+	holdWait = 100 * time.Millisecond
+	// suspectAfter is how much later than expected an answer may be before the worker gets no more tasks.
+	suspectAfter = 150 * time.Millisecond
 	// holdPause is the wait after a hold that failed.
 	holdPause = 50 * time.Millisecond
 	// fenceStep is added when the worker has seen a higher fence: more than any clock error in milliseconds.
@@ -41,7 +44,10 @@
 	holdNumber uint64
 	holding    bool
 	holdSentAt time.Duration
+	holdWait   time.Duration
 	nextHold   time.Duration
+	// suspect is true while an answer is overdue.
+	suspect bool
 	// hasNews is true while an end waits to be confirmed to the worker.
 	hasNews bool
 	// restUntil is when an unhealthy worker gets orders again.
@@ -53,7 +59,7 @@
 
 // accepts reports whether new tasks may be offered.
 func (w *worker) accepts() bool {
-	return w.known && !w.leaving && !w.gone && w.clockAt != 0
+	return w.known && !w.leaving && !w.gone && !w.suspect && w.clockAt != 0
 }
 
 // Announced takes in what the worker says of itself.
@@ -86,6 +92,8 @@
 		return "gone"
 	case r.worker.leaving:
 		return "leaving"
+	case r.worker.suspect:
+		return "silent"
 	}
 	return "ready"
 }
--- a/core/work/message.go
+++ b/core/work/message.go
@@ -54,6 +54,15 @@
 	Refused []Refused `cbor:"6,keyasint,omitempty"`
 	// CancelledJobs pass on a cancel that another entry was asked for.
 	CancelledJobs []string `cbor:"7,keyasint,omitempty"`
+	// Behind are runs that take much longer than expected.
+	Behind []Behind `cbor:"8,keyasint,omitempty"`
+}
+
+// Behind tells of a run that takes much longer than expected.
+type Behind struct {
+	RunID
+	// RemainingMS is how much longer it will take at the pace that it has.
+	RemainingMS int64 `cbor:"3,keyasint"`
 }
 
 // Worker is what stays the same during one incarnation of a worker.
@@ -75,6 +84,8 @@
 	Waiting uint32 `cbor:"3,keyasint,omitempty"`
 	// WaitMS is how long one more offer is expected to wait.
 	WaitMS int64 `cbor:"4,keyasint,omitempty"`
+	// PacePercent is how long runs take there at present, in percent of what is expected; 0 when too little is known.
+	PacePercent int64 `cbor:"6,keyasint,omitempty"`
 	// Through is the sequence of the last offer of this session that is counted above.
 	Through uint64 `cbor:"5,keyasint,omitempty"`
 }
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -24,6 +24,7 @@
 	SessionFound   = define(2305, Info, "sidecar in reach", "a session with a sidecar has begun", "none")
 	WorkerSetAside = define(2306, Warn, "worker set aside", "it fails work that succeeds elsewhere", "check the worker")
 	WorkerOnTrial  = define(2307, Info, "worker on trial", "it gets a little work again", "none")
+	RunMoved       = define(2310, Info, "run moved", "a run is behind on a slow worker and is started anew elsewhere", "none")
 	RequestRefused = define(2309, Info, "request refused", "a request names no job that could be taken", "see the reason")
 	WorkerTrusted  = define(2308, Info, "worker trusted", "its trial succeeded", "none")
 )
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -62,10 +62,10 @@
 	jobs     atomic.Int64
 	// workers is the number of workers that take tasks.
 	workers atomic.Int64
-	leaving  atomic.Bool
-	context  context.Context
-	cancel   context.CancelFunc
-	duties   sync.WaitGroup
+	leaving atomic.Bool
+	context context.Context
+	cancel  context.CancelFunc
+	duties  sync.WaitGroup
 }
 
 // New returns a gateway that does nothing before Start.
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -76,6 +76,9 @@
 	case dispatch.RunEndedBadly:
 		events.RunEndedBadly.Log(logger, "task", note.Task, "run", note.Run, "worker", note.Worker,
 			"outcome", note.Reason, "load_age_ms", age)
+	case dispatch.RunMoved:
+		events.RunMoved.Log(logger, "task", note.Task, "run", note.Run, "worker", note.Worker,
+			"remaining", note.Reason, "load_age_ms", age)
 	case dispatch.SessionLost:
 		events.SessionLost.Log(logger, "worker", note.Worker, "silence_ms", age)
 	case dispatch.SessionFound:
