Ask again when an answer is lost; let callers wait while an entry starts

Change: a hold whose answer is 50 ms overdue is sent again, a worker counts as silent after 300 ms without any answer, its lease is not renewed from then on (it was, with every hold that got no answer, so a silent worker's runs were given up only with the entry's grant); requests wait for a starting entry, at most 2 s; a replica that starts tries after one to 2.7 rounds of heartbeats.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -71,9 +71,9 @@
 
 // newJob returns a job whose first steps are ready.
 func newJob(now time.Duration, s Submission) *job {
-	j := &job{Submission: s, arrivedAt: now, waiters: 1}
+	j := &job{Submission: s, arrivedAt: now - s.Waited, waiters: 1}
 	if s.Patience > 0 {
-		j.deadline = now + s.Patience
+		j.deadline = j.arrivedAt + s.Patience
 	}
 	for i := range s.Steps {
 		step := &j.Steps[i]
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -24,7 +24,7 @@
 	}
 	j := newJob(now, s)
 	d.estimate(j)
-	j.objective = now + j.span()
+	j.objective = j.arrivedAt + j.span()
 	wait, cause := d.expectedWait(now, j)
 	j.trace.PredictedWait = wait
 	if cause != 0 {
@@ -47,7 +47,7 @@
 // expectedWait returns how long the job's first tasks would wait, and why that is too long. It answers bursts: what
 // can't end in time anyway is refused at once, before it keeps others from ending in time.
 func (d *Dispatcher) expectedWait(now time.Duration, j *job) (time.Duration, Cause) {
-	allowed := time.Duration(lateFactor*float64(j.span())) - j.longestChain()
+	allowed := time.Duration(lateFactor*float64(j.span())) - j.longestChain() - j.Waited
 	if j.deadline != 0 {
 		allowed = min(allowed, j.deadline-now-j.longestChain())
 	}
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -22,6 +22,8 @@
 	Queue Queue
 	Spec  string
 	Steps []Step
+	// Waited is how long the job has waited at this entry before it was handed in.
+	Waited time.Duration
 	// Patience is how long the caller waits for the answer; 0 for no bound.
 	Patience time.Duration
 }
--- a/core/raft/doc.go
+++ b/core/raft/doc.go
@@ -39,6 +39,7 @@
 //   - Pre-vote: a replica asks whether it would win before it raises its term, so a returning one disturbs nobody.
 //   - Check quorum: a leader that has heard no quorum for an election timeout steps down; a follower that hears its
 //     leader refuses to vote. Only a leader that hands over may override this.
+//   - A replica that has just started tries sooner than an election timeout, until it has heard a leader.
 //   - A learner receives the log and counts for nothing. The leader proposes its promotion once it has caught up, and
 //     first the removal of a voter of the same name, which the learner replaces.
 package raft
--- a/core/raft/replica.go
+++ b/core/raft/replica.go
@@ -33,9 +33,6 @@
 	ErrWrongConfig = errors.New("raft config: ID must be set and ElectionTicks larger than HeartbeatTicks")
 )
 
-// startTimeoutRounds is how many rounds of heartbeats a replica that starts waits for a leader, at least.
-const startTimeoutRounds = 2
-
 // Config are the fixed parameters of a replica.
 type Config struct {
 	ID ID
@@ -90,7 +87,9 @@
 	// now counts ticks.
 	now uint64
 	// elapsed counts ticks since the replica last heard its leader or granted a vote.
-	elapsed         uint64
+	elapsed uint64
+	// starting is true until the replica first hears a leader or leads.
+	starting        bool
 	electionTimeout uint64
 	// quorumTick is when the last round started that a quorum is known to have answered.
 	quorumTick uint64
@@ -143,9 +142,8 @@
 	r.log.stable = r.log.last()
 	r.log.committed = max(r.log.committed, min(restart.HardState.Commit, r.log.last()))
 	r.becomeFollower(r.hard.Term, None)
-	// A leader that lives is heard within a few heartbeats. Where there is none, as after a loss of power everywhere,
-	// nobody gains from a full timeout; pre-votes keep an early candidate from disturbing anyone.
-	r.electionTimeout = startTimeoutRounds*config.HeartbeatTicks + r.random.Uint64N(config.ElectionTicks)
+	r.starting = true
+	r.resetElectionTimer()
 	return r, nil
 }
 
@@ -185,6 +183,12 @@
 
 func (r *Replica) resetElectionTimer() {
 	r.elapsed = 0
+	if r.starting {
+		// A leader that lives is heard with its next heartbeats. Where there is none, as after a loss of power
+		// everywhere, nobody gains from a full timeout; pre-votes keep an early candidate from disturbing anyone.
+		r.electionTimeout = r.config.HeartbeatTicks + r.random.Uint64N((r.config.ElectionTicks+1)/2)
+		return
+	}
 	r.electionTimeout = r.config.ElectionTicks + r.random.Uint64N(r.config.ElectionTicks)
 }
 
@@ -313,6 +317,7 @@
 	if r.role == Leader {
 		return false
 	}
+	r.starting = false
 	if r.role != Follower || r.leader != m.From {
 		r.becomeFollower(m.Term, m.From)
 	}
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -25,7 +25,10 @@
 // Advance does what is due at a time and fills the frames.
 func (r *Runner) Advance(now time.Duration) {
 	r.worker.silence = now - r.worker.heardAt
-	if w := &r.worker; w.holding && now > w.holdSentAt+w.holdWait+suspectAfter {
+	if w := &r.worker; w.holding && now > w.holdSentAt+w.holdWait+repeatAfter {
+		w.holding, w.nextHold = false, now
+	}
+	if w := &r.worker; w.askedAt != 0 && now > w.askedAt+holdWait+suspectAfter {
 		r.suspect()
 	}
 	r.endGrants(now)
@@ -144,6 +147,9 @@
 	}
 	w.holdNumber++
 	w.holding, w.hasNews, w.holdSentAt, w.holdWait = true, false, now, wait
+	if w.askedAt == 0 {
+		w.askedAt = now
+	}
 	r.effects.Hold = &Hold{Order: r.order(now), Number: w.holdNumber, Confirmed: w.confirmed, Wait: wait}
 }
 
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -19,13 +19,12 @@
 // Reported takes the answer to a Hold in.
 func (r *Runner) Reported(now time.Duration, report *Report) {
 	w := &r.worker
-	if report.Number != w.holdNumber || !w.holding {
+	if report.Number <= w.reported {
+		// A later one was faster.
 		return
 	}
-	w.holding = false
-	w.nextHold = now
-	if report.Answer != Accepted {
-		r.suspect()
+	if report.Number == w.holdNumber {
+		w.holding, w.nextHold = false, now
 	}
 	switch report.Answer {
 	case Accepted:
@@ -37,11 +36,14 @@
 	case Fenced:
 		r.raiseFence()
 		return
-	case NoAnswer, Outrun, LeasePassed, NoRoom, Unreadable, Unhealthy, WrongIncarnation:
+	case Unhealthy, WrongIncarnation, Unreadable:
+		r.suspect()
 		w.nextHold = now + holdPause
 		return
+	case NoAnswer, Outrun, LeasePassed, NoRoom:
+		return
 	}
-	w.gone = false
+	w.reported, w.gone = report.Number, false
 	r.read(now, report.Reading)
 	r.takeEnds(now, report)
 	r.takeRunning(now, report)
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -14,8 +14,11 @@
 	// holdWait is how long the worker may hold an answer. It bounds how long a worker that has gone silent is taken for
 	// a sound one, and is well below the lease, which each answer renews.
 	holdWait = 100 * time.Millisecond
-	// suspectAfter is how much later than expected an answer may be before the worker gets no more tasks.
-	suspectAfter = 150 * time.Millisecond
+	// repeatAfter is how much later than expected an answer may be before the hold is sent again, over another
+	// connection: the answer may be lost, and with it the ends that it lists.
+	repeatAfter = 50 * time.Millisecond
+	// suspectAfter is how long the worker may be silent, beyond the wait of a hold, before it gets no more tasks.
+	suspectAfter = 200 * time.Millisecond
 	// holdPause is the wait after a hold that failed.
 	holdPause = 50 * time.Millisecond
 	// fenceStep is added when the worker has seen a higher fence: more than any clock error in milliseconds.
@@ -46,6 +49,10 @@
 	holdSentAt time.Duration
 	holdWait   time.Duration
 	nextHold   time.Duration
+	// reported is the number of the last Hold whose answer was taken in.
+	reported uint64
+	// askedAt is when the first Hold was sent of which, or of a later one, no answer has come; 0 for none.
+	askedAt time.Duration
 	// suspect is true while an answer is overdue.
 	suspect bool
 	// hasNews is true while an end waits to be confirmed to the worker.
@@ -107,6 +114,7 @@
 	}
 	r.worker = worker{
 		Worker: said.Worker, known: true, born: said.Born, fence: fence, heardAt: now, holdNumber: r.worker.holdNumber,
+		reported: r.worker.holdNumber,
 	}
 	for _, s := range r.sessions {
 		s.knowsWorker = false
@@ -151,7 +159,7 @@
 		return
 	}
 	r.worker.clockMS, r.worker.clockAt = reading.ClockMS, now
-	r.worker.heardAt = now
+	r.worker.heardAt, r.worker.askedAt = now, 0
 }
 
 // lease returns until when what runs may run on, on this machine's clock: no longer than any entry's grant.
@@ -171,7 +179,8 @@
 	w := &r.worker
 	order := Order{Incarnation: w.Incarnation, Fence: w.fence}
 	end := r.lease(now)
-	if w.clockAt == 0 || end <= now {
+	if w.clockAt == 0 || end <= now || w.suspect {
+		// What runs on a worker that does not answer must end at a known time, so its lease is not renewed.
 		return order
 	}
 	order.LeaseUntilMS = w.clockMS + (end - w.clockAt).Milliseconds()
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -114,14 +114,13 @@
 }
 
 const (
-	// openPatience is how long a process that starts waits for workers before it lets callers in all the same: it then
-	// tells them at once that there are none.
-	openPatience = 3 * time.Second
+	// openPatience is how long a process that starts lets callers wait for workers: longer than control takes to elect a
+	// leader after a loss of power. After that callers are told at once that there are none.
+	openPatience = 2 * time.Second
 	openPoll     = 10 * time.Millisecond
 )
 
-// AwaitWorkers returns once jobs can be run: a catalogue is in force and a worker can be reached. Callers who find no
-// listener try another entry, or this one a moment later; those who are let in too early are refused. It returns after
+// AwaitWorkers returns once jobs can be run: a catalogue is in force and a worker can be reached. It returns after
 // openPatience in any case.
 func (g *Gateway) AwaitWorkers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, openPatience)
