Tell waits by slack; give half of a job's slack to waiting; look again for a better worker

Change: three waits by slack, jobs refused when more than half of their slack would be spent waiting, offers given back 40 ms after twice the expected wait. The burst test's loads now carry three waits, of which the longest is 200 ms instead of one of 300.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -13,8 +13,9 @@
 	// refusalPause is the wait before a refused task is offered again: the loads that made it go there are renewed by
 	// then.
 	refusalPause = 15 * time.Millisecond
-	// startPatience bounds how long an offer may wait at one worker. Then another one is looked for.
-	startPatience = 400 * time.Millisecond
+	// startPatience is how long an offer may wait at one worker beyond twice the expected wait. Then the best worker is
+	// looked for again.
+	startPatience = 40 * time.Millisecond
 	// runStep is added to the run number after a worker knew a later one.
 	runStep = 16
 )
@@ -253,17 +254,18 @@
 	w.pending = append(w.pending, pendingOffer{sequence: w.sequence, needs: t.step.Needs, expected: expected})
 	w.frame.Offers = append(w.frame.Offers, work.Offer{
 		RunID: t.id(), Sequence: w.sequence, Spec: t.job.Spec, Needs: t.step.Needs, ExpectedMS: expected.Milliseconds(),
-		StartWithinMS: t.startWithin(now).Milliseconds(), SlackMS: t.slack(now).Milliseconds(), Checkpoint: t.checkpoint,
+		StartWithinMS: t.startWithin(now, chosen.wait).Milliseconds(), SlackMS: t.slack(now).Milliseconds(), Checkpoint: t.checkpoint,
 	})
 	return true
 }
 
 // startWithin returns how long an offer may wait at its worker.
-func (t *task) startWithin(now time.Duration) time.Duration {
+func (t *task) startWithin(now, expected time.Duration) time.Duration {
+	patience := startPatience + 2*expected
 	if t.job.deadline == 0 {
-		return startPatience
+		return patience
 	}
-	return min(startPatience, t.job.deadline-now)
+	return min(patience, t.job.deadline-now)
 }
 
 // slack returns how much later than now the task may start for its job to end in time.
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -99,7 +99,7 @@
 func TestLoad_BurstIsRefusedAtOnce(t *testing.T) {
 	d := newDesk(t, 2)
 	for _, worker := range []string{"s0", "s1"} {
-		d.load(worker, work.Load{Committed: work.Needs{MilliCores: 40000}, WaitMS: 300})
+		d.load(worker, work.Load{Committed: work.Needs{MilliCores: 40000}, WaitMS: [work.SlackLevels]int64{150, 180, 200}})
 	}
 	d.submit("short", 2, 60*time.Millisecond)
 	if got := d.answers["short"]; got.Result != dispatch.Refused || got.Cause != dispatch.Overloaded || got.RetryAfter <= 0 {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -43,7 +43,7 @@
 }
 
 func (d *Dispatcher) evaluate(now time.Duration, t *task, w *worker, expected time.Duration) choice {
-	wait := w.expectedWait(now, t.step.Needs)
+	wait := w.expectedWait(now, t.step.Needs, t.slack(now))
 	runs := time.Duration(float64(expected) / w.presentSpeed())
 	if t.step.DataRack != "" && !w.hasLabel(t.step.DataRack) {
 		runs = time.Duration(float64(runs) * remoteDataFactor)
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -9,8 +9,9 @@
 const (
 	// minRetryAfter is the least time after which a refused caller may come back.
 	minRetryAfter = time.Second
-	// lateFactor bounds the time that a job may be expected to take, in terms of its objective.
-	lateFactor = 1.0
+	// waitShare is the part of a job's slack that may be expected to be spent waiting. Forecasts are rough, and a longer
+	// queue makes nothing end sooner.
+	waitShare = 0.5
 )
 
 // Submit takes a job, or answers at once why it is not taken. A job that is under way gains a caller.
@@ -47,10 +48,7 @@
 // expectedWait returns how long the job's first tasks would wait, and why that is too long. It answers bursts: what
 // can't end in time anyway is refused at once, before it keeps others from ending in time.
 func (d *Dispatcher) expectedWait(now time.Duration, j *job) (time.Duration, Cause) {
-	allowed := time.Duration(lateFactor*float64(j.span())) - j.longestChain() - j.Waited
-	if j.deadline != 0 {
-		allowed = min(allowed, j.deadline-now-j.longestChain())
-	}
+	allowed := j.allowedWait(now)
 	var longest time.Duration
 	for i := range j.Steps {
 		step := &j.Steps[i]
@@ -69,6 +67,16 @@
 	return longest, 0
 }
 
+// allowedWait returns how long the job's tasks may wait.
+func (j *job) allowedWait(now time.Duration) time.Duration {
+	chain := j.longestChain()
+	allowed := time.Duration(waitShare*float64(j.span()-chain)) - j.Waited
+	if j.deadline != 0 {
+		allowed = min(allowed, j.deadline-now-chain)
+	}
+	return allowed
+}
+
 // stepWait returns how long the last task of a step would wait, by spreading the tasks over the workers.
 func (d *Dispatcher) stepWait(now time.Duration, j *job, step *Step) (time.Duration, Cause) {
 	shortest := time.Duration(-1)
@@ -78,7 +86,7 @@
 			continue
 		}
 		left -= w.room(step.Needs, left)
-		if wait := w.expectedWait(now, step.Needs); shortest < 0 || wait < shortest {
+		if wait := w.expectedWait(now, step.Needs, j.objective-now-j.stepExpected(step)); shortest < 0 || wait < shortest {
 			shortest = wait
 		}
 	}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -65,12 +65,13 @@
 	return count
 }
 
-// expectedWait returns how long a task would wait for room.
-func (w *worker) expectedWait(now time.Duration, needs work.Needs) time.Duration {
+// expectedWait returns how long a task with some slack would wait for room.
+func (w *worker) expectedWait(now time.Duration, needs work.Needs, slack time.Duration) time.Duration {
 	if needs.FitsIn(w.Capacity.Minus(w.committed())) {
 		return 0
 	}
-	wait := max(minimalWait, time.Duration(w.load.WaitMS)*time.Millisecond-(now-w.loadAt))
+	told := time.Duration(w.load.WaitMS[work.SlackLevel(slack.Milliseconds())]) * time.Millisecond
+	wait := max(minimalWait, told-(now-w.loadAt))
 	for _, p := range w.pending {
 		wait += time.Duration(float64(p.expected) * p.needs.ShareOf(w.Capacity))
 	}
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -208,7 +208,9 @@
 			load.Waiting++
 		}
 	}
-	load.WaitMS = r.expectedWait(now).Milliseconds()
+	for level := range load.WaitMS {
+		load.WaitMS[level] = r.expectedWait(now, level).Milliseconds()
+	}
 	load.PacePercent = r.pace(now)
 	return load
 }
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -234,7 +234,8 @@
 	}
 }
 
-// sorted returns the runs in the order in which they are to start: those with the least slack first.
+// sorted returns the runs in the order in which they are to start: those with the least slack first, so that a job that
+// is late already is not left with some of its tasks done.
 func (r *Runner) sorted() []*run {
 	all := make([]*run, 0, len(r.runs))
 	for _, one := range r.runs {
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -118,7 +118,7 @@
 	b.run("a.0.0.0", 5000)
 	b.offer("b.0.0.0", 5000)
 	b.run("c.0.0.0", 3000)
-	if b.frame.Load == nil || b.frame.Load.WaitMS <= 0 {
+	if b.frame.Load == nil || b.frame.Load.WaitMS[2] <= 0 {
 		t.Errorf("load %+v, want a wait", b.frame.Load)
 	}
 	b.report(&runner.Report{Answer: runner.Accepted, Ended: []runner.ListedEnd{
@@ -326,3 +326,16 @@
 		t.Errorf("ended %v", b.frame.Ended)
 	}
 }
+
+func TestRunner_LateTaskGoesBeforeOneThatHasTime(t *testing.T) {
+	b := newBench(t)
+	first := b.run("a.0.0.0", 8000)
+	b.offer("late.0.0.0", 8000)
+	b.step(150 * time.Millisecond)
+	b.echo()
+	b.offer("fresh.0.0.0", 8000)
+	b.report(&runner.Report{Answer: runner.Accepted, Ended: []runner.ListedEnd{{RunID: first, Number: 1, Outcome: work.Done}}})
+	if last := b.starts[len(b.starts)-1]; last.Task != "late.0.0.0" {
+		t.Errorf("started %s first", last.Task)
+	}
+}
--- a/core/runner/wait.go
+++ b/core/runner/wait.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"flamingohall.example/core/work"
 )
 
 // minRemaining is what a run that has taken longer than expected is still given.
@@ -14,9 +16,9 @@
 	share float64
 }
 
-// expectedWait returns how long one more offer of mean size would wait for room, if runs take as long as expected and
-// start in the order of their slack.
-func (r *Runner) expectedWait(now time.Duration) time.Duration {
+// expectedWait returns how long one more offer of mean size and a level of slack would wait for room, if runs take as long
+// as expected and start in the order of their slack.
+func (r *Runner) expectedWait(now time.Duration, level int) time.Duration {
 	free := 1.0
 	var releases []release
 	for _, one := range r.runs {
@@ -28,7 +30,7 @@
 	}
 	at := now
 	for _, one := range r.sorted() {
-		if one.state != queued {
+		if one.state != queued || work.SlackLevel((one.latestStart()-now).Milliseconds()) > level {
 			continue
 		}
 		share := one.Needs.ShareOf(r.worker.Capacity)
--- a/core/work/message.go
+++ b/core/work/message.go
@@ -74,6 +74,23 @@
 	Labels      []string `cbor:"4,keyasint,omitempty"`
 }
 
+// SlackLevels is the number of SlackBounds.
+const SlackLevels = 3
+
+// SlackBounds divide offers by their slack in milliseconds, as waits differ: offers with less slack go first. The last
+// level has no bound.
+var SlackBounds = [SlackLevels - 1]int64{120, 300}
+
+// SlackLevel returns the level of a slack in milliseconds.
+func SlackLevel(slackMS int64) int {
+	for level, bound := range SlackBounds {
+		if slackMS <= bound {
+			return level
+		}
+	}
+	return SlackLevels - 1
+}
+
 // Load is how busy a worker is.
 type Load struct {
 	// Accepts is false while the worker leaves, fails or can't be reached.
@@ -82,8 +99,8 @@
 	Committed Needs `cbor:"2,keyasint"`
 	// Waiting is the number of offers that have not started.
 	Waiting uint32 `cbor:"3,keyasint,omitempty"`
-	// WaitMS is how long one more offer is expected to wait.
-	WaitMS int64 `cbor:"4,keyasint,omitempty"`
+	// WaitMS is how long one more offer is expected to wait, by its slack: one value for each of SlackBounds.
+	WaitMS [SlackLevels]int64 `cbor:"4,keyasint,omitempty"`
 	// PacePercent is how long runs take there at present, in percent of what is expected; 0 when too little is known.
 	PacePercent int64 `cbor:"6,keyasint,omitempty"`
 	// Through is the sequence of the last offer of this session that is counted above.
