--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -29,6 +29,8 @@
 	inputBatch = 128
 	// controlBackoff bounds the pause between two control VMs that fail.
 	controlBackoff = 300 * time.Millisecond
+	// controlDialTimeout is many times the way to another data centre.
+	controlDialTimeout = 200 * time.Millisecond
 	// busyTick and idleTick are the longest times between two looks at the clock.
 	busyTick = 20 * time.Millisecond
 	idleTick = 100 * time.Millisecond
@@ -100,7 +102,7 @@
 	}
 	a.follower = controlclient.NewFollower(controlclient.Options{
 		Addresses: options.Control, Self: func() *rpc.Node { return record }, Logger: options.Logger,
-		Metrics: options.Metrics, Hold: options.ControlHold, MaxBackoff: controlBackoff,
+		Metrics: options.Metrics, Hold: options.ControlHold, MaxBackoff: controlBackoff, DialTimeout: controlDialTimeout,
 	})
 	a.publishGauges()
 	return a
--- a/node/controlclient/follower.go
+++ b/node/controlclient/follower.go
@@ -54,6 +54,8 @@
 	Hold time.Duration
 	// MaxBackoff bounds the pause between two control VMs that fail; DefaultMaxBackoff when 0.
 	MaxBackoff time.Duration
+	// DialTimeout bounds opening a connection; DefaultDialTimeout when 0. A control VM without power answers nothing.
+	DialTimeout time.Duration
 	// HTTP replaces the follower's own client; control_bytes then counts message bodies only.
 	HTTP *http.Client
 }
@@ -92,6 +94,9 @@
 	if options.MaxBackoff == 0 {
 		options.MaxBackoff = DefaultMaxBackoff
 	}
+	if options.DialTimeout == 0 {
+		options.DialTimeout = DefaultDialTimeout
+	}
 	shared := newPool(options)
 	return &Follower{
 		options: options, pool: shared, caller: &caller{pool: shared},
--- a/node/controlclient/pool.go
+++ b/node/controlclient/pool.go
@@ -16,15 +16,17 @@
 
 // Limits of the pool's own connections.
 const (
-	dialTimeout = time.Second
-	idleTimeout = 90 * time.Second
+	// DefaultDialTimeout bounds opening a connection, unless the options say otherwise.
+	DefaultDialTimeout = time.Second
+	idleTimeout        = 90 * time.Second
 )
 
 // pool holds one client for each control VM and the one preferred now.
 type pool struct {
 	metrics *metrics.Role
 	// shared is the caller's HTTP client; nil gives each server its own, whose connections are counted.
-	shared *http.Client
+	shared      *http.Client
+	dialTimeout time.Duration
 	// configured are the addresses from the settings, which stay in the list.
 	configured []string
 
@@ -46,7 +48,8 @@
 }
 
 func newPool(options Options) *pool {
-	made := &pool{metrics: options.Metrics, shared: options.HTTP, configured: options.Addresses}
+	made := &pool{metrics: options.Metrics, shared: options.HTTP, configured: options.Addresses,
+		dialTimeout: options.DialTimeout}
 	for _, address := range options.Addresses {
 		made.servers = append(made.servers, made.server(address))
 	}
@@ -85,7 +88,7 @@
 
 // ownClient returns an HTTP client whose connections count their bytes.
 func (p *pool) ownClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: p.dialTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
