Remember a slow worker's pace, and count on no room there

Ruled out: the crashed worker (its runs were given back within 80 ms) and control (a leader froze, nothing depended on it). Change: the pace is kept and fades over 3 s; room and turnover of workers below 0.45 of the fastest don't count when a job is taken.

--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -262,3 +262,15 @@
 		t.Error("not offered again")
 	}
 }
+
+// TestLoad_RoomOnASlowedWorkerDoesNotCount replays a burst while a worker is slow: it stands idle, and what would have to
+// wait for the others is refused.
+func TestLoad_RoomOnASlowedWorkerDoesNotCount(t *testing.T) {
+	d := newDesk(t, 2)
+	d.load("s0", work.Load{PacePercent: 500})
+	d.load("s1", work.Load{Committed: work.Needs{MilliCores: 40000}, WaitMS: [work.SlackLevels]int64{150, 180, 200}, PacePercent: 100})
+	d.submit("short", 2, 60*time.Millisecond)
+	if got := d.answers["short"]; got.Result != dispatch.Refused || got.Cause != dispatch.Overloaded {
+		t.Errorf("answer %+v, offers %v", got, d.offers)
+	}
+}
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -81,8 +81,10 @@
 func (d *Dispatcher) stepWait(now time.Duration, j *job, step *Step) (time.Duration, Cause) {
 	shortest := time.Duration(-1)
 	left := step.Count
+	fastest := d.fastest(j.Queue.Pool, step)
 	for _, w := range d.order {
-		if !w.suits(j.Queue.Pool, step) || w.aside {
+		// Room on a worker that has become slow is no help: a task ends sooner if it waits for another one.
+		if !w.suits(j.Queue.Pool, step) || w.aside || w.presentSpeed() < usefulSpeed*fastest {
 			continue
 		}
 		left -= w.room(step.Needs, left)
@@ -97,10 +99,24 @@
 		return 0, 0
 	}
 	// What does not fit at once waits for a share of the workers' turnover.
-	rest := time.Duration(float64(j.stepExpected(step)) * float64(left) * step.Needs.ShareOf(d.pooled(j.Queue.Pool)))
+	rest := time.Duration(float64(j.stepExpected(step)) * float64(left) * step.Needs.ShareOf(d.pooled(j.Queue.Pool, step)))
 	return max(shortest, minimalWait) + rest, 0
 }
 
+// usefulSpeed is the part of the fastest worker's speed below which a worker is not counted on.
+const usefulSpeed = 0.45
+
+// fastest returns the highest speed of the workers that suit a step.
+func (d *Dispatcher) fastest(pool string, step *Step) float64 {
+	best := 0.0
+	for _, w := range d.order {
+		if w.suits(pool, step) && !w.aside {
+			best = max(best, w.presentSpeed())
+		}
+	}
+	return best
+}
+
 // causeOfNone says why no worker suits a step.
 func (d *Dispatcher) causeOfNone(pool string, step *Step) Cause {
 	isAny := false
@@ -125,11 +141,12 @@
 	return 0
 }
 
-// pooled returns the capacity of all workers of a pool that take work.
-func (d *Dispatcher) pooled(pool string) work.Needs {
+// pooled returns the capacity of the workers of a pool that suit a step and are not slow.
+func (d *Dispatcher) pooled(pool string, step *Step) work.Needs {
 	var total work.Needs
+	fastest := d.fastest(pool, step)
 	for _, w := range d.order {
-		if w.isUp && w.load.Accepts && w.Pool == pool {
+		if w.suits(pool, step) && !w.aside && w.presentSpeed() >= usefulSpeed*fastest {
 			total = total.Plus(w.Capacity)
 		}
 	}
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -38,6 +38,7 @@
 	if r.isBusy() && r.lapsed(now) {
 		r.loseOrdered(now)
 	}
+	r.updatePace(now)
 	r.startQueued(now)
 	r.sendStops(now)
 	r.sendHold(now)
@@ -211,6 +212,6 @@
 	for level := range load.WaitMS {
 		load.WaitMS[level] = r.expectedWait(now, level).Milliseconds()
 	}
-	load.PacePercent = r.pace(now)
+	load.PacePercent = r.pacePercent(now)
 	return load
 }
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -92,6 +92,7 @@
 	nextProbe uint64
 	effects   Effects
 	meanNeeds float64
+	pace      pace
 }
 
 // New returns a runner whose orders carry the fence, or a higher one if the worker asks for it.
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -339,3 +339,41 @@
 		t.Errorf("started %s first", last.Task)
 	}
 }
+
+// TestRunner_SlowWorkerIsRememberedWhenItsRunsAreTakenAway replays a slow worker whose runs were all moved: it is not told
+// as sound the moment it is idle, and its pace fades within seconds.
+func TestRunner_SlowWorkerIsRememberedWhenItsRunsAreTakenAway(t *testing.T) {
+	b := newBench(t)
+	var listed []runner.Listed
+	for n := range 4 {
+		listed = append(listed, runner.Listed{RunID: b.run(fmt.Sprintf("a.0.0.%d", n), 1000)})
+	}
+	for range 4 {
+		b.step(50 * time.Millisecond)
+		for i := range listed {
+			listed[i].Percent += 5
+		}
+		b.answerHold(listed...)
+		b.echo()
+	}
+	var ended []runner.ListedEnd
+	for i, one := range listed {
+		ended = append(ended, runner.ListedEnd{RunID: one.RunID, Number: uint64(i + 1), Outcome: work.Stopped})
+	}
+	b.step(50 * time.Millisecond)
+	b.report(&runner.Report{Answer: runner.Accepted, Ended: ended})
+	b.step(100 * time.Millisecond)
+	if b.frame.Load.PacePercent < 400 {
+		t.Errorf("pace %d%% right after", b.frame.Load.PacePercent)
+	}
+	for range 60 {
+		b.step(100 * time.Millisecond)
+		if b.hold != nil {
+			b.answerHold()
+		}
+		b.echo()
+	}
+	if b.frame.Load.PacePercent > 150 {
+		t.Errorf("pace %d%% six seconds later", b.frame.Load.PacePercent)
+	}
+}
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -116,6 +116,7 @@
 		Worker: said.Worker, known: true, born: said.Born, fence: fence, heardAt: now, holdNumber: r.worker.holdNumber,
 		reported: r.worker.holdNumber,
 	}
+	r.pace = pace{}
 	for _, s := range r.sessions {
 		s.knowsWorker = false
 	}
