Shift the order by priority; draw among the good workers

PROTOCOL-neutral in the product: a level of priority counts as 80 ms of slack; of the workers that look about as good as the best, two are drawn and the better one is taken.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -31,16 +32,21 @@
 	tasks   map[string]*task
 	waiting []*task
 	learned map[string]*estimate
+	random  *rand.Rand
 	judge   *health.Judge
 	effects Effects
+	// candidates is used within one decision.
+	candidates []choice
 	// epoch turns spans into times for the judge.
 	epoch time.Time
 }
 
-// New returns a dispatcher without workers, for an entry in a data centre.
-func New(limits Limits, dataCentre string) *Dispatcher {
+// New returns a dispatcher without workers, for an entry in a data centre. Entries with different seeds spread their tasks
+// differently.
+func New(limits Limits, dataCentre string, seed uint64) *Dispatcher {
 	return &Dispatcher{
-		limits: limits, zone: dataCentre, workers: map[string]*worker{}, jobs: map[string]*job{},
+		limits: limits, zone: dataCentre, random: rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // Not a secret.
+		workers: map[string]*worker{}, jobs: map[string]*job{},
 		tasks: map[string]*task{}, learned: map[string]*estimate{}, judge: health.NewJudge(), epoch: time.Unix(0, 0),
 	}
 }
@@ -254,7 +260,7 @@
 	w.pending = append(w.pending, pendingOffer{sequence: w.sequence, needs: t.step.Needs, expected: expected})
 	w.frame.Offers = append(w.frame.Offers, work.Offer{
 		RunID: t.id(), Sequence: w.sequence, Spec: t.job.Spec, Needs: t.step.Needs, ExpectedMS: expected.Milliseconds(),
-		StartWithinMS: t.startWithin(now, chosen.wait).Milliseconds(), SlackMS: t.slack(now).Milliseconds(), Checkpoint: t.checkpoint,
+		StartWithinMS: t.startWithin(now, chosen.wait).Milliseconds(), SlackMS: t.rank(now).Milliseconds(), Checkpoint: t.checkpoint,
 	})
 	return true
 }
@@ -268,6 +274,19 @@
 	return min(patience, t.job.deadline-now)
 }
 
+// priorityStep is how much later than its slack says a task may start for each level of priority below the first.
+const priorityStep = 80 * time.Millisecond
+
+// rank returns the slack by which the task stands in queues. It answers overload, in which an order by slack alone makes
+// short urgent jobs wait for longer ones that have waited before.
+func (t *task) rank(now time.Duration) time.Duration {
+	return t.slack(now) + t.job.Queue.rankOffset()
+}
+
+func (q *Queue) rankOffset() time.Duration {
+	return time.Duration(q.Priority) * priorityStep
+}
+
 // slack returns how much later than now the task may start for its job to end in time.
 func (t *task) slack(now time.Duration) time.Duration {
 	return t.job.objective - now - t.job.stepOf(t).expected
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -23,7 +23,7 @@
 func newDesk(t *testing.T, workers int) *desk {
 	t.Helper()
 	d := &desk{
-		t: t, core: dispatch.New(dispatch.DefaultLimits, "a"), now: time.Minute,
+		t: t, core: dispatch.New(dispatch.DefaultLimits, "a", 1), now: time.Minute,
 		offers: map[string][]work.Offer{}, stops: map[string][]work.RunID{}, answers: map[string]dispatch.Answer{},
 	}
 	for n := range workers {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// otherZoneCost is added to a task's expected time on a worker in another data centre: the way there and back.
@@ -8,6 +11,8 @@
 	// occupancyCost is added on a worker that is full, and in proportion on others: estimates of run times are rough,
 	// and the more runs on a worker the sooner one of them keeps another waiting.
 	occupancyCost = 30 * time.Millisecond
+	// aboutAsGood is how much worse than the best a worker may look: less than loads change before they are told.
+	aboutAsGood = 10 * time.Millisecond
 	// avoidCost is added on the worker that failed the task last.
 	avoidCost = 2 * time.Second
 	// remoteDataFactor is how much longer a task takes away from its data.
@@ -22,10 +27,13 @@
 	cost time.Duration
 }
 
-// choose returns the worker on which the task is expected to end first. It answers loads in which workers of unequal
-// size and speed fill up unevenly. The worker is nil when none suits.
+// choose returns a worker on which the task is expected to end about first. It answers loads in which workers of unequal
+// size and speed fill up unevenly, and entries that all see the same worker as the best before they see each other's
+// tasks there: of the workers that are about as good as the best, two are drawn and the better one is taken. The worker
+// is nil when none suits.
 func (d *Dispatcher) choose(now time.Duration, t *task) choice {
 	var best choice
+	d.candidates = d.candidates[:0]
 	progress := t.job.stepOf(t)
 	for _, w := range d.order {
 		if !w.suits(t.job.Queue.Pool, t.step) || w.aside && !w.onTrial || w.onTrial && len(w.pending) > 0 {
@@ -35,15 +43,24 @@
 			continue
 		}
 		made := d.evaluate(now, t, w, progress.expected)
+		d.candidates = append(d.candidates, made)
 		if best.worker == nil || made.cost < best.cost {
 			best = made
 		}
 	}
-	return best
+	if best.worker == nil {
+		return best
+	}
+	good := slices.DeleteFunc(d.candidates, func(c choice) bool { return c.cost > best.cost+aboutAsGood })
+	one, other := good[d.random.IntN(len(good))], good[d.random.IntN(len(good))]
+	if other.cost < one.cost {
+		return other
+	}
+	return one
 }
 
 func (d *Dispatcher) evaluate(now time.Duration, t *task, w *worker, expected time.Duration) choice {
-	wait := w.expectedWait(now, t.step.Needs, t.slack(now))
+	wait := w.expectedWait(now, t.step.Needs, t.rank(now))
 	runs := time.Duration(float64(expected) / w.presentSpeed())
 	if t.step.DataRack != "" && !w.hasLabel(t.step.DataRack) {
 		runs = time.Duration(float64(runs) * remoteDataFactor)
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		left -= w.room(step.Needs, left)
-		if wait := w.expectedWait(now, step.Needs, j.objective-now-j.stepExpected(step)); shortest < 0 || wait < shortest {
+		if wait := w.expectedWait(now, step.Needs, j.objective-now-j.stepExpected(step)+j.Queue.rankOffset()); shortest < 0 || wait < shortest {
 			shortest = wait
 		}
 	}
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -139,7 +139,7 @@
 	n := w.entries[i]
 	n.life++
 	n.alive = true
-	n.core = dispatch.New(w.limits.entry, "a")
+	n.core = dispatch.New(w.limits.entry, "a", uint64(i))
 	life := n.life
 	for s := range w.sidecars {
 		w.connect(i, s, life)
--- a/node/controlclient/pool.go
+++ b/node/controlclient/pool.go
@@ -48,8 +48,10 @@
 }
 
 func newPool(options Options) *pool {
-	made := &pool{metrics: options.Metrics, shared: options.HTTP, configured: options.Addresses,
-		dialTimeout: options.DialTimeout}
+	made := &pool{
+		metrics: options.Metrics, shared: options.HTTP, configured: options.Addresses,
+		dialTimeout: options.DialTimeout,
+	}
 	for _, address := range options.Addresses {
 		made.servers = append(made.servers, made.server(address))
 	}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -73,7 +74,7 @@
 // New returns a gateway that does nothing before Start.
 func New(options Options) *Gateway {
 	g := &Gateway{
-		options: options, core: dispatch.New(dispatch.DefaultLimits, options.DataCentre),
+		options: options, core: dispatch.New(dispatch.DefaultLimits, options.DataCentre, rand.Uint64()),
 		inputs: make(chan func(time.Duration), inputRing), callers: map[string][]chan dispatch.Answer{},
 		peers: map[string]*stream.Peer{},
 	}
