Refuse sooner in overload, and prefer room to speed

Cause: beyond three quarters of the capacity queues grew to half of the jobs' slack, so that most of what was taken was late; and tasks queued at fast workers while others had room. Ruled out: entries that choose the same worker (one entry waits as long), the age of loads, the order by priority.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -11,6 +11,10 @@
 	// occupancyCost is added on a worker that is full, and in proportion on others: estimates of run times are rough,
 	// and the more runs on a worker the sooner one of them keeps another waiting.
 	occupancyCost = 30 * time.Millisecond
+	// waitWeight and waitCost make a worker with room be preferred to a faster one without: a task that waits keeps others
+	// waiting, and forecasts of waits err on the short side.
+	waitWeight = 3
+	waitCost   = 40 * time.Millisecond
 	// aboutAsGood is how much worse than the best a worker may look: less than loads change before they are told.
 	aboutAsGood = 10 * time.Millisecond
 	// avoidCost is added on the worker that failed the task last.
@@ -65,7 +69,10 @@
 	if t.step.DataRack != "" && !w.hasLabel(t.step.DataRack) {
 		runs = time.Duration(float64(runs) * remoteDataFactor)
 	}
-	cost := wait + runs + time.Duration(float64(occupancyCost)*min(1, w.committed().ShareOf(w.Capacity)))
+	cost := waitWeight*wait + runs + time.Duration(float64(occupancyCost)*min(1, w.committed().ShareOf(w.Capacity)))
+	if wait > 0 {
+		cost += waitCost
+	}
 	if !w.sameZone {
 		cost += otherZoneCost
 	}
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -9,9 +9,10 @@
 const (
 	// minRetryAfter is the least time after which a refused caller may come back.
 	minRetryAfter = time.Second
-	// waitShare is the part of a job's slack that may be expected to be spent waiting. Forecasts are rough, and a longer
-	// queue makes nothing end sooner.
-	waitShare = 0.5
+	// waitShare is the part of a job's slack that may be expected to be spent waiting, leastWait what is allowed in any
+	// case. Forecasts are rough, and a longer queue makes nothing end sooner: it makes all be late. TestPool plays it.
+	waitShare = 0.12
+	leastWait = 20 * time.Millisecond
 )
 
 // Submit takes a job, or answers at once why it is not taken. A job that is under way gains a caller.
@@ -70,7 +71,7 @@
 // allowedWait returns how long the job's tasks may wait.
 func (j *job) allowedWait(now time.Duration) time.Duration {
 	chain := j.longestChain()
-	allowed := time.Duration(waitShare*float64(j.span()-chain)) - j.Waited
+	allowed := max(leastWait, time.Duration(waitShare*float64(j.span()-chain))) - j.Waited
 	if j.deadline != 0 {
 		allowed = min(allowed, j.deadline-now-chain)
 	}
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -8,7 +8,7 @@
 
 const (
 	// loadPeriod is the least time between two loads told to an entry that has nothing else to hear.
-	loadPeriod = 25 * time.Millisecond
+	loadPeriod = 10 * time.Millisecond
 	// minGrant is the least rest of a grant under which a task is started.
 	minGrant = 300 * time.Millisecond
 	// maxSilence is how long the worker may be silent and still get new tasks.
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -58,7 +58,7 @@
 		return
 	}
 	r.worker.suspect = true
-	r.refuseQueued(work.Unavailable)
+	r.refuseQueued()
 	r.note(Note{Kind: WorkerChanged, Reason: r.describe()})
 }
 
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -219,7 +219,7 @@
 // Drain makes the runner refuse what has not started and every new offer.
 func (r *Runner) Drain() {
 	r.draining = true
-	r.refuseQueued(work.Unavailable)
+	r.refuseQueued()
 }
 
 // Idle reports whether nothing runs or is about to.
@@ -227,10 +227,10 @@
 	return len(r.runs) == 0
 }
 
-func (r *Runner) refuseQueued(reason work.Reason) {
+func (r *Runner) refuseQueued() {
 	for _, one := range r.sorted() {
 		if one.state == queued {
-			r.turnDown(one, reason)
+			r.turnDown(one, work.Unavailable)
 		}
 	}
 }
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -86,7 +86,7 @@
 	}
 	w.sequence, w.leaving = said.Sequence, said.Leaving
 	if w.leaving {
-		r.refuseQueued(work.Unavailable)
+		r.refuseQueued()
 	}
 	if changed {
 		r.note(Note{Kind: WorkerChanged, Reason: r.describe()})
@@ -125,7 +125,7 @@
 // Left tells that the worker has said goodbye. What runs there still is learned from its answers.
 func (r *Runner) Left(now time.Duration) {
 	if r.worker.known && r.worker.leaving {
-		r.refuseQueued(work.Unavailable)
+		r.refuseQueued()
 		r.worker.nextHold = now
 	}
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -73,8 +73,9 @@
 
 // New returns a gateway that does nothing before Start.
 func New(options Options) *Gateway {
+	seed := rand.Uint64() //nolint:gosec // Not a secret.
 	g := &Gateway{
-		options: options, core: dispatch.New(dispatch.DefaultLimits, options.DataCentre, rand.Uint64()),
+		options: options, core: dispatch.New(dispatch.DefaultLimits, options.DataCentre, seed),
 		inputs: make(chan func(time.Duration), inputRing), callers: map[string][]chan dispatch.Answer{},
 		peers: map[string]*stream.Peer{},
 	}
