--- a/node/events/events_test.go
+++ b/node/events/events_test.go
@@ -54,19 +54,21 @@
 	return names
 }
 
-// namesUsed returns the names selected from package events in the module's other packages.
+// namesUsed returns the names selected from package events in the module's other packages and in the platform's.
 func namesUsed(t *testing.T) map[string]bool {
 	t.Helper()
 	used := map[string]bool{}
-	inspect(t, "..", func(node ast.Node) {
-		selector, isSelector := node.(*ast.SelectorExpr)
-		if !isSelector {
-			return
-		}
-		if name, isName := selector.X.(*ast.Ident); isName && name.Name == "events" {
-			used[selector.Sel.Name] = true
-		}
-	})
+	for _, folder := range []string{"..", "../../platform"} {
+		inspect(t, folder, func(node ast.Node) {
+			selector, isSelector := node.(*ast.SelectorExpr)
+			if !isSelector {
+				return
+			}
+			if name, isName := selector.X.(*ast.Ident); isName && name.Name == "events" {
+				used[selector.Sel.Name] = true
+			}
+		})
+	}
 	return used
 }
 
