--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SEED ?= 1
 MINUTES ?= 5
 
-.PHONY: help setup build generate generated-is-current format-check lint unit race test demo soak
+.PHONY: deploy-build tidy-check help setup build generate generated-is-current format-check lint unit race test demo soak
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*##/\t/'
@@ -43,9 +43,16 @@
 	./scripts/test.sh "$(MODULES)"
 
 race: ## run the tests of the concurrent packages under the race detector
-	./scripts/test.sh node -race -short
+	./scripts/test.sh "node platform" -race -short
 
-test: setup format-check lint generated-is-current build unit race ## everything that CI runs
+deploy-build: ## build by the very line of the deploy file
+	bash -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+	target/flamingohalld --version
+
+tidy-check: ## fail when a go.mod or go.sum is not tidy
+	@for m in $(MODULES); do (cd $$m && go mod tidy -diff) || exit 1; done
+
+test: setup tidy-check format-check lint generated-is-current build deploy-build unit race ## everything that CI runs
 
 demo: ## start the processes, run sample jobs, print the reports, stop
 	./scripts/demo.sh
--- a/node/control/operator.go
+++ b/node/control/operator.go
@@ -187,6 +187,11 @@
 			return leader.Members(ctx, &rpc.MembersRequest{Local: true})
 		})
 	}
+	if len(status.Members) == 0 {
+		// Its disk is empty and it has not joined yet: the other control VMs know the members.
+		return nil, faultrpc.To(fault.New(fault.Unavailable, "ask another control VM",
+			"control VM %s belongs to no group", o.role.id))
+	}
 	return &rpc.MembersResponse{
 		Leader: status.Leader, Term: status.Term, CommitIndex: status.CommitIndex, Members: membersToRPC(status),
 	}, nil
--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -54,7 +54,9 @@
 		return err
 	}
 	file := given.File()
-	logger := newLogger(file, os.Stdout)
+	ring := newLineRing(os.Stdout)
+	defer ring.Close()
+	logger := newLogger(file, ring)
 	events.ProcessStarting.Log(logger, "version", Version, "name", given.NodeName, "processors", runtime.GOMAXPROCS(0))
 	return runProcess(logger, func() (*process, error) {
 		return newProcessOf(file, logger, func() ([]namedRole, error) {
--- /dev/null
+++ b/node/stream/stream_test.go
@@ -0,0 +1,134 @@
+package stream
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"flamingohall.example/node/relaytest"
+)
+
+// ends is both sides of a session through a relay. Each side sends numbers and notes what it receives.
+type ends struct {
+	mutex    sync.Mutex
+	toServer []uint64
+	toClient []uint64
+	server   *Peer
+	client   *Peer
+	opened   int
+	closed   int
+	relay    *relaytest.Relay
+	listener *Server
+}
+
+func startEnds(t *testing.T) *ends {
+	t.Helper()
+	e := &ends{}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.listener = NewServer(Handler{
+		Opened: func(peer *Peer) { e.locked(func() { e.server = peer }) },
+		Received: func(_ *Peer, payload []byte) {
+			e.locked(func() { e.toServer = append(e.toServer, binary.BigEndian.Uint64(payload)) })
+		},
+	})
+	go func() { _ = e.listener.Serve(listener) }()
+	if e.relay, err = relaytest.Start(listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		Keep(ctx, e.relay.Addr(), Events{
+			Opened:   func(peer *Peer) { e.locked(func() { e.client = peer; e.opened++ }) },
+			Attached: func(*Peer, bool) {},
+			Received: func(_ *Peer, payload []byte) {
+				e.locked(func() { e.toClient = append(e.toClient, binary.BigEndian.Uint64(payload)) })
+			},
+			Closed: func(*Peer) { e.locked(func() { e.closed++ }) },
+		})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		_ = listener.Close()
+		e.listener.Close()
+		e.relay.Close()
+	})
+	e.eventually(t, "session", func() bool { return e.server != nil && e.client != nil })
+	return e
+}
+
+func (e *ends) locked(do func()) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	do()
+}
+
+func (e *ends) eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		met := false
+		e.locked(func() { met = holds() })
+		if met {
+			return
+		}
+	}
+	t.Fatalf("%s: not within 10 s", what)
+}
+
+func number(n uint64) []byte {
+	return binary.BigEndian.AppendUint64(nil, n)
+}
+
+// exchange sends numbers both ways while harm is done now and then, and checks that each came once and in order.
+func (e *ends) exchange(t *testing.T, count uint64, harm func()) {
+	t.Helper()
+	for n := range count {
+		if n%50 == 25 {
+			harm()
+		}
+		e.client.Send(number(n))
+		e.server.Send(number(n))
+		time.Sleep(2 * time.Millisecond)
+	}
+	e.eventually(t, "all frames", func() bool {
+		return len(e.toServer) == int(count) && len(e.toClient) == int(count)
+	})
+	for i := range count {
+		if e.toServer[i] != i || e.toClient[i] != i {
+			t.Fatalf("frame %d: %d at the server, %d at the client", i, e.toServer[i], e.toClient[i])
+		}
+	}
+	if e.opened != 1 || e.closed != 0 {
+		t.Errorf("%d sessions opened, %d closed", e.opened, e.closed)
+	}
+}
+
+func TestStream_FramesComeOnceAndInOrderOverBrokenConnections(t *testing.T) {
+	e := startEnds(t)
+	e.exchange(t, 400, e.relay.Cut)
+	if e.relay.Opened() < 2 {
+		t.Error("no connection was replaced")
+	}
+}
+
+func TestStream_SilentConnectionIsReplaced(t *testing.T) {
+	e := startEnds(t)
+	e.exchange(t, 100, e.relay.Silence)
+}
+
+func TestStream_SessionThatTheServerEndedIsFollowedByANewOne(t *testing.T) {
+	e := startEnds(t)
+	first := e.server
+	first.Send(number(1))
+	e.eventually(t, "frame", func() bool { return len(e.toClient) == 1 })
+	first.Close()
+	e.eventually(t, "second session", func() bool { return e.opened == 2 && e.closed == 1 && e.server != first })
+}
