--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -197,7 +197,7 @@
 
 // answer ends a job.
 func (d *Dispatcher) answer(now time.Duration, j *job, answer Answer) {
-	answer.Job, answer.Queue, answer.Trace = j.ID, j.Queue.Name, j.trace
+	answer.Job, answer.Request, answer.Queue, answer.Trace = j.ID, j.Request, j.Queue.Name, j.trace
 	answer.Trace.Took, answer.Trace.Objective = now-j.arrivedAt, j.objective-j.arrivedAt
 	d.effects.Answers = append(d.effects.Answers, answer)
 	if d.jobs[j.ID] != j {
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -18,10 +18,12 @@
 // Submission is one job as its caller sent it.
 type Submission struct {
 	// ID is unique among the jobs of the system; the same ID names the same job.
-	ID    string
-	Queue Queue
-	Spec  string
-	Steps []Step
+	ID string
+	// Request names the caller's request in the log.
+	Request string
+	Queue   Queue
+	Spec    string
+	Steps   []Step
 	// Waited is how long the job has waited at this entry before it was handed in.
 	Waited time.Duration
 	// Patience is how long the caller waits for the answer; 0 for no bound.
@@ -121,10 +123,12 @@
 
 // Answer is the end of a job.
 type Answer struct {
-	Job    string
-	Queue  string
-	Result Result
-	Cause  Cause
+	Job string
+	// Request is that of the first caller.
+	Request string
+	Queue   string
+	Result  Result
+	Cause   Cause
 	// RetryAfter is when the caller may come back, if the job was refused.
 	RetryAfter time.Duration
 	Trace      Trace
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -58,7 +58,7 @@
 // logAnswer writes the one line that every job gets.
 func (g *Gateway) logAnswer(answer *dispatch.Answer) {
 	trace := &answer.Trace
-	events.JobEnded.Log(g.options.Logger, "job", answer.Job, "queue", answer.Queue, "result", answer.Result.String(),
+	events.JobEnded.Log(g.options.Logger, "request", answer.Request, "job", answer.Job, "queue", answer.Queue, "result", answer.Result.String(),
 		"cause", answer.Cause.String(), "tasks", trace.Tasks, "offers", trace.Offers, "failures", trace.Failures,
 		"waited_ms", trace.Waited.Milliseconds(), "took_ms", trace.Took.Milliseconds(),
 		"objective_ms", trace.Objective.Milliseconds(), "predicted_wait_ms", trace.PredictedWait.Milliseconds(),
