Move runs off slow workers only

Change: a run that is behind moves only off a worker whose pace is slow. The test of the moved run now first tells that the run is behind on a sound worker: it failed before.

--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -131,6 +131,12 @@
 	id := d.offers[slow][0].RunID
 	d.core.Take(d.now, slow, &work.ToEntry{Started: []work.RunID{id}})
 	d.step(100 * time.Millisecond)
+	d.core.Take(d.now, slow, &work.ToEntry{Behind: []work.Behind{{RunID: id, RemainingMS: 900}}})
+	d.step(0)
+	if len(d.stops[slow]) != 0 {
+		t.Fatal("a run that is longer than expected on a sound worker was stopped")
+	}
+	d.load(slow, work.Load{PacePercent: 400})
 	d.core.Take(d.now, slow, &work.ToEntry{Behind: []work.Behind{{RunID: id, RemainingMS: 150}}})
 	d.step(0)
 	if len(d.stops[slow]) != 0 {
--- a/core/dispatch/move.go
+++ b/core/dispatch/move.go
@@ -17,10 +17,11 @@
 )
 
 // behind decides whether a slow run is stopped and offered again. It answers workers that turn slow: what runs there
-// would be late, and ends in time elsewhere.
+// would be late, and ends in time elsewhere. A run that is behind on a worker with a good pace is longer than expected,
+// and takes as long on any other.
 func (d *Dispatcher) behind(now time.Duration, w *worker, told work.Behind) {
 	t := d.taskAt(w.id, told.RunID)
-	if t == nil || t.state != started || t.moves >= maxMoves {
+	if t == nil || t.state != started || t.moves >= maxMoves || w.load.PacePercent < slowPace {
 		return
 	}
 	remaining := time.Duration(told.RemainingMS) * time.Millisecond
