Make the sidecar's context before anything can use it

Ruled out: load; the order of the roles allows it at any time. Change: New makes the context, Start ties it to the process's. The test fails under the race detector without it.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -95,6 +95,8 @@
 		// fence is raised until it does.
 		core: runner.New(options.Limits, uint64(time.Now().UnixMilli())),
 	}
+	// Heartbeats are taken before the loops run, so that what ends them is there from the beginning.
+	a.context, a.cancel = context.WithCancel(context.Background())
 	a.server = stream.NewServer(stream.Handler{Opened: a.opened, Received: a.received})
 	record := &rpc.Node{
 		Id: options.ID, Role: rpc.Role_ROLE_SIDECAR, Incarnation: incarnation(), DataCentre: options.DataCentre,
@@ -118,7 +120,7 @@
 		return fault.New(fault.Unavailable, "free the port", "sidecar: %v", err)
 	}
 	a.listener = listener
-	a.context, a.cancel = context.WithCancel(ctx)
+	context.AfterFunc(ctx, a.cancel)
 	a.duties.Go(func() { _ = a.server.Serve(listener) })
 	a.duties.Go(a.loop)
 	a.follower.Start(a.context)
@@ -172,17 +174,10 @@
 func (a *Agent) put(input func(now time.Duration)) {
 	select {
 	case a.inputs <- input:
-	case <-a.done():
+	case <-a.context.Done():
 	}
 }
 
-func (a *Agent) done() <-chan struct{} {
-	if a.context == nil {
-		return nil
-	}
-	return a.context.Done()
-}
-
 func (a *Agent) opened(peer *stream.Peer) {
 	a.put(func(time.Duration) {
 		a.sessions++
