--- a/node/control/versions.go
+++ b/node/control/versions.go
@@ -53,6 +53,11 @@
 	r.group.SetSeeds(addresses)
 }
 
+// Replica identifies this VM's data folder, as in Member.
+func (r *Role) Replica() uint64 {
+	return r.group.Status().Replica
+}
+
 // Members returns the control VMs that this one knows.
 func (r *Role) Members() []Member {
 	return r.group.Status().Members
--- a/node/replica/group.go
+++ b/node/replica/group.go
@@ -88,10 +88,14 @@
 	Learner bool
 	// MatchIndex is the last position that the leader knows to be synced there; 0 on other VMs.
 	MatchIndex uint64
+	// Replica identifies the data folder: a VM that lost its disk has the same ID and another Replica.
+	Replica uint64
 }
 
 // Status is this VM's view of the group.
 type Status struct {
+	// Replica identifies this VM's data folder, as in Member.
+	Replica uint64
 	// Leader is the node id of the leader, empty when none is known.
 	Leader        string
 	LeaderAddress string
--- a/node/replica/status.go
+++ b/node/replica/status.go
@@ -13,13 +13,14 @@
 	view := g.core.Status()
 	g.view.Store(&view)
 	status := &Status{
-		Term: view.Term, CommitIndex: view.Commit, AppliedIndex: g.applied.load(),
+		Replica: uint64(g.id),
+		Term:    view.Term, CommitIndex: view.Commit, AppliedIndex: g.applied.load(),
 		IsLeader: view.Role == raft.Leader,
 	}
 	for _, member := range view.Members {
 		status.Members = append(status.Members, Member{
 			Member:  settings.Member{ID: member.Name, Address: member.Address, DataCentre: member.DataCentre},
-			Learner: member.Learner, MatchIndex: member.MatchIndex,
+			Learner: member.Learner, MatchIndex: member.MatchIndex, Replica: uint64(member.ID),
 		})
 		if member.ID == view.Leader {
 			status.Leader = member.Name
