--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -14,8 +14,8 @@
 
 	"flamingohall.example/core/fault"
 	"flamingohall.example/core/runner"
-	"flamingohall.example/node/boottime"
 	"flamingohall.example/node/controlclient"
+	"flamingohall.example/node/duty"
 	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/rpc"
 	"flamingohall.example/node/stream"
@@ -25,8 +25,6 @@
 const (
 	// inputRing bounds what waits for the loop.
 	inputRing = 1024
-	// inputBatch bounds what the loop takes before it acts.
-	inputBatch = 128
 	// controlBackoff bounds the pause between two control VMs that fail.
 	controlBackoff = 300 * time.Millisecond
 	// controlDialTimeout is many times the way to another data centre.
@@ -68,7 +66,7 @@
 	server   *stream.Server
 	follower *controlclient.Follower
 	core     *runner.Runner
-	inputs   chan func(now time.Duration)
+	loop     *duty.Loop
 	// sessions belongs to the loop, as does peers.
 	peers    map[runner.Session]*stream.Peer
 	byPeer   map[*stream.Peer]runner.Session
@@ -89,17 +87,18 @@
 		options.Limits = runner.DefaultLimits
 	}
 	a := &Agent{
-		options: options, inputs: make(chan func(time.Duration), inputRing),
-		peers: map[runner.Session]*stream.Peer{}, byPeer: map[*stream.Peer]runner.Session{},
+		options: options,
+		peers:   map[runner.Session]*stream.Peer{}, byPeer: map[*stream.Peer]runner.Session{},
 		// The time of day usually lies above that of the process before; where it doesn't, the worker says so and the
 		// fence is raised until it does.
 		core: runner.New(options.Limits, uint64(time.Now().UnixMilli())),
 	}
 	// Heartbeats are taken before the loops run, so that what ends them is there from the beginning.
 	a.context, a.cancel = context.WithCancel(context.Background())
+	a.loop = duty.NewLoop(inputRing, a.context.Done())
 	a.server = stream.NewServer(stream.Handler{Opened: a.opened, Received: a.received})
 	record := &rpc.Node{
-		Id: options.ID, Role: rpc.Role_ROLE_SIDECAR, Incarnation: incarnation(), DataCentre: options.DataCentre,
+		Id: options.ID, Role: rpc.Role_ROLE_SIDECAR, Incarnation: duty.Incarnation(), DataCentre: options.DataCentre,
 		Address: options.Listen, Target: &rpc.TargetInfo{},
 	}
 	a.follower = controlclient.NewFollower(controlclient.Options{
@@ -122,7 +121,7 @@
 	a.listener = listener
 	context.AfterFunc(ctx, a.cancel)
 	a.duties.Go(func() { _ = a.server.Serve(listener) })
-	a.duties.Go(a.loop)
+	a.duties.Go(func() { a.loop.Run(a.advance) })
 	a.follower.Start(a.context)
 	return nil
 }
@@ -139,14 +138,7 @@
 func (a *Agent) Stop(ctx context.Context) error {
 	a.leaving.Store(true)
 	a.put(func(time.Duration) { a.core.Drain() })
-	ticker := time.NewTicker(busyTick)
-	defer ticker.Stop()
-	for !a.idle.Load() && ctx.Err() == nil {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-		}
-	}
+	duty.Until(ctx, busyTick, a.idle.Load)
 	a.cancel()
 	_ = a.listener.Close()
 	a.server.Close()
@@ -172,10 +164,7 @@
 
 // put hands an input to the loop.
 func (a *Agent) put(input func(now time.Duration)) {
-	select {
-	case a.inputs <- input:
-	case <-a.context.Done():
-	}
+	a.loop.Put(input)
 }
 
 func (a *Agent) opened(peer *stream.Peer) {
@@ -204,41 +193,16 @@
 	})
 }
 
-// loop is the only goroutine that uses the core.
-func (a *Agent) loop() {
-	timer := time.NewTimer(idleTick)
-	defer timer.Stop()
-	for {
-		select {
-		case <-a.context.Done():
-			return
-		case input := <-a.inputs:
-			input(boottime.Now())
-			a.drainInputs()
-		case <-timer.C:
-		}
-		now := boottime.Now()
-		a.core.Advance(now)
-		a.carryOut(a.core.Effects())
-		isIdle := a.core.Idle()
-		a.idle.Store(isIdle)
-		if isIdle {
-			timer.Reset(idleTick)
-		} else {
-			timer.Reset(busyTick)
-		}
-	}
-}
-
-func (a *Agent) drainInputs() {
-	for range inputBatch {
-		select {
-		case input := <-a.inputs:
-			input(boottime.Now())
-		default:
-			return
-		}
+// advance lets the core act, and returns when it is to act again.
+func (a *Agent) advance(now time.Duration) time.Duration {
+	a.core.Advance(now)
+	a.carryOut(a.core.Effects())
+	isIdle := a.core.Idle()
+	a.idle.Store(isIdle)
+	if isIdle {
+		return idleTick
 	}
+	return busyTick
 }
 
 // carryOut sends what the core wants sent.
@@ -275,7 +239,9 @@
 	a.calls.Go(func() {
 		ctx, cancel := context.WithTimeout(a.context, runner.StartTimeout)
 		defer cancel()
+		began := time.Now()
 		answer, reading := a.options.Worker.Start(ctx, order)
+		a.counters.startTook.Observe(time.Since(began))
 		a.put(func(now time.Duration) { a.core.Started(now, order.RunID, answer, reading) })
 	})
 }
@@ -285,7 +251,9 @@
 	a.calls.Go(func() {
 		ctx, cancel := context.WithTimeout(a.context, runner.StopTimeout)
 		defer cancel()
+		began := time.Now()
 		answer, reading := a.options.Worker.Stop(ctx, order)
+		a.counters.stopTook.Observe(time.Since(began))
 		a.put(func(now time.Duration) { a.core.Stopped(now, order.RunID, answer, reading) })
 	})
 }
--- a/node/agent/report.go
+++ b/node/agent/report.go
@@ -1,12 +1,11 @@
 package agent
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"sync/atomic"
 
 	"flamingohall.example/core/runner"
 	"flamingohall.example/node/events"
+	"flamingohall.example/node/metrics"
 )
 
 // counters are read by the metrics.
@@ -15,6 +14,9 @@
 	stops     atomic.Int64
 	holds     atomic.Int64
 	malformed atomic.Int64
+	// startTook and stopTook are the times until the worker answered an order.
+	startTook metrics.Histogram
+	stopTook  metrics.Histogram
 }
 
 func (a *Agent) publishGauges() {
@@ -25,6 +27,8 @@
 	role.Gauge("starts", func() any { return a.counters.starts.Load() })
 	role.Gauge("stops", func() any { return a.counters.stops.Load() })
 	role.Gauge("holds", func() any { return a.counters.holds.Load() })
+	role.Histogram("start_answer", &a.counters.startTook)
+	role.Histogram("stop_answer", &a.counters.stopTook)
 	role.Gauge("malformed_frames", func() any { return a.counters.malformed.Load() })
 }
 
@@ -50,10 +54,3 @@
 		events.WorkerChanged.Log(logger, "state", note.Reason, "age_ms", age)
 	}
 }
-
-// incarnation returns a name that no process ever had.
-func incarnation() string {
-	var drawn [8]byte
-	_, _ = rand.Read(drawn[:])
-	return hex.EncodeToString(drawn[:])
-}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -8,8 +8,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -20,6 +18,7 @@
 
 	"flamingohall.example/core/fault"
 	"flamingohall.example/node/controlclient"
+	"flamingohall.example/node/duty"
 	"flamingohall.example/node/events"
 	"flamingohall.example/node/link"
 	"flamingohall.example/node/metrics"
@@ -32,7 +31,6 @@
 	headerTimeout = 10 * time.Second
 	// callerIdleTimeout closes callers' connections that carried nothing for so long.
 	callerIdleTimeout = 2 * time.Minute
-	incarnationBytes  = 8
 )
 
 // follower is what the role needs of controlclient.Follower.
@@ -93,20 +91,13 @@
 	}
 	e := &Entry{
 		file: file, logger: logger, metrics: metrics.NewRole("entry", file.Node.ID),
-		incarnation: newIncarnation(),
+		incarnation: duty.Incarnation(),
 	}
 	var err error
 	e.loop, err = newLoop(e)
 	return e, err
 }
 
-// newIncarnation returns a name for this start of the process.
-func newIncarnation() string {
-	var random [incarnationBytes]byte
-	_, _ = rand.Read(random[:])
-	return hex.EncodeToString(random[:])
-}
-
 // self returns the record that this entry announces.
 func (e *Entry) self() *rpc.Node {
 	return &rpc.Node{
--- a/node/events/process.go
+++ b/node/events/process.go
@@ -9,7 +9,8 @@
 	SettingsReloaded = define(1006, Info, "settings reloaded", "the settings file has changed", "none")
 	SettingsRefused  = define(1007, Warn, "settings not reloaded",
 		"the settings file has changed and can't be used; the earlier settings stay", "mend the file")
-	ProcessFailed = define(1005, Error, "process failed", "a role could not go on",
+	ListenerFailed = define(1008, Error, "listener failed", "it can't accept connections any more", "restart the process")
+	ProcessFailed  = define(1005, Error, "process failed", "a role could not go on",
 		"read the error's remedy and start again")
 	SyncFailed = define(1101, Warn, "control unreachable", "a control VM did not answer; another is tried",
 		"check the control VMs if it lasts")
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -15,8 +15,8 @@
 	"flamingohall.example/core/catalogue"
 	"flamingohall.example/core/dispatch"
 	"flamingohall.example/core/fault"
-	"flamingohall.example/node/boottime"
 	"flamingohall.example/node/controlclient"
+	"flamingohall.example/node/duty"
 	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/rpc"
 	"flamingohall.example/node/stream"
@@ -26,8 +26,6 @@
 const (
 	// inputRing bounds what waits for the loop.
 	inputRing = 4096
-	// inputBatch bounds what the loop takes before it acts.
-	inputBatch = 256
 	// controlBackoff bounds the pause between two control VMs that fail.
 	controlBackoff = 300 * time.Millisecond
 	// controlDialTimeout is many times the way to another data centre.
@@ -56,7 +54,7 @@
 	options  Options
 	follower *controlclient.Follower
 	core     *dispatch.Dispatcher
-	inputs   chan func(now time.Duration)
+	loop     *duty.Loop
 	// callers and peers belong to the loop.
 	callers map[string][]chan dispatch.Answer
 	peers   map[string]*stream.Peer
@@ -66,6 +64,8 @@
 	// workers is the number of workers that take tasks.
 	workers atomic.Int64
 	leaving atomic.Bool
+	// opened is closed when requests need not wait for the process to start.
+	opened  chan struct{}
 	context context.Context
 	cancel  context.CancelFunc
 	duties  sync.WaitGroup
@@ -76,11 +76,12 @@
 	seed := rand.Uint64() //nolint:gosec // Not a secret.
 	g := &Gateway{
 		options: options, core: dispatch.New(dispatch.DefaultLimits, options.DataCentre, seed),
-		inputs: make(chan func(time.Duration), inputRing), callers: map[string][]chan dispatch.Answer{},
-		peers: map[string]*stream.Peer{},
+		callers: map[string][]chan dispatch.Answer{}, peers: map[string]*stream.Peer{}, opened: make(chan struct{}),
 	}
+	g.context, g.cancel = context.WithCancel(context.Background())
+	g.loop = duty.NewLoop(inputRing, g.context.Done())
 	record := &rpc.Node{
-		Id: options.ID, Role: rpc.Role_ROLE_ENTRY, Incarnation: incarnation(), DataCentre: options.DataCentre,
+		Id: options.ID, Role: rpc.Role_ROLE_ENTRY, Incarnation: duty.Incarnation(), DataCentre: options.DataCentre,
 		Address: options.Address,
 	}
 	g.follower = controlclient.NewFollower(controlclient.Options{
@@ -97,9 +98,10 @@
 
 // Start starts the loops.
 func (g *Gateway) Start(ctx context.Context) error {
-	g.context, g.cancel = context.WithCancel(ctx)
+	context.AfterFunc(ctx, g.cancel)
 	g.follower.Start(g.context)
-	g.duties.Go(g.loop)
+	g.duties.Go(func() { g.loop.Run(g.advance) })
+	g.duties.Go(g.openWhenAble)
 	g.duties.Go(func() { (&roster{gateway: g, kept: map[string]*keptSession{}}).run(g.context) })
 	return nil
 }
@@ -124,23 +126,31 @@
 	openPoll     = 10 * time.Millisecond
 )
 
-// AwaitWorkers returns once jobs can be run: a catalogue is in force and a worker can be reached. It returns after
+// openWhenAble closes opened once jobs can be run, a catalogue being in force and a worker in reach, and after
 // openPatience in any case.
-func (g *Gateway) AwaitWorkers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, openPatience)
+func (g *Gateway) openWhenAble() {
+	defer close(g.opened)
+	ctx, cancel := context.WithTimeout(g.context, openPatience)
 	defer cancel()
-	ticker := time.NewTicker(openPoll)
-	defer ticker.Stop()
-	for {
-		if _, known := g.Catalogue(); known && g.workers.Load() > 0 {
-			return
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	duty.Until(ctx, openPoll, func() bool {
+		_, known := g.Catalogue()
+		return known && g.workers.Load() > 0
+	})
+}
+
+// AwaitOpening holds a request that comes while the process starts, and returns for how long.
+func (g *Gateway) AwaitOpening(ctx context.Context) time.Duration {
+	arrived := time.Now()
+	select {
+	case <-g.opened:
+		return 0
+	default:
 	}
+	select {
+	case <-g.opened:
+	case <-ctx.Done():
+	}
+	return time.Since(arrived)
 }
 
 // Leave makes Ready fail. Jobs are still taken until Stop.
@@ -151,14 +161,7 @@
 // Stop waits for the jobs under way until ctx ends, and ends the loops.
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.Leave()
-	ticker := time.NewTicker(busyTick)
-	defer ticker.Stop()
-	for g.jobs.Load() > 0 && ctx.Err() == nil {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-		}
-	}
+	duty.Until(ctx, busyTick, func() bool { return g.jobs.Load() == 0 })
 	g.cancel()
 	g.duties.Wait()
 	return nil
@@ -222,48 +225,19 @@
 
 // put hands an input to the loop, and reports whether it was taken.
 func (g *Gateway) put(input func(now time.Duration)) bool {
-	select {
-	case g.inputs <- input:
-		return true
-	case <-g.context.Done():
-		return false
-	}
-}
-
-// loop is the only goroutine that uses the core.
-func (g *Gateway) loop() {
-	timer := time.NewTimer(idleTick)
-	defer timer.Stop()
-	for {
-		select {
-		case <-g.context.Done():
-			return
-		case input := <-g.inputs:
-			input(boottime.Now())
-			g.drainInputs()
-		case <-timer.C:
-		}
-		g.core.Advance(boottime.Now())
-		g.carryOut(g.core.Effects())
-		g.jobs.Store(int64(g.core.Jobs()))
-		g.workers.Store(int64(g.core.Workers()))
-		if g.core.Jobs() == 0 {
-			timer.Reset(idleTick)
-		} else {
-			timer.Reset(busyTick)
-		}
-	}
+	return g.loop.Put(input)
 }
 
-func (g *Gateway) drainInputs() {
-	for range inputBatch {
-		select {
-		case input := <-g.inputs:
-			input(boottime.Now())
-		default:
-			return
-		}
+// advance lets the core act, and returns when it is to act again.
+func (g *Gateway) advance(now time.Duration) time.Duration {
+	g.core.Advance(now)
+	g.carryOut(g.core.Effects())
+	g.jobs.Store(int64(g.core.Jobs()))
+	g.workers.Store(int64(g.core.Workers()))
+	if g.core.Jobs() == 0 {
+		return idleTick
 	}
+	return busyTick
 }
 
 // carryOut sends what the core wants sent.
--- /dev/null
+++ b/node/gateway/gateway_test.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/core/dispatch"
+	"flamingohall.example/node/metrics"
+)
+
+func startGateway(t *testing.T) *Gateway {
+	t.Helper()
+	g := New(Options{
+		ID: "e", DataCentre: "a", Address: "127.0.0.1:1", Control: []string{"127.0.0.1:1"}, ControlHold: time.Second,
+		Logger: logr.Discard(), Metrics: metrics.NewRole("entry", t.Name()),
+	})
+	if err := g.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if err := g.Stop(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	return g
+}
+
+func TestGateway_RequestsWaitNoLongerThanAStartMayTake(t *testing.T) {
+	g := startGateway(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if waited := g.AwaitOpening(ctx); waited < 50*time.Millisecond {
+		t.Errorf("without workers the first request waited %v, want until its caller left", waited)
+	}
+	if waited := g.AwaitOpening(t.Context()); waited > openPatience+time.Second {
+		t.Errorf("waited %v, want %v at the most", waited, openPatience)
+	}
+	if waited := g.AwaitOpening(t.Context()); waited != 0 {
+		t.Errorf("after the opening a request waited %v", waited)
+	}
+}
+
+func TestGateway_JobWithoutWorkersIsRefusedAndCounted(t *testing.T) {
+	g := startGateway(t)
+	answer := g.Submit(t.Context(), dispatch.Submission{ID: "j", Steps: []dispatch.Step{{Count: 1}}})
+	if answer.Result != dispatch.Refused || answer.Cause != dispatch.NoWorkers || answer.RetryAfter <= 0 {
+		t.Errorf("answer %+v, want a refusal for want of workers that says when to come back", answer)
+	}
+	if got := g.counters.refused.Load(); got != 1 {
+		t.Errorf("%d refusals counted, want 1", got)
+	}
+}
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -1,12 +1,11 @@
 package gateway
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"sync/atomic"
 
 	"flamingohall.example/core/dispatch"
 	"flamingohall.example/node/events"
+	"flamingohall.example/node/metrics"
 )
 
 // counters are read by the metrics.
@@ -19,13 +18,21 @@
 	inTime    atomic.Int64
 	offers    atomic.Int64
 	malformed atomic.Int64
+	// took is the time from a job's arrival to its answer, waited the time until its last task began; both of completed
+	// jobs. expected is the wait that was forecast for every job.
+	took     metrics.Histogram
+	waited   metrics.Histogram
+	expected metrics.Histogram
 }
 
 func (c *counters) answered(answer *dispatch.Answer) {
 	c.offers.Add(int64(answer.Trace.Offers))
+	c.expected.Observe(answer.Trace.PredictedWait)
 	switch answer.Result {
 	case dispatch.Completed:
 		c.completed.Add(1)
+		c.took.Observe(answer.Trace.Took)
+		c.waited.Observe(answer.Trace.Waited)
 		if answer.Trace.Took <= answer.Trace.Objective {
 			c.inTime.Add(1)
 		}
@@ -53,6 +60,9 @@
 	} {
 		role.Gauge(name, func() any { return counter.Load() })
 	}
+	role.Histogram("job_took", &g.counters.took)
+	role.Histogram("job_waited", &g.counters.waited)
+	role.Histogram("job_expected_wait", &g.counters.expected)
 }
 
 // logAnswer writes the one line that every job gets.
@@ -91,10 +101,3 @@
 		events.WorkerTrusted.Log(logger, "worker", note.Worker)
 	}
 }
-
-// incarnation returns a name that no process ever had.
-func incarnation() string {
-	var drawn [8]byte
-	_, _ = rand.Read(drawn[:])
-	return hex.EncodeToString(drawn[:])
-}
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,6 +12,7 @@
 	"flamingohall.example/core/fault"
 	"flamingohall.example/core/target"
 	"flamingohall.example/node/controlclient"
+	"flamingohall.example/node/duty"
 	"flamingohall.example/node/events"
 	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/rpc"
@@ -35,8 +34,6 @@
 	requestRing = 1024
 	// tickPeriod is how often deadlines in the queue and the age of outcomes are looked at.
 	tickPeriod = 100 * time.Millisecond
-
-	incarnationBytes = 8
 )
 
 // membership is what the sidecar needs of controlclient.Follower.
@@ -103,14 +100,10 @@
 }
 
 func newSidecar(file *settings.File, logger logr.Logger) (*Sidecar, error) {
-	incarnation := make([]byte, incarnationBytes)
-	if _, err := rand.Read(incarnation); err != nil {
-		return nil, fault.New(fault.Internal, "check the machine's random source", "incarnation: %v", err)
-	}
 	options := *file.Sidecar
 	made := &Sidecar{
 		file: file, options: options, logger: logger, metrics: metrics.NewRole("sidecar", file.Node.ID),
-		incarnation: hex.EncodeToString(incarnation), began: time.Now(),
+		incarnation: duty.Incarnation(), began: time.Now(),
 		replies: map[uint64]chan<- target.Answer{}, running: map[attemptKey]context.CancelFunc{},
 		requests: make(chan request, requestRing), calls: make(chan call, options.Slots),
 		stopped: make(chan struct{}), refused: make(chan struct{}, 1),
