Bound the loads that a sidecar tells to all its entries together

Cause: each sidecar told its load to each entry up to every 10 ms. Ruled out: a period by number of workers told by the entry (the ratio of entries to workers stays, so the sidecar knows enough). Change: 2.5 ms between the loads of any two entries; with four entries or fewer nothing changes. The load is computed only when an entry is due.

--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// loadPeriod is the least time between two loads told to an entry that has nothing else to hear.
+	// loadPeriod is the least time between two loads told to an entry that has nothing else to hear; loadPause is that
+	// between the loads of any two entries, which bounds what a sidecar spends on them to 400 a second. Entries rise in
+	// number with workers, so what an entry hears in all rises with the workers for each entry, not with their product.
 	loadPeriod = 10 * time.Millisecond
+	loadPause  = 2500 * time.Microsecond
 	// minGrant is the least rest of a grant under which a task is started.
 	minGrant = 300 * time.Millisecond
 	// maxSilence is how long the worker may be silent and still get new tasks.
@@ -166,9 +169,17 @@
 
 // fillFrames adds probes, the worker's record and the load, and hands the frames out.
 func (r *Runner) fillFrames(now time.Duration) {
-	load := r.load(now)
+	var load *work.Load
+	period := max(loadPeriod, time.Duration(len(r.sessions))*loadPause)
 	for id, s := range r.inOrder() {
-		r.fillFrame(now, s, load)
+		r.fillFrame(now, s)
+		if !isEmpty(&s.frame) || now >= s.toldAt+period || s.toldLoad.Accepts != r.mayStart(now) {
+			if load == nil {
+				made := r.load(now)
+				load = &made
+			}
+			s.tellLoad(now, *load)
+		}
 		if isEmpty(&s.frame) {
 			continue
 		}
@@ -177,7 +188,7 @@
 	}
 }
 
-func (r *Runner) fillFrame(now time.Duration, s *session, load work.Load) {
+func (r *Runner) fillFrame(now time.Duration, s *session) {
 	if now >= s.nextProbe {
 		r.nextProbe++
 		s.probes[r.nextProbe] = now
@@ -187,9 +198,12 @@
 		known := r.worker.Worker
 		s.frame.Worker, s.knowsWorker = &known, true
 	}
+}
+
+// tellLoad adds the load to the session's frame if it differs from the one told last.
+func (s *session) tellLoad(now time.Duration, load work.Load) {
 	load.Through = s.through
-	isDue := load.Accepts != s.toldLoad.Accepts || now >= s.toldAt+loadPeriod
-	if load != s.toldLoad && (isDue || !isEmpty(&s.frame)) {
+	if load != s.toldLoad {
 		s.frame.Load = &load
 		s.toldLoad, s.toldAt = load, now
 	}
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -377,3 +377,37 @@
 		t.Errorf("pace %d%% six seconds later", b.frame.Load.PacePercent)
 	}
 }
+
+// loadsTold returns how many loads a second reach each entry while the worker's load changes all the time.
+func loadsTold(t *testing.T, entries int) float64 {
+	t.Helper()
+	b := newBench(t)
+	for id := range entries - 1 {
+		b.core.Open(b.now, session+runner.Session(id+1), work.Hello{Entry: fmt.Sprint("e", id)})
+	}
+	b.run("j.0.0.0", 8000)
+	b.offer("j.0.0.1", 8000)
+	const span = 200
+	told := 0
+	for range span {
+		b.now += time.Millisecond
+		b.core.Advance(b.now)
+		for _, frame := range b.core.Effects().Frames {
+			if frame.Load != nil {
+				told++
+			}
+		}
+	}
+	return float64(told) / float64(entries) * 1000 / span
+}
+
+func TestRunner_LoadsOfAllEntriesTogetherAreBounded(t *testing.T) {
+	if got := loadsTold(t, 4); got < 70 {
+		t.Errorf("each of 4 entries was told %.0f loads in a second, want one about every 10 ms", got)
+	}
+	for _, entries := range []int{13, 40} {
+		if got := loadsTold(t, entries) * float64(entries); got > 450 {
+			t.Errorf("%d entries were told %.0f loads in a second, want 400 and what goes with other news", entries, got)
+		}
+	}
+}
