Look for a start whose answer is overdue, and void it after 25 ms instead of 300

Ruled out: a shorter time limit for the call alone (a worker that carries orders out and does not answer would lose good runs). Change: 25 ms after a start without an answer the worker is asked what runs; if it does not list the run, the run is stopped there, so that a late order is refused, and given back. A stop of what never began is confirmed by a fresh list at once. Tests: TestRunner_StartThatIsNotCarriedOutIsGivenBackSoon failed first; two more hold that a run which is listed is kept and that an earlier list voids nothing. TestRunner_UnansweredStartIsRevokedBeforeItIsGivenBack asked for a second list after the stop; one asked for after the stop is enough, and the check that none is given back before it stays.

--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -18,6 +18,9 @@
 	maxSilence = 2 * idleHold
 	// StartTimeout is how long an answer of the worker to a Start may take.
 	StartTimeout = 300 * time.Millisecond
+	// startDoubt is how long an answer to a Start may take before the worker is asked whether it runs: many times what a
+	// call within a VM takes, and less than the slack of a short job.
+	startDoubt = 25 * time.Millisecond
 	// StopTimeout is how long an answer to a Stop may take. A stop may be repeated at no cost, and must be through
 	// before a grant ends.
 	StopTimeout = 100 * time.Millisecond
@@ -31,6 +34,9 @@
 	if w := &r.worker; w.holding && now > w.holdSentAt+w.holdWait+repeatAfter {
 		w.holding, w.nextHold = false, now
 	}
+	if r.hasDoubt(now) {
+		r.worker.holding, r.worker.nextHold = false, now
+	}
 	if w := &r.worker; w.askedAt != 0 && now > w.askedAt+holdWait+suspectAfter {
 		r.suspect()
 	}
@@ -108,7 +114,7 @@
 			continue
 		}
 		free = free.Minus(one.Needs)
-		one.state, one.changedAt = ordered, now
+		one.state, one.changedAt, one.doubtedBy = ordered, now, 0
 		r.worker.nextHold = min(r.worker.nextHold, now)
 		r.effects.Starts = append(r.effects.Starts, Start{
 			Order: r.order(now), RunID: one.RunID, Spec: one.Spec, Checkpoint: one.Checkpoint,
@@ -146,10 +152,15 @@
 		return
 	}
 	var wait time.Duration
-	if r.isBusy() && !r.awaitsConfirmation() {
+	if r.isBusy() && !r.awaitsConfirmation() && !r.hasDoubt(now) {
 		wait = holdWait
 	}
 	w.holdNumber++
+	for _, one := range r.runs {
+		if one.isDoubtful(now) {
+			one.doubtedBy = w.holdNumber
+		}
+	}
 	w.holding, w.hasNews, w.holdSentAt, w.holdWait = true, false, now, wait
 	if w.askedAt == 0 {
 		w.askedAt = now
@@ -157,6 +168,20 @@
 	r.effects.Hold = &Hold{Order: r.order(now), Number: w.holdNumber, Confirmed: w.confirmed, Wait: wait}
 }
 
+// isDoubtful reports whether the answer to the run's Start is overdue and the worker was not asked since.
+func (r *run) isDoubtful(now time.Duration) bool {
+	return r.state == ordered && r.doubtedBy == 0 && now >= r.changedAt+startDoubt
+}
+
+func (r *Runner) hasDoubt(now time.Duration) bool {
+	for _, one := range r.runs {
+		if one.isDoubtful(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitsConfirmation reports whether a stopped run waits for the next report.
 func (r *Runner) awaitsConfirmation() bool {
 	for _, one := range r.runs {
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -135,7 +135,12 @@
 // missing handles a run that the report does not list as running. Ends are taken in before.
 func (r *Runner) missing(now time.Duration, one *run, report *Report) {
 	switch one.state {
-	case queued, ordered, stopping:
+	case queued, stopping:
+	case ordered:
+		// The order is on its way or lost. It is voided, as it could still be carried out when the task runs elsewhere.
+		if one.doubtedBy != 0 && report.Number >= one.doubtedBy {
+			r.revoke(now, one)
+		}
 	case running:
 		if report.Number < one.confirmedBy {
 			return
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -43,6 +43,8 @@
 	retryAt time.Duration
 	// confirmedBy is the number of the first Hold sent after the state was reached.
 	confirmedBy uint64
+	// doubtedBy is the number of the first Hold sent once an answer to the Start was overdue, 0 before.
+	doubtedBy uint64
 	// absences counts reports in a row that should have listed the run.
 	absences int
 	// outcome is what a stopped run is told to be.
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -169,7 +169,6 @@
 		t.Fatal("given back before a list of ends was seen")
 	}
 	b.answerHold()
-	b.answerHold()
 	if len(b.frame.Refused) != 1 || b.frame.Refused[0].Reason != work.Unanswered {
 		t.Errorf("refused %v", b.frame.Refused)
 	}
@@ -411,3 +410,50 @@
 		}
 	}
 }
+
+func TestRunner_StartThatIsNotCarriedOutIsGivenBackSoon(t *testing.T) {
+	b := newBench(t)
+	began := b.now
+	id := b.offer("j.0.0.0", 8000)
+	b.step(5 * time.Millisecond)
+	b.step(30 * time.Millisecond)
+	if b.hold == nil || b.hold.Wait != 0 {
+		t.Fatalf("hold %+v, want one that asks at once what runs", b.hold)
+	}
+	b.answerHold()
+	if len(b.stops) != 1 || b.stops[0].RunID != id {
+		t.Fatalf("stops %v, want the start to be revoked", b.stops)
+	}
+	b.core.Stopped(b.now, id, runner.Accepted, b.reading())
+	b.step(time.Millisecond)
+	b.answerHold()
+	if len(b.frame.Refused) != 1 || b.frame.Refused[0].Reason != work.Unanswered {
+		t.Fatalf("refused %v, want the task to be given back", b.frame.Refused)
+	}
+	if took := b.now - began; took > 50*time.Millisecond {
+		t.Errorf("given back after %v, want less than the slack of a short job", took)
+	}
+}
+
+func TestRunner_StartWhoseAnswerIsMissingIsKeptIfItRuns(t *testing.T) {
+	b := newBench(t)
+	id := b.offer("j.0.0.0", 8000)
+	b.step(30 * time.Millisecond)
+	b.answerHold(runner.Listed{RunID: id})
+	b.step(30 * time.Millisecond)
+	if len(b.stops) != 0 || len(b.frame.Started) != 1 {
+		t.Errorf("stops %v, started %v, want the run to go on", b.stops, b.frame.Started)
+	}
+}
+
+func TestRunner_ReportFromBeforeTheDoubtRevokesNothing(t *testing.T) {
+	b := newBench(t)
+	b.offer("j.0.0.0", 8000)
+	b.step(time.Millisecond)
+	b.answerHold()
+	b.step(time.Millisecond)
+	b.answerHold()
+	if len(b.stops) != 0 {
+		t.Errorf("stops %v, want the start to be waited for", b.stops)
+	}
+}
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -207,8 +207,7 @@
 	case Accepted:
 		r.confirmStart(now, one)
 	case NoAnswer:
-		r.note(Note{Kind: RunRevoked, RunID: which, Session: one.session})
-		r.stop(now, one, work.Lost)
+		r.revoke(now, one)
 	case NoRoom, LeasePassed, Fenced:
 		if answer == Fenced {
 			r.raiseFence()
@@ -230,6 +229,12 @@
 	}
 }
 
+// revoke stops a run whose start was not confirmed.
+func (r *Runner) revoke(now time.Duration, one *run) {
+	r.note(Note{Kind: RunRevoked, RunID: one.RunID, Session: one.session})
+	r.stop(now, one, work.Lost)
+}
+
 func (r *Runner) raiseFence() {
 	r.worker.fence += fenceStep
 }
@@ -274,8 +279,11 @@
 	case Accepted, Outrun:
 		one.state, one.changedAt = stopped, now
 		one.confirmedBy = r.worker.holdNumber + 1
-		// A hold under way returns with the end that the stop has made, if there is one.
+		// A hold under way returns with the end that the stop has made. Where nothing had begun there is none.
 		r.worker.nextHold = now
+		if !one.wasStarted {
+			r.worker.holding = false
+		}
 	case Fenced:
 		r.raiseFence()
 		one.retryAt = now
