Use the field's terms in target, control's lease watch and the entry's queue

stones and spots -> tombstones, packed; buried -> hasTombstone; told and untold -> taskOutcome, undelivered; rest, resting -> packLater, idle; ending -> conclusion; warden, takeUp, giveUp -> leaseWatch, restartLeases, proposeLoss; passedOver -> skipped. Names only; the packages' tests pass unchanged but for the names.

--- a/core/target/archive.go
+++ b/core/target/archive.go
@@ -24,8 +24,8 @@
 	head int
 }
 
-// spot is the place of a record.
-type spot struct {
+// recordPlace is where a record lies.
+type recordPlace struct {
 	block, offset uint32
 	list          uint8
 }
@@ -34,7 +34,7 @@
 const lengthBytes = 4
 
 // add appends a record and returns its place, without the list.
-func (a *archive) add(record []byte) spot {
+func (a *archive) add(record []byte) recordPlace {
 	framed := lengthBytes + len(record)
 	if len(a.blocks) == 0 || a.last().room() < framed {
 		size := max(a.blockBytes, framed)
@@ -42,7 +42,7 @@
 		a.bytes += size
 	}
 	last := a.last()
-	at := spot{block: a.first + uint32(len(a.blocks)-1), offset: uint32(len(last.records))}
+	at := recordPlace{block: a.first + uint32(len(a.blocks)-1), offset: uint32(len(last.records))}
 	last.records = binary.LittleEndian.AppendUint32(last.records, uint32(len(record)))
 	last.records = append(last.records, record...)
 	return at
@@ -56,8 +56,8 @@
 	return cap(b.records) - len(b.records)
 }
 
-// read returns the record at a spot. It must not be changed.
-func (a *archive) read(at spot) []byte {
+// read returns the record at a place. It must not be changed.
+func (a *archive) read(at recordPlace) []byte {
 	return a.blocks[at.block-a.first].read(int(at.offset))
 }
 
@@ -68,12 +68,12 @@
 }
 
 // oldest returns the oldest record and its place, without the list, or nil.
-func (a *archive) oldest() ([]byte, spot) {
+func (a *archive) oldest() ([]byte, recordPlace) {
 	if len(a.blocks) == 0 {
-		return nil, spot{}
+		return nil, recordPlace{}
 	}
 	head := a.blocks[0].head
-	return a.blocks[0].read(head), spot{block: a.first, offset: uint32(head)}
+	return a.blocks[0].read(head), recordPlace{block: a.first, offset: uint32(head)}
 }
 
 // drop removes the oldest record.
--- a/core/target/gate.go
+++ b/core/target/gate.go
@@ -2,28 +2,28 @@
 
 import "slices"
 
-// ending is how an attempt ends.
-type ending struct {
+// conclusion is how an attempt ends.
+type conclusion struct {
 	outcome Outcome
 	cause   Cause
 	reason  string
 }
 
 var (
-	tooWide      = ending{NotRun, CauseBusy, "the task needs more slots than the target has"}
-	pastDeadline = ending{NotRun, CauseDeadline, "the deadline passed before it could start"}
-	sealed       = ending{NotRun, CauseSealed, "sealed before it started"}
-	superseded   = ending{NotRun, CauseSealed, "a later attempt has been seen"}
-	fencedOff    = ending{NotRun, CauseFenced, "a newer claim holds the job"}
-	cancelledIt  = ending{Cancelled, CauseCancelled, "cancelled before it started"}
-	staleSeal    = ending{Unknown, CauseFenced, "a newer claim holds the job and may start it"}
-	lostProcess  = ending{Unknown, CauseLost, "the process that knew is gone"}
-	otherProcess = ending{Unknown, CauseIncarnation, "meant for an earlier process at this target"}
-	forgotten    = ending{Unknown, CauseLost, "it may have been started here; its outcome is forgotten"}
+	tooWide      = conclusion{NotRun, CauseBusy, "the task needs more slots than the target has"}
+	pastDeadline = conclusion{NotRun, CauseDeadline, "the deadline passed before it could start"}
+	sealed       = conclusion{NotRun, CauseSealed, "sealed before it started"}
+	superseded   = conclusion{NotRun, CauseSealed, "a later attempt has been seen"}
+	fencedOff    = conclusion{NotRun, CauseFenced, "a newer claim holds the job"}
+	cancelledIt  = conclusion{Cancelled, CauseCancelled, "cancelled before it started"}
+	staleSeal    = conclusion{Unknown, CauseFenced, "a newer claim holds the job and may start it"}
+	lostProcess  = conclusion{Unknown, CauseLost, "the process that knew is gone"}
+	otherProcess = conclusion{Unknown, CauseIncarnation, "meant for an earlier process at this target"}
+	forgotten    = conclusion{Unknown, CauseLost, "it may have been started here; its outcome is forgotten"}
 )
 
 // told makes the outcome of an attempt that has no record of its own.
-func (e ending) told(index, attempt uint32) TaskOutcome {
+func (e conclusion) taskOutcome(index, attempt uint32) TaskOutcome {
 	return TaskOutcome{Index: index, Attempt: attempt, Outcome: e.outcome, Cause: e.cause, Reason: e.reason}
 }
 
@@ -33,23 +33,23 @@
 	j, refusal, admitted := t.admitJob(event)
 	for _, spec := range event.Tasks {
 		if !admitted {
-			w.settle(refusal.told(spec.Index, spec.Attempt))
+			w.settle(refusal.taskOutcome(spec.Index, spec.Attempt))
 			continue
 		}
 		t.admitTask(j, event, spec, w)
 	}
 	if j != nil {
-		t.rest(j)
+		t.packLater(j)
 	}
 	t.noteDue(w)
 }
 
 // admitJob returns the job's record, or why all tasks of the request are refused.
-func (t *Target) admitJob(event Run) (*job, ending, bool) {
+func (t *Target) admitJob(event Run) (*job, conclusion, bool) {
 	if t.otherIncarnation(event) {
 		return nil, otherProcess, false
 	}
-	if !event.Repeatable && event.firstEpoch() <= t.stones.floor && !t.known(event.Job) && !t.off.tombstones {
+	if !event.Repeatable && event.firstEpoch() <= t.tombstones.floor && !t.known(event.Job) && !t.off.tombstones {
 		return nil, forgotten, false
 	}
 	j, how := t.open(event.Job)
@@ -61,7 +61,7 @@
 	if event.Epoch > j.fence {
 		j.raise(event.Epoch, 0)
 	}
-	return j, ending{}, true
+	return j, conclusion{}, true
 }
 
 func (t *Target) otherIncarnation(event Run) bool {
@@ -73,35 +73,35 @@
 
 // known reports whether anything is left of what was known of a job.
 func (t *Target) known(id JobID) bool {
-	_, buried := t.stones.stones[id]
-	_, packed := t.spots[id]
-	return buried || packed || t.jobs[id] != nil
+	_, hasTombstone := t.tombstones.byJob[id]
+	_, packed := t.packed[id]
+	return hasTombstone || packed || t.jobs[id] != nil
 }
 
 // open returns the record of a job, a new one when nothing is known of it, or none and the reason when it was
 // forgotten and nothing of it may start.
-func (t *Target) open(id JobID) (*job, ending) {
+func (t *Target) open(id JobID) (*job, conclusion) {
 	if j := t.find(id); j != nil {
-		return j, ending{}
+		return j, conclusion{}
 	}
-	stone, buried := t.stones.stones[id]
-	if buried && !t.off.tombstones {
-		switch stone.fate {
+	mark, hasTombstone := t.tombstones.byJob[id]
+	if hasTombstone && !t.off.tombstones {
+		switch mark.fate {
 		case fateStarted:
 			return nil, forgotten
 		case fateCancelled:
 			return nil, cancelledIt
 		case fateOpen:
-			t.stones.remove(id)
+			t.tombstones.remove(id)
 		}
 	}
-	j := &job{id: id, repeatable: !buried, fence: stone.fence, fenceAttempt: stone.attempt}
-	if !buried {
-		j.floor = t.stones.floor
+	j := &job{id: id, repeatable: !hasTombstone, fence: mark.fence, fenceAttempt: mark.attempt}
+	if !hasTombstone {
+		j.floor = t.tombstones.floor
 	}
 	t.jobs[id] = j
 	t.charge(j, jobBytes)
-	return j, ending{}
+	return j, conclusion{}
 }
 
 // admitTask decides on one task of a request. A waiter is told of it now or when it ends.
@@ -109,7 +109,7 @@
 	each := j.find(spec.Index)
 	switch {
 	case (each == nil || each.attempt == 0) && j.lost && !event.Repeatable:
-		w.settle(forgotten.told(spec.Index, spec.Attempt))
+		w.settle(forgotten.taskOutcome(spec.Index, spec.Attempt))
 		return
 	case each != nil && spec.Attempt <= each.attempt:
 		t.attach(j, each, spec, w)
@@ -118,10 +118,10 @@
 		t.watch(w, each)
 		return
 	case each != nil && each.sealed:
-		w.settle(ending{each.outcome, each.cause, each.reason}.told(spec.Index, spec.Attempt))
+		w.settle(conclusion{each.outcome, each.cause, each.reason}.taskOutcome(spec.Index, spec.Attempt))
 		return
 	case !t.off.fence && j.fenced(event.Epoch, spec.Attempt):
-		w.settle(t.fencedEnding(j, event).told(spec.Index, spec.Attempt))
+		w.settle(t.fencedEnding(j, event).taskOutcome(spec.Index, spec.Attempt))
 		return
 	}
 	w.fresh = true
@@ -150,9 +150,9 @@
 	case spec.Attempt == each.attempt:
 		t.watch(w, each)
 	case each.started && j.repeatable:
-		w.settle(forgotten.told(spec.Index, spec.Attempt))
+		w.settle(forgotten.taskOutcome(spec.Index, spec.Attempt))
 	default:
-		w.settle(superseded.told(spec.Index, spec.Attempt))
+		w.settle(superseded.taskOutcome(spec.Index, spec.Attempt))
 	}
 }
 
@@ -164,7 +164,7 @@
 	return j.repeatable || !each.started || t.off.gate
 }
 
-func (t *Target) fencedEnding(j *job, event Run) ending {
+func (t *Target) fencedEnding(j *job, event Run) conclusion {
 	if event.Epoch < j.fence {
 		return fencedOff
 	}
@@ -172,7 +172,7 @@
 }
 
 // refuse tells why a new attempt is not taken, if so.
-func (t *Target) refuse(j *job, event Run) (ending, bool) {
+func (t *Target) refuse(j *job, event Run) (conclusion, bool) {
 	if j.cancelled {
 		return cancelledIt, true
 	}
@@ -189,20 +189,20 @@
 	case slots > t.slots:
 		return tooWide, true
 	case t.bytes() > t.options.OutcomeBytes:
-		return ending{NotRun, CauseBusy, "the memory for outcomes is full"}, true
+		return conclusion{NotRun, CauseBusy, "the memory for outcomes is full"}, true
 	case t.queue.tasks < t.options.Queue:
-		return ending{}, false
+		return conclusion{}, false
 	case t.queue.tasks == 0 && t.busy+slots <= t.slots:
-		return ending{}, false
+		return conclusion{}, false
 	default:
-		return ending{NotRun, CauseBusy, "no free slot and no room in the queue"}, true
+		return conclusion{NotRun, CauseBusy, "no free slot and no room in the queue"}, true
 	}
 }
 
 // remember ends an attempt that never got into the queue, so that a late copy of the request can't start it.
-func (t *Target) remember(j *job, each *task, spec Spec, how ending, w *waiter) {
+func (t *Target) remember(j *job, each *task, spec Spec, how conclusion, w *waiter) {
 	if t.off.refusals {
-		w.settle(how.told(spec.Index, spec.Attempt))
+		w.settle(how.taskOutcome(spec.Index, spec.Attempt))
 		return
 	}
 	each.attempt = spec.Attempt
@@ -226,26 +226,26 @@
 }
 
 // end ends a live attempt without a result.
-func (t *Target) end(j *job, each *task, how ending) {
+func (t *Target) end(j *job, each *task, how conclusion) {
 	t.endWith(j, each, how, nil)
 }
 
 // endWith ends a live attempt and tells those who wait for it.
-func (t *Target) endWith(j *job, each *task, how ending, result []byte) {
+func (t *Target) endWith(j *job, each *task, how conclusion, result []byte) {
 	waiters := each.live.waiters
 	each.live = nil
 	j.live--
 	t.conclude(j, each, how, result)
-	told := slices.ContainsFunc(waiters, func(w *waiter) bool { return !w.answered })
-	t.setUntold(each, !told)
+	delivered := slices.ContainsFunc(waiters, func(w *waiter) bool { return !w.answered })
+	t.setUndelivered(each, !delivered)
 	for _, w := range waiters {
 		w.ended(each)
 		t.noteDue(w)
 	}
-	t.rest(j)
+	t.packLater(j)
 }
 
-func (t *Target) conclude(j *job, each *task, how ending, result []byte) {
+func (t *Target) conclude(j *job, each *task, how conclusion, result []byte) {
 	each.outcome = how.outcome
 	each.cause = how.cause
 	t.setText(j, each, how.reason, result)
--- a/core/target/history_test.go
+++ b/core/target/history_test.go
@@ -292,14 +292,14 @@
 		p.fail("%d queued", load.Queued)
 	}
 	p.checkMemory()
-	if len(p.target.stones.stones) > p.options.Tombstones {
-		p.fail("%d tombstones", len(p.target.stones.stones))
+	if len(p.target.tombstones.byJob) > p.options.Tombstones {
+		p.fail("%d tombstones", len(p.target.tombstones.byJob))
 	}
 }
 
 // checkMemory counts what is remembered anew.
 func (p *player) checkMemory() {
-	tasks, untold, unpacked := 0, 0, 0
+	tasks, undelivered, unpacked := 0, 0, 0
 	for id, j := range p.target.jobs {
 		if j.live == 0 {
 			p.fail("job %v is at rest and not packed", id)
@@ -307,16 +307,16 @@
 		tasks += len(j.tasks)
 		unpacked += int(j.bytes)
 	}
-	for id, at := range p.target.spots {
+	for id, at := range p.target.packed {
 		head, _ := (&reader{p.target.archives[at.list].read(at)}).header()
 		if p.target.jobs[id] == nil {
 			tasks += head.tasks
-			untold += head.untold
+			undelivered += head.undelivered
 		}
 	}
-	if tasks != p.target.remembered || unpacked != p.target.unpacked || untold > p.target.untold {
-		p.fail("%d tasks, %d bytes, %d untold counted as %d, %d, %d", tasks, unpacked, untold,
-			p.target.remembered, p.target.unpacked, p.target.untold)
+	if tasks != p.target.remembered || unpacked != p.target.unpacked || undelivered > p.target.undelivered {
+		p.fail("%d tasks, %d bytes, %d undelivered counted as %d, %d, %d", tasks, unpacked, undelivered,
+			p.target.remembered, p.target.unpacked, p.target.undelivered)
 	}
 	if len(p.target.jobs) == 0 && p.target.bytes() > p.options.OutcomeBytes {
 		p.fail("%d bytes remembered", p.target.bytes())
--- a/core/target/job.go
+++ b/core/target/job.go
@@ -45,8 +45,8 @@
 	started bool
 	// sealed means that no attempt starts under the job's fence.
 	sealed bool
-	// untold means that the attempt has ended and no answer has carried its outcome.
-	untold bool
+	// undelivered means that the attempt has ended and no answer has carried its outcome.
+	undelivered bool
 }
 
 // liveTask is what a task needs only until it ends.
@@ -129,7 +129,7 @@
 }
 
 // told returns what is known of the task.
-func (t *task) told() TaskOutcome {
+func (t *task) taskOutcome() TaskOutcome {
 	return TaskOutcome{
 		Index: t.index, Attempt: t.attempt, Outcome: t.outcome, Cause: t.cause, Reason: t.reason, Result: t.result,
 		QueueTime: time.Duration(t.queueUS) * time.Microsecond,
--- a/core/target/memory.go
+++ b/core/target/memory.go
@@ -7,8 +7,8 @@
 	// jobBytes and taskBytes are those of unpacked records.
 	jobBytes  = 180
 	taskBytes = 90
-	// spotBytes is a packed job's share of the map of spots.
-	spotBytes = 40
+	// placeBytes is a packed job's share of the map of packed jobs.
+	placeBytes = 40
 	// Blocks of an archive have this share of the bound, and these sizes at the least and at the most.
 	blockShare    = 64
 	minBlockBytes = 64
@@ -38,41 +38,41 @@
 
 // tombstones is bounded: the oldest is dropped for a new one.
 type tombstones struct {
-	stones map[JobID]tombstone
-	ring   []JobID
-	next   int
+	byJob map[JobID]tombstone
+	ring  []JobID
+	next  int
 	// dropped counts the jobs of which nothing is left. Epochs are ordered over all jobs; floor is the highest one of
 	// a job that was dropped.
 	dropped uint64
 	floor   uint64
 }
 
-func (s *tombstones) add(id JobID, stone tombstone, limit int) {
-	if s.stones == nil {
-		s.stones = map[JobID]tombstone{}
+func (s *tombstones) add(id JobID, mark tombstone, limit int) {
+	if s.byJob == nil {
+		s.byJob = map[JobID]tombstone{}
 	}
 	if len(s.ring) < limit {
-		stone.slot = int32(len(s.ring))
+		mark.slot = int32(len(s.ring))
 		s.ring = append(s.ring, id)
-		s.stones[id] = stone
+		s.byJob[id] = mark
 		return
 	}
-	stone.slot = int32(s.next)
+	mark.slot = int32(s.next)
 	oldest := s.ring[s.next]
 	// A job that came back to life left its slot behind; its newer tombstone stays.
-	if old, present := s.stones[oldest]; present && old.slot == stone.slot {
-		delete(s.stones, oldest)
+	if old, present := s.byJob[oldest]; present && old.slot == mark.slot {
+		delete(s.byJob, oldest)
 		s.dropped++
 		s.floor = max(s.floor, old.fence, 1)
 	}
 	s.ring[s.next] = id
 	s.next = (s.next + 1) % limit
-	s.stones[id] = stone
+	s.byJob[id] = mark
 }
 
 // remove takes away the tombstone of a job that comes back to life.
 func (s *tombstones) remove(id JobID) {
-	delete(s.stones, id)
+	delete(s.byJob, id)
 }
 
 // charge adds to what the unpacked job costs.
@@ -83,7 +83,7 @@
 
 // bytes is the memory that is charged, in bytes.
 func (t *Target) bytes() int {
-	bytes := t.unpacked + spotBytes*len(t.spots)
+	bytes := t.unpacked + placeBytes*len(t.packed)
 	for i := range t.archives {
 		bytes += t.archives[i].bytes
 	}
@@ -95,7 +95,7 @@
 	if j := t.jobs[id]; j != nil {
 		return j
 	}
-	at, packed := t.spots[id]
+	at, packed := t.packed[id]
 	if !packed {
 		return nil
 	}
@@ -109,22 +109,22 @@
 	return j
 }
 
-// rest notes that a job may have no live tasks; it is packed at the end of the step.
-func (t *Target) rest(j *job) {
+// packLater notes that a job may have no live tasks; it is packed at the end of the step.
+func (t *Target) packLater(j *job) {
 	if j.live == 0 {
-		t.resting = append(t.resting, j)
+		t.idle = append(t.idle, j)
 	}
 }
 
-// packResting packs the jobs without live tasks.
-func (t *Target) packResting() {
-	for _, j := range t.resting {
+// packIdle packs the jobs without live tasks.
+func (t *Target) packIdle() {
+	for _, j := range t.idle {
 		if j.live == 0 && t.jobs[j.id] == j {
 			t.packJob(j)
 		}
 	}
-	clear(t.resting)
-	t.resting = t.resting[:0]
+	clear(t.idle)
+	t.idle = t.idle[:0]
 }
 
 // packJob moves a job to its archive, unless the copy that lies in one is the same.
@@ -133,13 +133,13 @@
 	delete(t.jobs, j.id)
 	t.scratch = j.pack(t.scratch[:0], t.now)
 	list := j.list()
-	if at, packed := t.spots[j.id]; packed && at.list == list &&
+	if at, packed := t.packed[j.id]; packed && at.list == list &&
 		bytes.Equal(t.archives[list].read(at)[fixedBytes:], t.scratch[fixedBytes:]) {
 		return
 	}
 	at := t.archives[list].add(t.scratch)
 	at.list = list
-	t.spots[j.id] = at
+	t.packed[j.id] = at
 }
 
 // Archives, in the order in which memory is taken from them: what is cheap to lose goes first.
@@ -177,15 +177,15 @@
 		return false
 	}
 	head, _ := (&reader{record}).header()
-	if t.now-head.rested <= t.options.OutcomeAge && t.bytes() <= t.options.OutcomeBytes {
+	if t.now-head.packedAt <= t.options.OutcomeAge && t.bytes() <= t.options.OutcomeBytes {
 		return false
 	}
 	t.archives[list].drop()
 	at.list = list
-	if t.spots[head.id] != at {
+	if t.packed[head.id] != at {
 		return true
 	}
-	delete(t.spots, head.id)
+	delete(t.packed, head.id)
 	if t.jobs[head.id] == nil {
 		t.forgetJob(head)
 	}
@@ -194,20 +194,20 @@
 
 func (t *Target) forgetJob(head header) {
 	t.remembered -= head.tasks
-	t.untold -= head.untold
+	t.undelivered -= head.undelivered
 	if !head.repeatable {
-		t.stones.add(head.id, head.stone, t.options.Tombstones)
+		t.tombstones.add(head.id, head.tombstone, t.options.Tombstones)
 	}
 }
 
 // tombstone is what stays of the job.
 func (j *job) tombstone() tombstone {
-	stone := tombstone{fence: j.fence, attempt: j.highestAttempt()}
+	mark := tombstone{fence: j.fence, attempt: j.highestAttempt()}
 	switch {
 	case j.started() || j.lost:
-		stone.fate = fateStarted
+		mark.fate = fateStarted
 	case j.cancelled:
-		stone.fate = fateCancelled
+		mark.fate = fateCancelled
 	}
-	return stone
+	return mark
 }
--- a/core/target/pack.go
+++ b/core/target/pack.go
@@ -7,12 +7,12 @@
 
 // header is the part of a packed job that is read when it is forgotten.
 type header struct {
-	id     JobID
-	rested time.Duration
-	stone  tombstone
-	// tasks and untold count.
-	tasks, untold int
-	repeatable    bool
+	id        JobID
+	packedAt  time.Duration
+	tombstone tombstone
+	// tasks and undelivered count.
+	tasks, undelivered int
+	repeatable         bool
 }
 
 // fixedBytes is the part of a record that is not compared: job id and time.
@@ -25,24 +25,24 @@
 	flagLost
 	flagStarted
 	flagSealed
-	flagUntold
+	flagUndelivered
 )
 
 // pack appends the record of a job without live tasks.
 func (j *job) pack(record []byte, now time.Duration) []byte {
 	record = append(record, j.id[:]...)
 	record = binary.LittleEndian.AppendUint64(record, uint64(now))
-	untold := 0
+	undelivered := 0
 	for _, each := range j.tasks {
-		if each.untold {
-			untold++
+		if each.undelivered {
+			undelivered++
 		}
 	}
-	stone := j.tombstone()
+	mark := j.tombstone()
 	record = append(record, bit(j.repeatable, flagRepeatable)|bit(j.cancelled, flagCancelled)|bit(j.lost, flagLost),
-		byte(stone.fate))
+		byte(mark.fate))
 	for _, number := range []uint64{
-		j.fence, uint64(stone.attempt), uint64(len(j.tasks)), uint64(untold), uint64(j.fenceAttempt), j.floor,
+		j.fence, uint64(mark.attempt), uint64(len(j.tasks)), uint64(undelivered), uint64(j.fenceAttempt), j.floor,
 	} {
 		record = binary.AppendUvarint(record, number)
 	}
@@ -54,7 +54,7 @@
 
 func (t *task) pack(record []byte) []byte {
 	record = append(record, byte(t.outcome), byte(t.cause),
-		bit(t.started, flagStarted)|bit(t.sealed, flagSealed)|bit(t.untold, flagUntold))
+		bit(t.started, flagStarted)|bit(t.sealed, flagSealed)|bit(t.undelivered, flagUndelivered))
 	for _, number := range []uint32{t.index, t.attempt, t.queueUS, t.runUS} {
 		record = binary.AppendUvarint(record, uint64(number))
 	}
@@ -76,18 +76,18 @@
 
 // reader takes a record apart. A record that is cut short is a defect of this package and panics.
 type reader struct {
-	rest []byte
+	remaining []byte
 }
 
 func (r *reader) byte() byte {
-	first := r.rest[0]
-	r.rest = r.rest[1:]
+	first := r.remaining[0]
+	r.remaining = r.remaining[1:]
 	return first
 }
 
 func (r *reader) number() uint64 {
-	number, size := binary.Uvarint(r.rest)
-	r.rest = r.rest[size:]
+	number, size := binary.Uvarint(r.remaining)
+	r.remaining = r.remaining[size:]
 	return number
 }
 
@@ -97,22 +97,22 @@
 	if length == 0 {
 		return nil
 	}
-	text := r.rest[:length:length]
-	r.rest = r.rest[length:]
+	text := r.remaining[:length:length]
+	r.remaining = r.remaining[length:]
 	return text
 }
 
 // header reads the first part of a record and the job's flags.
 func (r *reader) header() (header, byte) {
-	head := header{id: JobID(r.rest[:16]), rested: time.Duration(binary.LittleEndian.Uint64(r.rest[16:]))}
-	r.rest = r.rest[fixedBytes:]
+	head := header{id: JobID(r.remaining[:16]), packedAt: time.Duration(binary.LittleEndian.Uint64(r.remaining[16:]))}
+	r.remaining = r.remaining[fixedBytes:]
 	flags := r.byte()
 	head.repeatable = flags&flagRepeatable != 0
-	head.stone.fate = fate(r.byte())
-	head.stone.fence = r.number()
-	head.stone.attempt = uint32(r.number())
+	head.tombstone.fate = fate(r.byte())
+	head.tombstone.fence = r.number()
+	head.tombstone.attempt = uint32(r.number())
 	head.tasks = int(r.number())
-	head.untold = int(r.number())
+	head.undelivered = int(r.number())
 	return head, flags
 }
 
@@ -121,7 +121,7 @@
 	r := &reader{record}
 	head, flags := r.header()
 	j := &job{
-		id: head.id, fence: head.stone.fence, repeatable: head.repeatable,
+		id: head.id, fence: head.tombstone.fence, repeatable: head.repeatable,
 		cancelled: flags&flagCancelled != 0, lost: flags&flagLost != 0,
 		fenceAttempt: uint32(r.number()), floor: r.number(), tasks: make([]*task, 0, head.tasks),
 	}
@@ -136,7 +136,7 @@
 	flags := r.byte()
 	t.started = flags&flagStarted != 0
 	t.sealed = flags&flagSealed != 0
-	t.untold = flags&flagUntold != 0
+	t.undelivered = flags&flagUndelivered != 0
 	t.index = uint32(r.number())
 	t.attempt = uint32(r.number())
 	t.queueUS = uint32(r.number())
--- a/core/target/seal.go
+++ b/core/target/seal.go
@@ -7,7 +7,7 @@
 	j, how := t.openSealed(event)
 	if j == nil {
 		answer.Lost = how.outcome == Unknown
-		answer.Outcomes = allTold(how, event.Indexes)
+		answer.Outcomes = outcomesOf(how, event.Indexes)
 		t.answer(answer)
 		return
 	}
@@ -21,12 +21,12 @@
 	}
 	answer.Lost = unseen.outcome == Unknown
 	answer.Outcomes = t.report(j, event, unseen)
-	t.rest(j)
+	t.packLater(j)
 	t.answer(answer)
 }
 
 // sealedUnseen is the outcome of a task without a record.
-func (t *Target) sealedUnseen(event Seal) ending {
+func (t *Target) sealedUnseen(event Seal) conclusion {
 	if event.Incarnation != t.options.Incarnation && !t.off.incarnation {
 		return lostProcess
 	}
@@ -34,7 +34,7 @@
 }
 
 // openSealed returns the record of the job, which is never-repeated from now on.
-func (t *Target) openSealed(event Seal) (*job, ending) {
+func (t *Target) openSealed(event Seal) (*job, conclusion) {
 	j, how := t.open(event.Job)
 	if j == nil {
 		return nil, how
@@ -43,7 +43,7 @@
 	if j.mayHaveBeenDropped(event) && !t.off.tombstones {
 		j.lost = true
 	}
-	return j, ending{}
+	return j, conclusion{}
 }
 
 // mayHaveBeenDropped reports whether the job may have been here before its record was made.
@@ -56,7 +56,7 @@
 }
 
 // shut raises the fence and ends what is queued behind it.
-func (t *Target) shut(j *job, event Seal, unseen ending) {
+func (t *Target) shut(j *job, event Seal, unseen conclusion) {
 	if event.All {
 		j.raise(event.Epoch, event.Attempt)
 		t.endQueued(j, sealed, func(*task) bool { return true })
@@ -69,7 +69,7 @@
 }
 
 // sealTask keeps attempts of one task from starting.
-func (t *Target) sealTask(j *job, index uint32, event Seal, unseen ending) {
+func (t *Target) sealTask(j *job, index uint32, event Seal, unseen conclusion) {
 	each := j.find(index)
 	if each == nil {
 		if unseen.outcome == Unknown {
@@ -92,7 +92,7 @@
 }
 
 // report lists the tasks that a seal asks for.
-func (t *Target) report(j *job, event Seal, unseen ending) []TaskOutcome {
+func (t *Target) report(j *job, event Seal, unseen conclusion) []TaskOutcome {
 	outcomes := make([]TaskOutcome, 0, len(event.Indexes))
 	listed := map[uint32]bool{}
 	for _, index := range event.Indexes {
@@ -101,7 +101,7 @@
 			outcomes = append(outcomes, t.tell(each))
 			continue
 		}
-		outcomes = append(outcomes, unseen.told(index, 0))
+		outcomes = append(outcomes, unseen.taskOutcome(index, 0))
 	}
 	if !event.All {
 		return outcomes
@@ -116,14 +116,14 @@
 
 // tell returns what is known of a task and notes that it was told.
 func (t *Target) tell(each *task) TaskOutcome {
-	t.setUntold(each, false)
-	return each.told()
+	t.setUndelivered(each, false)
+	return each.taskOutcome()
 }
 
-func allTold(how ending, indexes []uint32) []TaskOutcome {
+func outcomesOf(how conclusion, indexes []uint32) []TaskOutcome {
 	outcomes := make([]TaskOutcome, 0, len(indexes))
 	for _, index := range indexes {
-		outcomes = append(outcomes, how.told(index, 0))
+		outcomes = append(outcomes, how.taskOutcome(index, 0))
 	}
 	return outcomes
 }
@@ -160,7 +160,7 @@
 			stopping++
 		}
 	}
-	t.rest(j)
+	t.packLater(j)
 	return freed, stopping
 }
 
@@ -185,26 +185,26 @@
 	j := t.find(event.Job)
 	unseen := t.statusUnseen(event.Job, j)
 	if j == nil {
-		answer.Outcomes = allTold(unseen, event.Indexes)
+		answer.Outcomes = outcomesOf(unseen, event.Indexes)
 	} else {
 		answer.Outcomes = t.report(j, Seal{Indexes: event.Indexes, All: len(event.Indexes) == 0}, unseen)
-		t.rest(j)
+		t.packLater(j)
 	}
 	t.answer(answer)
 }
 
-func (t *Target) statusUnseen(id JobID, j *job) ending {
-	stone, buried := t.stones.stones[id]
+func (t *Target) statusUnseen(id JobID, j *job) conclusion {
+	mark, hasTombstone := t.tombstones.byJob[id]
 	switch {
 	case j != nil && !j.lost:
-		return ending{}
-	case buried && stone.fate == fateOpen:
-		return ending{}
-	case buried && stone.fate == fateCancelled:
+		return conclusion{}
+	case hasTombstone && mark.fate == fateOpen:
+		return conclusion{}
+	case hasTombstone && mark.fate == fateCancelled:
 		return cancelledIt
-	case buried || t.stones.dropped > 0:
+	case hasTombstone || t.tombstones.dropped > 0:
 		return forgotten
 	default:
-		return ending{}
+		return conclusion{}
 	}
 }
--- a/core/target/target.go
+++ b/core/target/target.go
@@ -25,14 +25,14 @@
 	waiters map[uint64]*waiter
 	// due are the requests to answer at the end of the step.
 	due []*waiter
-	// jobs holds the unpacked records, spots says where the packed ones are. A job that is in both is being looked at.
+	// jobs holds the unpacked records, packed says where the packed ones are. A job that is in both is being looked at.
 	// resting are the jobs to pack at the end of the step.
-	jobs     map[JobID]*job
-	spots    map[JobID]spot
-	archives [lists]archive
-	resting  []*job
-	scratch  []byte
-	stones   tombstones
+	jobs       map[JobID]*job
+	packed     map[JobID]recordPlace
+	archives   [lists]archive
+	idle       []*job
+	scratch    []byte
+	tombstones tombstones
 	// slots are those that the target seems to have now; slotsChanged is when that changed.
 	slots        int
 	slotsChanged time.Duration
@@ -40,15 +40,15 @@
 	busy       int
 	unpacked   int
 	remembered int
-	// untold counts the ended attempts whose outcome no answer has carried.
-	untold   int
-	leaving  bool
-	drained  bool
-	away     bool
-	sequence uint64
-	now      time.Duration
-	effects  []Effect
-	off      safeguardsOff
+	// undelivered counts the ended attempts whose outcome no answer has carried.
+	undelivered int
+	leaving     bool
+	drained     bool
+	away        bool
+	sequence    uint64
+	now         time.Duration
+	effects     []Effect
+	off         safeguardsOff
 }
 
 // safeguardsOff lets tests show that each safeguard is needed.
@@ -59,7 +59,7 @@
 // New returns a target that is reachable and has nothing to do.
 func New(options Options) *Target {
 	made := &Target{
-		options: options, jobs: map[JobID]*job{}, spots: map[JobID]spot{}, waiters: map[uint64]*waiter{},
+		options: options, jobs: map[JobID]*job{}, packed: map[JobID]recordPlace{}, waiters: map[uint64]*waiter{},
 		slots: options.Slots,
 	}
 	for i := range made.archives {
@@ -91,7 +91,7 @@
 	}
 	t.pump()
 	t.answerDue()
-	t.packResting()
+	t.packIdle()
 	t.forget()
 	return t.effects
 }
@@ -134,31 +134,31 @@
 // Untold returns how many attempts have ended of which nobody has been told, since every request for them had been
 // answered before.
 func (t *Target) Untold() int {
-	return t.untold
+	return t.undelivered
 }
 
 // Remembered returns how many tasks are known, the memory they are charged with in bytes, and how many jobs have
 // been forgotten altogether.
 func (t *Target) Remembered() (tasks, bytes int, dropped uint64) {
-	return t.remembered, t.bytes(), t.stones.dropped
+	return t.remembered, t.bytes(), t.tombstones.dropped
 }
 
 // closed tells why no new work is taken, if so.
-func (t *Target) closed() (ending, bool) {
+func (t *Target) closed() (conclusion, bool) {
 	switch {
 	case t.leaving:
-		return ending{NotRun, CauseLeaving, "the target is leaving"}, true
+		return conclusion{NotRun, CauseLeaving, "the target is leaving"}, true
 	case t.drained:
-		return ending{NotRun, CauseLeaving, "the target is drained"}, true
+		return conclusion{NotRun, CauseLeaving, "the target is drained"}, true
 	case t.away:
-		return ending{NotRun, CauseTarget, "the target can't be reached"}, true
+		return conclusion{NotRun, CauseTarget, "the target can't be reached"}, true
 	default:
-		return ending{}, false
+		return conclusion{}, false
 	}
 }
 
 // returnQueued hands all queued tasks back, so that they can be placed elsewhere.
-func (t *Target) returnQueued(how ending) {
+func (t *Target) returnQueued(how conclusion) {
 	for _, j := range t.queue.list() {
 		t.endQueued(j, how, func(*task) bool { return true })
 	}
@@ -172,7 +172,7 @@
 }
 
 // endQueued ends the queued tasks of a job that match and returns their number.
-func (t *Target) endQueued(j *job, how ending, match func(*task) bool) int {
+func (t *Target) endQueued(j *job, how conclusion, match func(*task) bool) int {
 	ended := 0
 	for _, each := range j.tasks {
 		if each.outcome == Queued && match(each) {
@@ -242,7 +242,7 @@
 	if event.Outcome == NotRun && event.Cause == CauseBusy {
 		t.loseSlots()
 	}
-	how := ending{event.Outcome, event.Cause, event.Reason}
+	how := conclusion{event.Outcome, event.Cause, event.Reason}
 	if each.live.stopping {
 		how = stopped(how, j.repeatable)
 	}
@@ -271,14 +271,14 @@
 }
 
 // stopped is how a task ends that was asked to stop: if it still got done, that stands.
-func stopped(how ending, repeatable bool) ending {
+func stopped(how conclusion, repeatable bool) conclusion {
 	switch {
 	case how.outcome == Done || how.outcome == NotRun:
 		return how
 	case repeatable:
-		return ending{Cancelled, CauseCancelled, "cancelled while it ran"}
+		return conclusion{Cancelled, CauseCancelled, "cancelled while it ran"}
 	case how.outcome == Unknown:
-		return ending{Unknown, CauseCancelled, "cancelled while it ran"}
+		return conclusion{Unknown, CauseCancelled, "cancelled while it ran"}
 	default:
 		return how
 	}
--- a/core/target/waiter.go
+++ b/core/target/waiter.go
@@ -32,7 +32,7 @@
 	w.watched = append(w.watched, watched{each: each})
 	if each.live == nil {
 		w.due = w.due || each.outcome != Done
-		t.setUntold(each, false)
+		t.setUndelivered(each, false)
 		return
 	}
 	w.open++
@@ -85,23 +85,23 @@
 			outcomes = append(outcomes, each.fixed)
 			continue
 		}
-		outcomes = append(outcomes, each.each.told())
+		outcomes = append(outcomes, each.each.taskOutcome())
 	}
 	w.watched = nil
 	t.answer(Answer{Waiter: w.id, Outcomes: outcomes, Repeated: !w.fresh})
 }
 
-// setUntold counts the outcomes that nobody has been told.
-func (t *Target) setUntold(each *task, untold bool) {
-	if each.untold == untold {
+// setUndelivered counts the outcomes that nobody has been told.
+func (t *Target) setUndelivered(each *task, undelivered bool) {
+	if each.undelivered == undelivered {
 		return
 	}
-	each.untold = untold
-	if untold {
-		t.untold++
+	each.undelivered = undelivered
+	if undelivered {
+		t.undelivered++
 		return
 	}
-	t.untold--
+	t.undelivered--
 }
 
 // answer sends an answer with the present load.
--- a/node/control/doc.go
+++ b/node/control/doc.go
@@ -9,6 +9,6 @@
 // A VM without contact to a majority answers no Sync: it releases its polls, so that followers move on well within
 // their lease. The first Sync of a follower is answered after a confirmed read.
 //
-// Duties, one goroutine each: the proposer batches steps into commands, the digester reports to the leader, the warden
+// Duties, one goroutine each: the proposer batches steps into commands, the digester reports to the leader, the leaseWatch
 // gives up silent nodes and proposes the ticks of the state's clock, the contact watch opens and closes the gate.
 package control
--- a/node/control/warden.go
+++ b/node/control/leasewatch.go
@@ -9,16 +9,16 @@
 	"flamingohall.example/node/events"
 )
 
-// Times of the warden.
+// Times of the leaseWatch.
 const (
 	watchPeriod = time.Second
-	// maxWatchGap is the pause after which the warden takes itself for frozen and starts its leases anew.
+	// maxWatchGap is the pause after which the leaseWatch takes itself for frozen and starts its leases anew.
 	maxWatchGap = 3 * time.Second
 	tickPeriod  = 10 * time.Second
 )
 
-// warden gives up nodes that nobody hears, and advances the state's clock, while this VM leads.
-type warden struct {
+// leaseWatch gives up nodes that nobody hears, and advances the state's clock, while this VM leads.
+type leaseWatch struct {
 	role *Role
 	// leading and watchedAt tell when leases have to start anew.
 	leading   bool
@@ -30,12 +30,12 @@
 	tickedAt  time.Time
 }
 
-// run is the warden's duty.
-func (w *warden) run(ctx context.Context) {
+// run is the leaseWatch's duty.
+func (w *leaseWatch) run(ctx context.Context) {
 	every(ctx, watchPeriod, func() { w.watch(ctx, time.Now()) })
 }
 
-func (w *warden) watch(ctx context.Context, now time.Time) {
+func (w *leaseWatch) watch(ctx context.Context, now time.Time) {
 	frozen := now.Sub(w.watchedAt) > maxWatchGap
 	w.watchedAt = now
 	var nodes []registry.Node
@@ -47,21 +47,21 @@
 		return
 	}
 	if !w.leading || frozen {
-		w.takeUp(now)
+		w.restartLeases(now)
 	}
-	w.giveUpSilent(ctx, nodes, now)
+	w.loseSilent(ctx, nodes, now)
 	w.tick(ctx, now)
 }
 
-// takeUp starts all leases anew.
-func (w *warden) takeUp(now time.Time) {
+// restartLeases starts all leases anew.
+func (w *leaseWatch) restartLeases(now time.Time) {
 	w.leading = true
 	w.since = map[uint64]time.Time{}
 	w.tickedAt = now
 	events.LeadershipGained.Log(w.role.logger, "lease", w.role.lease.String())
 }
 
-func (w *warden) giveUpSilent(ctx context.Context, nodes []registry.Node, now time.Time) {
+func (w *leaseWatch) loseSilent(ctx context.Context, nodes []registry.Node, now time.Time) {
 	since := make(map[uint64]time.Time, len(nodes))
 	for _, node := range nodes {
 		from, known := w.since[node.Number]
@@ -73,14 +73,14 @@
 			from = seen.at
 		}
 		if now.Sub(from) > w.role.lease {
-			w.giveUp(ctx, node, now.Sub(from))
+			w.proposeLoss(ctx, node, now.Sub(from))
 		}
 	}
 	w.since = since
 }
 
-// giveUp proposes a loss without waiting for it; the next round tries again.
-func (w *warden) giveUp(ctx context.Context, node registry.Node, silence time.Duration) {
+// proposeLoss proposes a loss without waiting for it; the next round tries again.
+func (w *leaseWatch) proposeLoss(ctx context.Context, node registry.Node, silence time.Duration) {
 	loss := state.Loss{Process: state.Process{ID: node.ID, Incarnation: node.Incarnation}, ChangedAt: node.ChangedAt}
 	w.role.background.Go(func() {
 		_, result, err := w.role.proposer.propose(ctx, state.Step{Lose: &loss})
@@ -91,7 +91,7 @@
 }
 
 // tick proposes the time since the last tick was seen applied, which is never more than what has passed.
-func (w *warden) tick(ctx context.Context, now time.Time) {
+func (w *leaseWatch) tick(ctx context.Context, now time.Time) {
 	var applied uint64
 	w.role.machine.read(func(s *state.State) { applied = s.TickIndex })
 	if applied != w.tickIndex {
--- a/node/control/warden_test.go
+++ b/node/control/leasewatch_test.go
@@ -12,19 +12,19 @@
 	"flamingohall.example/node/rpc"
 )
 
-// watched is a warden that a test drives second by second, beside the role's own.
+// watched is a leaseWatch that a test drives second by second, beside the role's own.
 type watched struct {
-	t      *testing.T
-	role   *Role
-	warden *warden
-	now    time.Time
+	t          *testing.T
+	role       *Role
+	leaseWatch *leaseWatch
+	now        time.Time
 }
 
 const testLease = 6 * time.Second
 
 func newWatched(t *testing.T, c *cluster) *watched {
 	t.Helper()
-	return &watched{t: t, role: c.roles[0], warden: &warden{role: c.roles[0]}, now: time.Now()}
+	return &watched{t: t, role: c.roles[0], leaseWatch: &leaseWatch{role: c.roles[0]}, now: time.Now()}
 }
 
 func (w *watched) pass(seconds int) {
@@ -35,7 +35,7 @@
 }
 
 func (w *watched) watch() {
-	w.warden.watch(w.t.Context(), w.now)
+	w.leaseWatch.watch(w.t.Context(), w.now)
 	w.role.background.Wait()
 }
 
@@ -53,7 +53,7 @@
 	}
 }
 
-func TestWarden_GivesUpSilentNodesAfterALease(t *testing.T) {
+func TestLeaseWatch_GivesUpSilentNodesAfterALease(t *testing.T) {
 	c := newCluster(t, 1, testLease)
 	c.step(t, sidecarStep("silent", "x"))
 	c.step(t, sidecarStep("heard", "x"))
@@ -70,7 +70,7 @@
 	w.expect("heard", true)
 }
 
-func TestWarden_FrozenLeaderStartsLeasesAnew(t *testing.T) {
+func TestLeaseWatch_FrozenLeaderStartsLeasesAnew(t *testing.T) {
 	c := newCluster(t, 1, testLease)
 	c.step(t, sidecarStep("target", "x"))
 	w := newWatched(t, c)
@@ -85,7 +85,7 @@
 	w.expect("target", false)
 }
 
-func TestWarden_NewLeaderWaitsForALease(t *testing.T) {
+func TestLeaseWatch_NewLeaderWaitsForALease(t *testing.T) {
 	c := newCluster(t, 2, testLease)
 	c.step(t, sidecarStep("target", "x"))
 	w := newWatched(t, c)
@@ -100,18 +100,18 @@
 	w.expect("target", false)
 }
 
-func TestWarden_NodeChangedMeanwhileIsKept(t *testing.T) {
+func TestLeaseWatch_NodeChangedMeanwhileIsKept(t *testing.T) {
 	c := newCluster(t, 1, testLease)
 	c.step(t, sidecarStep("target", "x"))
 	w := newWatched(t, c)
 	node, _ := w.node("target")
 	c.step(t, state.Step{Announce: &registry.Node{ID: "target", Role: registry.Sidecar, Incarnation: "x", Leaving: true}})
-	w.warden.giveUp(t.Context(), node, testLease)
+	w.leaseWatch.proposeLoss(t.Context(), node, testLease)
 	w.role.background.Wait()
 	w.expect("target", true)
 }
 
-func TestWarden_TicksAddWhatHasPassed(t *testing.T) {
+func TestLeaseWatch_TicksAddWhatHasPassed(t *testing.T) {
 	c := newCluster(t, 1, time.Hour)
 	w := newWatched(t, c)
 	w.watch()
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -112,7 +112,7 @@
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.duties.Go(func() { r.proposer.run(ctx) })
 	r.duties.Go(func() { (&digester{role: r}).run(ctx) })
-	r.duties.Go(func() { (&warden{role: r}).run(ctx) })
+	r.duties.Go(func() { (&leaseWatch{role: r}).run(ctx) })
 	r.duties.Go(func() { r.watchContact(ctx) })
 	return nil
 }
--- a/node/entry/dispatch.go
+++ b/node/entry/dispatch.go
@@ -16,8 +16,8 @@
 	// groupBelow is the share of busy slots up to which tasks of one job share one Run: then nothing waits for the
 	// slot that a group's first task frees.
 	groupBelow = 0.5
-	// maxPassedOver bounds the jobs that a pass sets aside since their claims name no target with room.
-	maxPassedOver = 16
+	// maxSkipped bounds the jobs that a pass sets aside since their claims name no target with room.
+	maxSkipped = 16
 	// maxAddresses bounds the remembered addresses of targets that have gone.
 	maxAddresses = 4096
 )
@@ -60,8 +60,8 @@
 }
 
 func (l *loop) dispatchPool(now time.Time, pool string, queue *placement.Queue) {
-	var passedOver []*placement.Waiting
-	for len(passedOver) < maxPassedOver {
+	var skipped []*placement.Waiting
+	for len(skipped) < maxSkipped {
 		w := queue.Next(l.isAtBound)
 		if w == nil {
 			break
@@ -80,9 +80,9 @@
 		// This job may not use the targets that have room; others may.
 		l.extendClaim(r, now)
 		queue.Remove(w)
-		passedOver = append(passedOver, w)
+		skipped = append(skipped, w)
 	}
-	for _, w := range passedOver {
+	for _, w := range skipped {
 		if w.Job.IsWaiting() {
 			queue.Push(w)
 		}
