Pause between holds that fail at once

Ruled out: starts without an answer (the trial with a rest for the worker changed nothing). Change: from the second hold in a row that failed, 50 ms until the next. Holds that time out are not concerned. Test: TestRunner_HoldsThatFailAtOnceAreRepeatedWithPauses (500 in half a second before).

--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -40,10 +40,16 @@
 		r.suspect()
 		w.nextHold = now + holdPause
 		return
-	case NoAnswer, Outrun, LeasePassed, NoRoom:
+	case NoAnswer:
+		// One broken connection may be chance; a worker that breaks each of them would be called without end.
+		if w.failedHolds++; w.failedHolds > 1 && report.Number == w.holdNumber {
+			w.nextHold = now + holdPause
+		}
+		return
+	case Outrun, LeasePassed, NoRoom:
 		return
 	}
-	w.reported, w.gone = report.Number, false
+	w.reported, w.gone, w.failedHolds = report.Number, false, 0
 	r.read(now, report.Reading)
 	r.takeEnds(now, report)
 	r.takeRunning(now, report)
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -457,3 +457,22 @@
 		t.Errorf("stops %v, want the start to be waited for", b.stops)
 	}
 }
+
+// TestRunner_HoldsThatFailAtOnceAreRepeatedWithPauses answers every call as a worker does that breaks its connections.
+func TestRunner_HoldsThatFailAtOnceAreRepeatedWithPauses(t *testing.T) {
+	b := newBench(t)
+	b.run("j.0.0.0", 8000)
+	b.answerHold()
+	holds := 0
+	for range 500 {
+		if hold := b.hold; hold != nil {
+			holds++
+			b.hold = nil
+			b.core.Reported(b.now, &runner.Report{Number: hold.Number, Answer: runner.NoAnswer})
+		}
+		b.step(time.Millisecond)
+	}
+	if holds < 5 || holds > 20 {
+		t.Errorf("%d holds in half a second, want one about every 50 ms", holds)
+	}
+}
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -57,6 +57,8 @@
 	suspect bool
 	// hasNews is true while an end waits to be confirmed to the worker.
 	hasNews bool
+	// failedHolds counts holds in a row without an answer.
+	failedHolds int
 	// restUntil is when an unhealthy worker gets orders again.
 	restUntil time.Duration
 	// heardAt is when the worker last answered; silence is its age at the last Advance.
