Tell the age of the load that an offer was made with

Cause: load_age_ms was 0 in nearly every line about a refused offer or a bad end: it was the age of the load that came with the refusal itself, not of the one that the decision was made on.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -251,7 +251,7 @@
 	expected := progress.expected
 	w.sequence++
 	t.run++
-	t.state, t.worker, t.offeredAt = offered, w.id, now
+	t.state, t.worker, t.offeredAt, t.loadAge = offered, w.id, now, now-w.loadAt
 	t.job.trace.Offers++
 	if progress.perWorker == nil {
 		progress.perWorker = map[string]int{}
--- a/core/dispatch/ended.go
+++ b/core/dispatch/ended.go
@@ -29,7 +29,7 @@
 		return
 	}
 	d.note(Note{
-		Kind: RunEndedBadly, RunID: ended.RunID, Worker: w.id, Reason: ended.Outcome.String(), Age: now - w.loadAt,
+		Kind: RunEndedBadly, RunID: ended.RunID, Worker: w.id, Reason: ended.Outcome.String(), Age: t.loadAge,
 	})
 	if ended.Outcome == work.Failed {
 		t.failures++
@@ -90,7 +90,7 @@
 	}
 	t.job.stepOf(t).perWorker[w.id]--
 	d.note(Note{
-		Kind: OfferTurnedDown, RunID: refused.RunID, Worker: w.id, Reason: refused.Reason.String(), Age: now - w.loadAt,
+		Kind: OfferTurnedDown, RunID: refused.RunID, Worker: w.id, Reason: refused.Reason.String(), Age: t.loadAge,
 	})
 	switch refused.Reason {
 	case work.Malformed:
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -33,8 +33,10 @@
 	state taskState
 	run   uint32
 	// worker is where the task is, or was last.
-	worker     string
-	offeredAt  time.Duration
+	worker    string
+	offeredAt time.Duration
+	// loadAge is how old the worker's load was then.
+	loadAge    time.Duration
 	startedAt  time.Duration
 	overAt     time.Duration
 	failures   int
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -280,3 +280,19 @@
 		t.Errorf("answer %+v, offers %v", got, d.offers)
 	}
 }
+
+func TestLoad_NotesTellTheAgeOfTheLoadThatTheOfferWasMadeWith(t *testing.T) {
+	d := newDesk(t, 1)
+	d.step(70 * time.Millisecond)
+	d.submit("j", 1, 100*time.Millisecond)
+	which := d.offers["s0"][0].RunID
+	d.step(30 * time.Millisecond)
+	d.core.Take(d.now, "s0", &work.ToEntry{
+		Load: &work.Load{Accepts: true}, Refused: []work.Refused{{RunID: which, Reason: work.Expired}},
+	})
+	for _, note := range d.core.Effects().Notes {
+		if note.Kind == dispatch.OfferTurnedDown && note.Age != 70*time.Millisecond {
+			t.Errorf("age %v, want that of the load at the offer, 70 ms", note.Age)
+		}
+	}
+}
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -170,7 +170,7 @@
 	work.RunID
 	Worker string
 	Reason string
-	// Age is how old the worker's load was.
+	// Age is how old the load was on which an offer was made, or a move was decided, and of a lost session its silence.
 	Age time.Duration
 }
 
