--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -232,36 +232,39 @@
 
 func (a *Agent) start(order *runner.Start) {
 	a.counters.starts.Add(1)
-	a.calls.Go(func() {
-		ctx, cancel := context.WithTimeout(a.context, runner.StartTimeout)
-		defer cancel()
+	a.call(runner.StartTimeout, func(ctx context.Context) func(time.Duration) {
 		began := time.Now()
 		answer, reading := a.options.Worker.Start(ctx, order)
 		a.counters.startTook.Observe(time.Since(began))
-		a.put(func(now time.Duration) { a.core.Started(now, order.RunID, answer, reading) })
+		return func(now time.Duration) { a.core.Started(now, order.RunID, answer, reading) }
 	})
 }
 
 func (a *Agent) stop(order *runner.Stop) {
 	a.counters.stops.Add(1)
-	a.calls.Go(func() {
-		ctx, cancel := context.WithTimeout(a.context, runner.StopTimeout)
-		defer cancel()
+	a.call(runner.StopTimeout, func(ctx context.Context) func(time.Duration) {
 		began := time.Now()
 		answer, reading := a.options.Worker.Stop(ctx, order)
 		a.counters.stopTook.Observe(time.Since(began))
-		a.put(func(now time.Duration) { a.core.Stopped(now, order.RunID, answer, reading) })
+		return func(now time.Duration) { a.core.Stopped(now, order.RunID, answer, reading) }
 	})
 }
 
 func (a *Agent) hold(order *runner.Hold) {
 	a.counters.holds.Add(1)
-	a.calls.Go(func() {
-		ctx, cancel := context.WithTimeout(a.context, runner.HoldTimeout)
-		defer cancel()
+	a.call(runner.HoldTimeout, func(ctx context.Context) func(time.Duration) {
 		report := a.options.Worker.Hold(ctx, order)
 		report.Number = order.Number
-		a.put(func(now time.Duration) { a.core.Reported(now, report) })
+		return func(now time.Duration) { a.core.Reported(now, report) }
+	})
+}
+
+// call asks the worker in a goroutine of its own, and hands what comes of it to the loop.
+func (a *Agent) call(limit time.Duration, ask func(ctx context.Context) (input func(now time.Duration))) {
+	a.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(a.context, limit)
+		defer cancel()
+		a.put(ask(ctx))
 	})
 }
 
