--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -15,7 +15,7 @@
 	waitWeight = 3
 	waitCost   = 40 * time.Millisecond
 	// drawnWorkers is how many workers are compared for a task: with more, entries choose alike and fill the same worker;
-	// with fewer, room is missed. TestPool plays 3 to 30 of 72.
+	// with fewer, room is missed. TestPool holds it.
 	drawnWorkers = 4
 	// avoidCost is added on the worker that failed the task last.
 	avoidCost = 2 * time.Second
