--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -283,9 +283,9 @@
 	}
 }
 
-// TestRunner_SlowWorkerIsTold replays a worker that turns five times slower: its pace is told, and each run that will
-// be late.
-func TestRunner_SlowWorkerIsTold(t *testing.T) {
+// newSlowBench returns a bench whose worker has four runs that each came to 20% in 200 ms, a fifth of the speed expected.
+func newSlowBench(t *testing.T) (*bench, []runner.Listed) {
+	t.Helper()
 	b := newBench(t)
 	var listed []runner.Listed
 	for n := range 4 {
@@ -299,6 +299,13 @@
 		b.answerHold(listed...)
 		b.echo()
 	}
+	return b, listed
+}
+
+// TestRunner_SlowWorkerIsTold replays a worker that turns five times slower: its pace is told, and each run that will
+// be late.
+func TestRunner_SlowWorkerIsTold(t *testing.T) {
+	b, listed := newSlowBench(t)
 	if b.frame.Load.PacePercent < 400 || b.frame.Load.PacePercent > 600 {
 		t.Errorf("pace %d%%, want about 500", b.frame.Load.PacePercent)
 	}
@@ -342,19 +349,7 @@
 // TestRunner_SlowWorkerIsRememberedWhenItsRunsAreTakenAway replays a slow worker whose runs were all moved: it is not told
 // as sound the moment it is idle, and its pace fades within seconds.
 func TestRunner_SlowWorkerIsRememberedWhenItsRunsAreTakenAway(t *testing.T) {
-	b := newBench(t)
-	var listed []runner.Listed
-	for n := range 4 {
-		listed = append(listed, runner.Listed{RunID: b.run(fmt.Sprintf("a.0.0.%d", n), 1000)})
-	}
-	for range 4 {
-		b.step(50 * time.Millisecond)
-		for i := range listed {
-			listed[i].Percent += 5
-		}
-		b.answerHold(listed...)
-		b.echo()
-	}
+	b, listed := newSlowBench(t)
 	var ended []runner.ListedEnd
 	for i, one := range listed {
 		ended = append(ended, runner.ListedEnd{RunID: one.RunID, Number: uint64(i + 1), Outcome: work.Stopped})
