--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -305,7 +305,7 @@
 // TestRunner_SlowWorkerIsTold replays a worker that turns five times slower: its pace is told, and each run that will
 // be late.
 func TestRunner_SlowWorkerIsTold(t *testing.T) {
-	b, listed := newSlowBench(t)
+	b, _ := newSlowBench(t)
 	if b.frame.Load.PacePercent < 400 || b.frame.Load.PacePercent > 600 {
 		t.Errorf("pace %d%%, want about 500", b.frame.Load.PacePercent)
 	}
