Keep accepted jobs in the replicated state

Cause: a job whose caller does not wait was refused with 503, always: nothing kept it. Ruled out: storing starts too (a synced write for each start); a queue of changes for each owner (owners are few, open jobs short-lived: a scan does). Tests: directed, and a property over any requests with restored images.

--- /dev/null
+++ b/core/jobstore/image.go
@@ -0,0 +1,47 @@
+package jobstore
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Image is a table in a snapshot.
+type Image struct {
+	Jobs    []Job    `cbor:"jobs,omitempty"`
+	Retired []string `cbor:"retired,omitempty"`
+}
+
+// Image returns the table's content, in an order that depends on nothing else.
+func (t *Table) Image() Image {
+	image := Image{Retired: t.retired}
+	for _, j := range t.jobs {
+		image.Jobs = append(image.Jobs, *j)
+	}
+	slices.SortFunc(image.Jobs, func(a, b Job) int {
+		return cmp.Or(cmp.Compare(a.EndedMS, b.EndedMS), cmp.Compare(a.ID, b.ID))
+	})
+	return image
+}
+
+// Restore returns the table of an image.
+func Restore(limits Limits, image Image) *Table {
+	t := NewTable(limits)
+	t.retired = image.Retired
+	for i := range image.Jobs {
+		j := image.Jobs[i]
+		t.jobs[j.ID] = &j
+		if j.State != Open {
+			t.ended = append(t.ended, j.ID)
+			continue
+		}
+		t.own(&j)
+		t.bytes += len(j.Body) + jobOverhead
+	}
+	return t
+}
+
+// Size estimates the image in bytes.
+func (t *Table) Size() int {
+	const endedJob = 64
+	return t.bytes + endedJob*len(t.ended)
+}
--- /dev/null
+++ b/core/jobstore/table_test.go
@@ -0,0 +1,203 @@
+package jobstore
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the properties, so that CI gives the same verdict each run; flags override it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "500"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func store(job, owner string) Store {
+	return Store{Job: job, Queue: "q", Owner: owner, Body: []byte("body"), Steps: []uint32{2, 1}, Attempts: 2}
+}
+
+func TestTable_JobEndsWithItsLastTask(t *testing.T) {
+	table := NewTable(DefaultLimits)
+	if answer := table.Store(store("j", "a"), 1); answer.Result != Stored || answer.State != Open || answer.Owner != "a" {
+		t.Fatalf("answer %+v", answer)
+	}
+	for n, task := range []string{"j.0.0.0", "j.0.1.0", "j.0.0.0"} {
+		if answer := table.Record(End{Task: task, Run: 1}, 0); answer.State != Open {
+			t.Fatalf("end %d: %+v", n, answer)
+		}
+	}
+	if answer := table.Record(End{Task: "j.0.0.1", Run: 4}, 7); answer.State != Completed {
+		t.Fatalf("answer %+v", answer)
+	}
+	if answer := table.Cancel("j", 8); answer.State != Completed {
+		t.Errorf("a job that has ended was cancelled: %+v", answer)
+	}
+	if len(table.Owners()) != 0 || table.bytes != 0 {
+		t.Errorf("owners %v, %d bytes", table.Owners(), table.bytes)
+	}
+}
+
+func TestTable_FailuresCountOnceForEachRun(t *testing.T) {
+	table := NewTable(DefaultLimits)
+	table.Store(store("j", "a"), 1)
+	for range 3 {
+		if answer := table.Record(End{Task: "j.0.0.0", Run: 1, IsFailure: true}, 0); answer.State != Open {
+			t.Fatalf("answer %+v", answer)
+		}
+	}
+	table.Record(End{Task: "j.0.0.1", Run: 1, IsFailure: true}, 0)
+	if answer := table.Record(End{Task: "j.0.0.0", Run: 2, IsFailure: true}, 0); answer.State != Failed {
+		t.Errorf("answer %+v", answer)
+	}
+}
+
+func TestTable_SameIDIsTheSameJob(t *testing.T) {
+	table := NewTable(DefaultLimits)
+	table.Store(store("j", "a"), 1)
+	if answer := table.Store(store("j", "b"), 2); answer.Result != Known || answer.Owner != "a" {
+		t.Errorf("answer %+v", answer)
+	}
+	table.Cancel("j", 0)
+	if answer := table.Store(store("j", "b"), 3); answer.Result != Known || answer.State != Cancelled {
+		t.Errorf("answer %+v", answer)
+	}
+}
+
+func TestTable_RetiredOwnerLosesItsJobsAndGetsNoOthers(t *testing.T) {
+	table := NewTable(DefaultLimits)
+	for n := range 4 {
+		table.Store(store(fmt.Sprint("j", n), "a"), 1)
+	}
+	table.Record(End{Task: "j0.0.0.1", Run: 1}, 0)
+	if moved := table.Retire(Retire{Owner: "a", Successors: []string{"b", "c"}}, 9); moved != 4 {
+		t.Fatalf("%d moved", moved)
+	}
+	if answer := table.Store(store("new", "a"), 10); answer.Result != OwnerRetired {
+		t.Errorf("answer %+v", answer)
+	}
+	given := table.OwnedBy("b", 8)
+	if len(given) != 2 || given[0].Epoch != 2 || len(table.OwnedBy("b", 9)) != 0 || len(table.OwnedBy("c", 0)) != 2 {
+		t.Fatalf("given %+v", given)
+	}
+	if progress := given[0].Progress(0, 1); !progress.IsDone {
+		t.Errorf("progress %+v", progress)
+	}
+}
+
+func TestTable_WithoutSuccessorsNothingIsTakenAway(t *testing.T) {
+	table := NewTable(DefaultLimits)
+	table.Store(store("j", "a"), 1)
+	for _, successors := range [][]string{nil, {"b", "a"}} {
+		if moved := table.Retire(Retire{Owner: "a", Successors: successors}, 2); moved != 0 || table.IsRetired("a") {
+			t.Errorf("%d moved to %v", moved, successors)
+		}
+	}
+}
+
+func TestTable_BoundsWhatItHolds(t *testing.T) {
+	limits := Limits{Bytes: 2 * (jobOverhead + 4), RetentionMS: 10, Retired: 2}
+	table := NewTable(limits)
+	for n, want := range []Result{Stored, Stored, Full} {
+		if answer := table.Store(store(fmt.Sprint(n), "a"), 1); answer.Result != want {
+			t.Errorf("job %d: %+v", n, answer)
+		}
+	}
+	table.Cancel("0", 5)
+	table.Expire(15)
+	if table.Find("0") == nil {
+		t.Error("forgotten too early")
+	}
+	table.Expire(16)
+	if table.Find("0") != nil || table.Find("1") == nil {
+		t.Error("not forgotten, or the wrong one")
+	}
+	for n := range 5 {
+		table.Retire(Retire{Owner: fmt.Sprint("o", n), Successors: []string{"x"}}, 1)
+	}
+	if len(table.retired) != 2 || !table.IsRetired("o4") {
+		t.Errorf("retired %v", table.retired)
+	}
+}
+
+func TestTable_UnreadableEndsChangeNothing(t *testing.T) {
+	table := NewTable(DefaultLimits)
+	table.Store(store("j", "a"), 1)
+	for _, task := range []string{"", "j", "j.0.0", "j.0.x.0", "j.0.0.2", "j.0.9.0", "j.0.-1.0", "k.0.0.0", "j.0.0.0.0"} {
+		if answer := table.Record(End{Task: task, Run: 1}, 0); answer.Result == Stored {
+			t.Errorf("%q: %+v", task, answer)
+		}
+	}
+	if table.Find("j").Progress(0, 0).IsDone {
+		t.Error("a task is done")
+	}
+}
+
+// TestTable_KeepsItsPromises plays any requests, each several times, and restores the table from its image now and then.
+func TestTable_KeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		limits := Limits{Bytes: 20 * (jobOverhead + 4), RetentionMS: 1 << 40, Retired: 100}
+		table := NewTable(limits)
+		ended := map[string]State{}
+		done := map[string]bool{}
+		owners := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		jobs := rapid.SampledFrom([]string{"0", "1", "2", "3", "4"})
+		for index := uint64(1); index <= 60; index++ {
+			job := jobs.Draw(r, "job")
+			task := fmt.Sprintf("%s.0.%d.%d", job, rapid.IntRange(0, 1).Draw(r, "step"), rapid.IntRange(0, 1).Draw(r, "index"))
+			switch rapid.IntRange(0, 5).Draw(r, "request") {
+			case 0:
+				owner := owners.Draw(r, "owner")
+				wasRetired := table.IsRetired(owner)
+				if answer := table.Store(store(job, owner), index); wasRetired && answer.Result == Stored {
+					r.Fatalf("%s stored for the retired %s", job, owner)
+				}
+			case 1:
+				if answer := table.Record(End{Task: task, Run: 1}, int64(index)); answer.Result == Stored {
+					done[task] = true
+				}
+			case 2:
+				table.Record(End{Task: task, Run: uint32(rapid.IntRange(1, 3).Draw(r, "run")), IsFailure: true}, int64(index))
+			case 3:
+				table.Cancel(job, int64(index))
+			case 4:
+				table.Retire(Retire{Owner: owners.Draw(r, "from"), Successors: []string{owners.Draw(r, "to")}}, index)
+			case 5:
+				restored := Restore(limits, table.Image())
+				if !reflect.DeepEqual(restored.Image(), table.Image()) || restored.bytes != table.bytes {
+					r.Fatal("the restored table differs")
+				}
+				table = restored
+			}
+			check(r, table, ended, done)
+		}
+	})
+}
+
+// check fails if a job changed after its end, is owned by a retired owner, or forgot a task that was done.
+func check(r *rapid.T, table *Table, ended map[string]State, done map[string]bool) {
+	for id, j := range table.jobs {
+		if before, isEnded := ended[id]; isEnded && before != j.State {
+			r.Fatalf("job %s was %v and is %v", id, before, j.State)
+		}
+		if j.State != Open {
+			ended[id] = j.State
+			continue
+		}
+		if table.IsRetired(j.Owner) && len(table.OwnedBy(j.Owner, 0)) == 0 {
+			r.Fatalf("job %s has a retired owner that does not know it", id)
+		}
+		for task := range done {
+			if owner, at, _ := parseTask(task); owner == id && !j.Progress(at.step, at.index).IsDone {
+				r.Fatalf("task %s was done", task)
+			}
+		}
+	}
+}
--- a/core/state/command.go
+++ b/core/state/command.go
@@ -10,6 +10,7 @@
 
 	"flamingohall.example/core/catalogue"
 	"flamingohall.example/core/claim"
+	"flamingohall.example/core/jobstore"
 	"flamingohall.example/core/registry"
 )
 
@@ -30,6 +31,10 @@
 	Lose     *Loss             `cbor:"lose,omitempty"`
 	Drain    *Drain            `cbor:"drain,omitempty"`
 	Tick     *Tick             `cbor:"tick,omitempty"`
+	Store    *jobstore.Store   `cbor:"store,omitempty"`
+	Record   []jobstore.End    `cbor:"record,omitempty"`
+	Cancel   *Cancel           `cbor:"cancel,omitempty"`
+	Retire   *jobstore.Retire  `cbor:"retire,omitempty"`
 }
 
 // Process names one incarnation of a node.
@@ -51,6 +56,11 @@
 	Drained  bool   `cbor:"drained"`
 }
 
+// Cancel ends an accepted job.
+type Cancel struct {
+	Job string `cbor:"job"`
+}
+
 // MaxTickMS bounds the time that one tick adds, in milliseconds.
 const MaxTickMS = 60_000
 
@@ -71,6 +81,10 @@
 	Accepted bool `cbor:"ok,omitempty"`
 	// Found is false for a drain of an unknown target.
 	Found bool `cbor:"found,omitempty"`
+	// Jobs answer a store or a cancel with one answer, a record with one for each end.
+	Jobs []jobstore.Answer `cbor:"jobs,omitempty"`
+	// Moved is how many jobs a retired owner had.
+	Moved int `cbor:"moved,omitempty"`
 }
 
 // Encode returns the command's bytes.
--- a/core/state/image.go
+++ b/core/state/image.go
@@ -5,6 +5,7 @@
 
 	"flamingohall.example/core/catalogue"
 	"flamingohall.example/core/claim"
+	"flamingohall.example/core/jobstore"
 	"flamingohall.example/core/registry"
 )
 
@@ -22,6 +23,7 @@
 	Catalogue      catalogue.StoreImage `cbor:"catalogue"`
 	Claims         claim.Image          `cbor:"claims"`
 	Registry       registry.Image       `cbor:"registry"`
+	Jobs           jobstore.Image       `cbor:"jobs"`
 }
 
 // Snapshot returns the whole state as bytes.
@@ -29,8 +31,8 @@
 	return encode("snapshot", image{
 		Version: imageVersion, Index: s.Index, CatalogueIndex: s.CatalogueIndex, RegistryIndex: s.RegistryIndex,
 		ClockMS: s.ClockMS, TickIndex: s.TickIndex, Catalogue: s.Catalogue.Image(), Claims: s.Claims.Image(),
-		Registry: s.Registry.Image(),
-	}, s.Catalogue.Size()+s.Claims.Size()+snapshotSlack)
+		Registry: s.Registry.Image(), Jobs: s.Jobs.Image(),
+	}, s.Catalogue.Size()+s.Claims.Size()+s.Jobs.Size()+snapshotSlack)
 }
 
 // Restore returns the state of a snapshot.
@@ -46,5 +48,6 @@
 		Index: read.Index, CatalogueIndex: read.CatalogueIndex, RegistryIndex: read.RegistryIndex,
 		ClockMS: read.ClockMS, TickIndex: read.TickIndex, Catalogue: catalogue.RestoreStore(read.Catalogue),
 		Claims: claim.Restore(claim.DefaultLimits, read.Claims), Registry: registry.Restore(read.Registry),
+		Jobs: jobstore.Restore(jobstore.DefaultLimits, read.Jobs),
 	}, nil
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -3,6 +3,7 @@
 import (
 	"flamingohall.example/core/catalogue"
 	"flamingohall.example/core/claim"
+	"flamingohall.example/core/jobstore"
 	"flamingohall.example/core/registry"
 )
 
@@ -11,6 +12,7 @@
 	Catalogue *catalogue.Store
 	Claims    *claim.Table
 	Registry  *registry.Registry
+	Jobs      *jobstore.Table
 	// Index is the log index of the last command applied.
 	Index uint64
 	// CatalogueIndex and RegistryIndex are the log indexes of the last changes that followers see.
@@ -26,6 +28,7 @@
 func New() *State {
 	return &State{
 		Catalogue: catalogue.NewStore(), Claims: claim.NewTable(claim.DefaultLimits), Registry: registry.New(),
+		Jobs: jobstore.NewTable(jobstore.DefaultLimits),
 	}
 }
 
@@ -68,6 +71,25 @@
 		s.RegistryIndex = s.Index
 		return Result{Found: found}
 	}
+	return s.jobStep(step)
+}
+
+// jobStep applies the steps about accepted jobs.
+func (s *State) jobStep(step Step) Result {
+	switch {
+	case step.Store != nil:
+		return Result{Jobs: []jobstore.Answer{s.Jobs.Store(*step.Store, s.Index)}}
+	case step.Record != nil:
+		var answers []jobstore.Answer
+		for _, end := range step.Record {
+			answers = append(answers, s.Jobs.Record(end, s.ClockMS))
+		}
+		return Result{Jobs: answers}
+	case step.Cancel != nil:
+		return Result{Jobs: []jobstore.Answer{s.Jobs.Cancel(step.Cancel.Job, s.ClockMS)}}
+	case step.Retire != nil:
+		return Result{Moved: s.Jobs.Retire(*step.Retire, s.Index)}
+	}
 	return Result{}
 }
 
@@ -90,6 +112,7 @@
 		return Result{}
 	}
 	s.ClockMS += min(tick.ElapsedMS, MaxTickMS)
+	s.Jobs.Expire(s.ClockMS)
 	s.TickIndex = s.Index
 	return Result{Accepted: true}
 }
