Run stored jobs: the owner's right, ends confirmed once recorded

An entry that dies must not take an accepted job along, and a worker must not forget the end of a run before it is recorded. Change: an entry runs its stored jobs as long as control has answered it within 2 s, and stops them otherwise; sidecars keep ends of stored tasks until an entry has them recorded, and tell them to all entries if their own is out of reach; a task whose sidecar was lost is offered again only after control was asked whether its end is recorded.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -35,6 +35,14 @@
 	random  *rand.Rand
 	judge   *health.Judge
 	effects Effects
+	// records holds the workers that wait for an end to be recorded.
+	records map[work.RunID][]string
+	past    past
+	// askNumber is that of the last Ask.
+	askNumber uint64
+	// rightUntil is until when stored jobs may be run; hasRight is false while they are stopped.
+	rightUntil time.Duration
+	hasRight   bool
 	// candidates is used within one decision.
 	candidates []*worker
 	// epoch turns spans into times for the judge.
@@ -47,14 +55,15 @@
 	return &Dispatcher{
 		limits: limits, zone: dataCentre, random: rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // Not a secret.
 		workers: map[string]*worker{}, jobs: map[string]*job{},
-		tasks: map[string]*task{}, learned: map[string]*estimate{}, judge: health.NewJudge(), epoch: time.Unix(0, 0),
+		tasks: map[string]*task{}, records: map[work.RunID][]string{},
+		past: past{jobs: map[string]pastJob{}}, learned: map[string]*estimate{}, judge: health.NewJudge(), epoch: time.Unix(0, 0),
 	}
 }
 
 // Effects returns what is to be done since the last call. Advance is to be called first.
 func (d *Dispatcher) Effects() Effects {
 	for _, w := range d.order {
-		if frame := &w.frame; frame.Echo != 0 || len(frame.Offers)+len(frame.Stops)+len(frame.CancelledJobs) > 0 {
+		if frame := &w.frame; frame.Echo != 0 || len(frame.Offers)+len(frame.Stops)+len(frame.CancelledJobs)+len(frame.Confirmed) > 0 {
 			d.effects.Frames = append(d.effects.Frames, Frame{Worker: w.id, ToSidecar: *frame})
 			w.frame = work.ToSidecar{}
 		}
@@ -80,11 +89,11 @@
 	return count
 }
 
-// Pending returns how many of a queue's jobs have not begun.
+// Pending returns how many of a queue's jobs whose callers wait have not begun.
 func (d *Dispatcher) Pending(queue string) int {
 	count := 0
 	for _, j := range d.jobs {
-		if j.Queue.Name == queue && !slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state >= started }) {
+		if j.Queue.Name == queue && !j.IsStored && !slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state >= started }) {
 			count++
 		}
 	}
@@ -202,6 +211,7 @@
 	for _, change := range d.judge.Advance(d.epoch.Add(now)) {
 		d.judged(change)
 	}
+	d.checkRight(now)
 	d.endHopeless(now)
 	d.offerWaiting(now)
 }
@@ -230,12 +240,22 @@
 	slices.SortStableFunc(d.waiting, func(a, b *task) int { return cmp.Compare(a.job.objective, b.job.objective) })
 	d.waiting = slices.DeleteFunc(d.waiting, func(t *task) bool {
 		if t.state == uncertain && now >= t.overAt {
-			t.state = waiting
+			d.over(t)
 		}
-		return t.state == waiting && now >= t.retryAt && d.offer(now, t)
+		return t.state == waiting && now >= t.retryAt && (d.hasRight || !t.job.IsStored) && d.offer(now, t)
 	})
 }
 
+// over handles a task whose run is over for certain. The end of a stored one may have been told to another entry.
+func (d *Dispatcher) over(t *task) {
+	if t.job.IsStored {
+		d.ask(t)
+		return
+	}
+	t.state = waiting
+	t.job.stepOf(t).perWorker[t.worker]--
+}
+
 func (t *task) needsOffer() bool {
 	return t.state == waiting || t.state == uncertain
 }
@@ -261,6 +281,7 @@
 	w.frame.Offers = append(w.frame.Offers, work.Offer{
 		RunID: t.id(), Sequence: w.sequence, Spec: t.job.Spec, Needs: t.step.Needs, ExpectedMS: expected.Milliseconds(),
 		StartWithinMS: t.startWithin(now, chosen.wait).Milliseconds(), SlackMS: t.rank(now).Milliseconds(), Checkpoint: t.checkpoint,
+		IsStored: t.job.IsStored,
 	})
 	return true
 }
--- a/core/dispatch/ended.go
+++ b/core/dispatch/ended.go
@@ -9,8 +9,12 @@
 
 // ended takes the end of a run in.
 func (d *Dispatcher) ended(now time.Duration, w *worker, ended *work.Ended) {
+	if ended.AwaitsConfirmation {
+		d.record(w, ended)
+	}
 	t := d.taskAt(w.id, ended.RunID)
-	if t == nil || t.state != offered && t.state != started {
+	if t == nil || !t.isOut() {
+		d.endedBefore(ended)
 		return
 	}
 	j := t.job
@@ -32,9 +36,15 @@
 		Kind: RunEndedBadly, RunID: ended.RunID, Worker: w.id, Reason: ended.Outcome.String(), Age: t.loadAge,
 	})
 	if ended.Outcome == work.Failed {
-		t.failures++
+		t.failures, t.countedRun = t.failures+1, ended.Run
 		j.trace.Failures++
-		if t.failures >= max(1, j.Queue.Attempts) {
+		switch {
+		case t.failures < max(1, j.Queue.Attempts):
+		case j.IsStored:
+			// The job fails once that is recorded.
+			t.state = exhausted
+			return
+		default:
 			d.abandon(now, j, JobFailed, TaskFailed)
 			return
 		}
@@ -85,7 +95,7 @@
 // refused takes in that an offer was turned down: it has not run and won't.
 func (d *Dispatcher) refused(now time.Duration, w *worker, refused work.Refused) {
 	t := d.taskAt(w.id, refused.RunID)
-	if t == nil || t.state != offered {
+	if t == nil || !t.isOut() || t.state == started {
 		return
 	}
 	t.job.stepOf(t).perWorker[w.id]--
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -23,6 +23,8 @@
 	uncertain
 	// finished is done.
 	finished
+	// exhausted has failed as often as it may.
+	exhausted
 )
 
 // task is one task of a job.
@@ -36,10 +38,14 @@
 	worker    string
 	offeredAt time.Duration
 	// loadAge is how old the worker's load was then.
-	loadAge    time.Duration
-	startedAt  time.Duration
-	overAt     time.Duration
-	failures   int
+	loadAge   time.Duration
+	startedAt time.Duration
+	overAt    time.Duration
+	// askedBy is the number of the ask that was made once the run was over, 0 before.
+	askedBy  uint64
+	failures int
+	// countedRun is the last run that is counted in failures.
+	countedRun uint32
 	checkpoint string
 	// retryAt is when a refused task is offered again.
 	retryAt time.Duration
@@ -86,9 +92,44 @@
 		}
 	}
 	j.trace.Tasks = len(j.tasks)
+	j.resume()
 	return j
 }
 
+// epochRuns is the distance between the run numbers of two owners of a job: more than one gives out.
+const epochRuns = 10_000
+
+// resume takes in what earlier owners of a stored job have recorded.
+func (j *job) resume() {
+	if j.Epoch > 1 {
+		for _, t := range j.tasks {
+			t.run = (j.Epoch - 1) * epochRuns
+		}
+	}
+	for t, recorded := range j.locate(j.Progress) {
+		t.failures = recorded.Failures
+		if recorded.IsDone {
+			t.state = finished
+			j.stepOf(t).left--
+		}
+	}
+}
+
+// locate returns what is recorded by task.
+func (j *job) locate(progress []TaskProgress) map[*task]TaskProgress {
+	recorded := map[*task]TaskProgress{}
+	first := 0
+	for i := range j.Steps {
+		for _, one := range progress {
+			if one.Step == i && one.Index < j.Steps[i].Count {
+				recorded[j.tasks[first+one.Index]] = one
+			}
+		}
+		first += j.Steps[i].Count
+	}
+	return recorded
+}
+
 // ready makes the tasks of steps whose predecessors are done wait for a worker.
 func (j *job) ready() []*task {
 	var freed []*task
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -17,6 +17,7 @@
 	offers  map[string][]work.Offer
 	stops   map[string][]work.RunID
 	answers map[string]dispatch.Answer
+	asks    []dispatch.Ask
 }
 
 // newDesk returns a dispatcher with idle workers of 32 cores.
@@ -46,6 +47,7 @@
 		d.offers[frame.Worker] = append(d.offers[frame.Worker], frame.Offers...)
 		d.stops[frame.Worker] = append(d.stops[frame.Worker], frame.Stops...)
 	}
+	d.asks = append(d.asks, effects.Asks...)
 	for _, answer := range effects.Answers {
 		d.answers[answer.Job] = answer
 	}
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -24,21 +24,33 @@
 		}
 		return
 	}
+	if j, refusal := d.consider(now, s); refusal != nil {
+		d.answer(now, j, *refusal)
+	} else {
+		d.take(j)
+		d.finishIfDone(now, j)
+	}
+}
+
+// consider makes the job of a submission, and the answer if it is not to be taken.
+func (d *Dispatcher) consider(now time.Duration, s Submission) (*job, *Answer) {
 	j := newJob(now, s)
 	d.estimate(j)
 	j.objective = j.arrivedAt + j.span()
 	wait, cause := d.expectedWait(now, j)
 	j.trace.PredictedWait = wait
 	if cause != 0 {
-		d.answer(now, j, Answer{Result: Refused, Cause: cause, RetryAfter: max(minRetryAfter, wait)})
-		return
+		return j, &Answer{Result: Refused, Cause: cause, RetryAfter: max(minRetryAfter, wait)}
 	}
+	return j, nil
+}
+
+func (d *Dispatcher) take(j *job) {
 	d.jobs[j.ID] = j
 	for _, t := range j.tasks {
 		d.tasks[t.name] = t
 	}
 	d.waiting = append(d.waiting, j.ready()...)
-	d.finishIfDone(now, j)
 }
 
 // span returns the time in which the job should end.
@@ -183,12 +195,7 @@
 	if j == nil {
 		return
 	}
-	for _, t := range j.tasks {
-		if t.state == offered || t.state == started {
-			w := d.workers[t.worker]
-			w.frame.Stops = append(w.frame.Stops, t.id())
-		}
-	}
+	d.stopTasks(j)
 	if result == GivenUp && !j.hasRun() {
 		result = Refused
 	}
@@ -197,9 +204,31 @@
 
 // answer ends a job.
 func (d *Dispatcher) answer(now time.Duration, j *job, answer Answer) {
-	answer.Job, answer.Request, answer.Queue, answer.Trace = j.ID, j.Request, j.Queue.Name, j.trace
+	d.effects.Answers = append(d.effects.Answers, j.fill(now, answer))
+	d.forget(j)
+	if j.IsStored {
+		d.past.add(now, j, endStates[answer.Result])
+	}
+}
+
+// fill adds to an answer what is known of the job.
+func (j *job) fill(now time.Duration, answer Answer) Answer {
+	answer.Job, answer.Request, answer.Queue, answer.IsStored, answer.Trace = j.ID, j.Request, j.Queue.Name, j.IsStored, j.trace
 	answer.Trace.Took, answer.Trace.Objective = now-j.arrivedAt, j.objective-j.arrivedAt
-	d.effects.Answers = append(d.effects.Answers, answer)
+	return answer
+}
+
+// stopTasks withdraws everything of a job that is at a worker.
+func (d *Dispatcher) stopTasks(j *job) {
+	for _, t := range j.tasks {
+		if t.state == offered || t.state == started {
+			w := d.workers[t.worker]
+			w.frame.Stops = append(w.frame.Stops, t.id())
+		}
+	}
+}
+
+func (d *Dispatcher) forget(j *job) {
 	if d.jobs[j.ID] != j {
 		return
 	}
@@ -210,7 +239,7 @@
 }
 
 func (d *Dispatcher) finishIfDone(now time.Duration, j *job) {
-	if j.isDone() {
+	if j.isDone() && !j.IsStored {
 		d.answer(now, j, Answer{Result: Completed})
 	}
 }
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -10,54 +10,69 @@
 type Limits struct {
 	// Grant is how long what was offered may run on after this entry's last answer to a probe.
 	Grant time.Duration
+	// Right is how long stored jobs may be run after the sending of a call to control that was answered.
+	Right time.Duration
 }
 
-// DefaultLimits agree with runner.DefaultLimits: the grant, the slow rate of the worker's clock, and a stop's time.
-var DefaultLimits = Limits{Grant: 1100 * time.Millisecond}
+// DefaultLimits agree with runner.DefaultLimits: the grant, the slow rate of the worker's clock, and a stop's time. Control
+// gives jobs away after the right and the grant have ended (control.ownerPatience); the right outlasts an election there.
+var DefaultLimits = Limits{Grant: 1100 * time.Millisecond, Right: 2 * time.Second}
 
 // Submission is one job as its caller sent it.
 type Submission struct {
 	// ID is unique among the jobs of the system; the same ID names the same job.
-	ID string
+	ID string `cbor:"1,keyasint"`
 	// Request names the caller's request in the log.
-	Request string
-	Queue   Queue
-	Spec    string
-	Steps   []Step
+	Request string `cbor:"2,keyasint,omitempty"`
+	Queue   Queue  `cbor:"3,keyasint"`
+	Spec    string `cbor:"4,keyasint,omitempty"`
+	Steps   []Step `cbor:"5,keyasint"`
 	// Waited is how long the job has waited at this entry before it was handed in.
-	Waited time.Duration
+	Waited time.Duration `cbor:"-"`
 	// Patience is how long the caller waits for the answer; 0 for no bound.
-	Patience time.Duration
+	Patience time.Duration `cbor:"-"`
+	// IsStored means that control keeps the job, and that it goes on without its caller.
+	IsStored bool `cbor:"-"`
+	// Epoch numbers the owners of a stored job, from 1. Progress is what earlier ones have recorded.
+	Epoch    uint32         `cbor:"-"`
+	Progress []TaskProgress `cbor:"-"`
+}
+
+// TaskProgress is what is recorded of one task of a stored job.
+type TaskProgress struct {
+	Step, Index int
+	IsDone      bool
+	Failures    int
 }
 
 // Queue is a catalogue entry as far as it matters to its jobs.
 type Queue struct {
-	Name string
+	Name string `cbor:"1,keyasint"`
 	// Pool names the workers that run the tasks.
-	Pool string
+	Pool string `cbor:"2,keyasint"`
 	// Priority 0 comes first.
-	Priority int
+	Priority int `cbor:"3,keyasint,omitempty"`
 	// Attempts bounds the runs of one task that may fail.
-	Attempts int
+	Attempts int `cbor:"4,keyasint,omitempty"`
 	// Slack and Target give the time in which a job should end: Slack times its longest chain of work, and Target.
-	Slack  float64
-	Target time.Duration
+	Slack  float64       `cbor:"5,keyasint,omitempty"`
+	Target time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Step is a set of equal tasks.
 type Step struct {
-	Count int
-	Needs work.Needs
+	Count int        `cbor:"1,keyasint"`
+	Needs work.Needs `cbor:"2,keyasint"`
 	// Expected is a rough estimate of one task's run time.
-	Expected time.Duration
+	Expected time.Duration `cbor:"3,keyasint,omitempty"`
 	// After lists earlier steps that must be done first.
-	After []int
+	After []int `cbor:"4,keyasint,omitempty"`
 	// Label must be among the worker's labels; empty for any worker.
-	Label string
+	Label string `cbor:"5,keyasint,omitempty"`
 	// DataRack is the label of the rack on which the tasks run fastest.
-	DataRack string
+	DataRack string `cbor:"6,keyasint,omitempty"`
 	// MaxPerWorker bounds the tasks of the step on one worker; 0 for no bound.
-	MaxPerWorker int
+	MaxPerWorker int `cbor:"7,keyasint,omitempty"`
 }
 
 // Result is how a job ended.
@@ -107,13 +122,15 @@
 	Stopping
 	// Requested means that a cancel was asked for.
 	Requested
+	// ControlAway means that the job could not be stored.
+	ControlAway
 )
 
 // String returns the cause's name in logs.
 func (c Cause) String() string {
 	names := [...]string{
 		"none", "no workers", "overloaded", "too large", "deadline passed", "task failed", "caller gone", "stopping",
-		"requested",
+		"requested", "control away",
 	}
 	if int(c) < len(names) {
 		return names[c]
@@ -129,6 +146,8 @@
 	Queue   string
 	Result  Result
 	Cause   Cause
+	// IsStored means that the job was one that control keeps.
+	IsStored bool
 	// RetryAfter is when the caller may come back, if the job was refused.
 	RetryAfter time.Duration
 	Trace      Trace
@@ -155,9 +174,43 @@
 type Effects struct {
 	Frames  []Frame
 	Answers []Answer
-	Notes   []Note
+	// Records are ends to be recorded by control. Recorded is called with what becomes of each.
+	Records []Record
+	// Asks are jobs whose recorded progress is wanted. ProgressTold is called with it.
+	Asks  []Ask
+	Notes []Note
+}
+
+// Ask asks what control has recorded of a stored job, as of now or later.
+type Ask struct {
+	Job string
+	// Number is handed back with the answer.
+	Number uint64
 }
 
+// Record is the end of a run that has to be recorded.
+type Record struct {
+	work.RunID
+	IsFailure bool
+}
+
+// StoredState is how far a stored job is, as control has it.
+type StoredState uint8
+
+// States of stored jobs.
+const (
+	// StoredUnknown means that control does not keep the job.
+	StoredUnknown StoredState = iota
+	// StoredOpen means that it has not ended.
+	StoredOpen
+	// StoredCompleted means that every task is done.
+	StoredCompleted
+	// StoredFailed means that a task has failed too often.
+	StoredFailed
+	// StoredCancelled was asked for.
+	StoredCancelled
+)
+
 // Frame goes to one worker's sidecar.
 type Frame struct {
 	Worker string
@@ -195,4 +248,12 @@
 	RunMoved
 	// WorkerTrusted means that a trial succeeded.
 	WorkerTrusted
+	// RightLost means that control has not answered for so long that stored jobs may be given to others: they are stopped.
+	RightLost
+	// RightGained means that control has confirmed that this entry runs its stored jobs.
+	RightGained
+	// JobTakenOver means that a stored job came from another owner.
+	JobTakenOver
+	// JobGivenAway means that a stored job is not this entry's any more.
+	JobGivenAway
 )
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -37,6 +37,9 @@
 	limits   limits
 	// cuts holds until when an entry and a sidecar can't reach each other.
 	cuts map[[2]int]time.Duration
+	// control keeps stored jobs; nil in worlds without any.
+	control      *fakeControl
+	startedAgain []startedAgain
 }
 
 // limits are the times that both sides rely on. Tests set them wrong to show what they are for.
@@ -74,6 +77,11 @@
 	alive bool
 	// frozen until.
 	frozenUntil time.Duration
+	// owner is the name under which the process stores jobs, known the index of control's last answer; until cutOffUntil
+	// it does not reach control.
+	owner       string
+	known       uint64
+	cutOffUntil time.Duration
 }
 
 // sidecarNode is one sidecar process.
@@ -106,7 +114,7 @@
 		cuts: map[[2]int]time.Duration{},
 	}
 	for i := range workers {
-		one := &fakeWorker{world: w, index: i, up: true, rate: 0.98 + 0.02*w.random.Float64(), runs: map[string]*fakeRun{}}
+		one := &fakeWorker{world: w, index: i, up: true, rate: 0.98 + 0.02*w.random.Float64(), runs: map[string]*fakeRun{}, confirmed: map[confirmedEnd]bool{}}
 		one.begin()
 		w.workers = append(w.workers, one)
 		w.sidecars = append(w.sidecars, &sidecarNode{worker: one})
@@ -147,6 +155,10 @@
 		w.connect(i, s, life)
 	}
 	w.tickEntry(i, life)
+	if w.control != nil {
+		n.owner, n.known = fmt.Sprintf("e%d.%d", i, life), 0
+		w.control.keep(i, life)
+	}
 }
 
 func (w *world) tickEntry(i, life int) {
@@ -259,6 +271,7 @@
 	n := w.entries[i]
 	n.core.Advance(w.now)
 	effects := n.core.Effects()
+	w.traceEntry(i, &effects)
 	for _, frame := range effects.Frames {
 		var sidecar int
 		_, _ = fmt.Sscanf(frame.Worker, "s%d", &sidecar)
@@ -280,6 +293,12 @@
 			return true
 		})
 	}
+	for _, record := range effects.Records {
+		w.control.record(i, record)
+	}
+	for _, ask := range effects.Asks {
+		w.control.ask(i, ask)
+	}
 	for _, answer := range effects.Answers {
 		w.answers[answer.Job] = append(w.answers[answer.Job], answer)
 		if answer.Result == dispatch.Refused && answer.Trace.Offers > 0 {
@@ -305,6 +324,7 @@
 	n := w.sidecars[i]
 	n.core.Advance(w.now)
 	effects := n.core.Effects()
+	w.traceSidecar(i, &effects)
 	for _, frame := range effects.Frames {
 		l := n.sessions[frame.Session]
 		if l == nil {
@@ -416,6 +436,17 @@
 	ends  []runner.ListedEnd
 	// endedRuns holds the highest run of each task that was stopped or has ended.
 	endedRuns map[string]uint32
+	// lapses counts how often the lease has lapsed; endedIn holds the count at each of the ends.
+	lapses  int
+	endedIn []int
+	// confirmed holds the ends that may be forgotten, by life and number: true if the lease has not lapsed since the end.
+	confirmed map[confirmedEnd]bool
+}
+
+// confirmedEnd names an end of one life of a worker.
+type confirmedEnd struct {
+	life   int
+	number uint64
 }
 
 type fakeRun struct {
@@ -428,7 +459,7 @@
 	f.life++
 	f.born = f.world.now
 	f.fence, f.lease = 0, 0
-	f.runs, f.ends, f.endedRuns = map[string]*fakeRun{}, nil, map[string]uint32{}
+	f.runs, f.ends, f.endedIn, f.endedRuns = map[string]*fakeRun{}, nil, nil, map[string]uint32{}
 }
 
 func (f *fakeWorker) record() work.Worker {
@@ -460,7 +491,9 @@
 
 func (f *fakeWorker) end(task string, run uint32, outcome work.Outcome) {
 	delete(f.runs, task)
+	f.world.trace(task, "w%d ends run %d: %v", f.index, run, outcome)
 	f.endedRuns[task] = max(f.endedRuns[task], run)
+	f.endedIn = append(f.endedIn, f.lapses)
 	f.ends = append(f.ends, runner.ListedEnd{
 		RunID: work.RunID{Task: task, Run: run}, Number: uint64(len(f.ends) + 1), Outcome: outcome,
 	})
@@ -477,6 +510,9 @@
 	}
 	f.fence = order.Fence
 	f.settle()
+	if f.clock() > f.lease {
+		f.lapses++
+	}
 	if order.LeaseUntilMS > 0 {
 		f.lease = max(f.lease, min(float64(order.LeaseUntilMS), f.clock()+1000))
 	}
@@ -556,7 +592,17 @@
 }
 
 func (f *fakeWorker) hold(order *runner.Hold) runner.Answer {
-	return f.admit(&order.Order)
+	answer := f.admit(&order.Order)
+	if answer == runner.Accepted {
+		for n := order.Confirmed; n > 0; n-- {
+			end := confirmedEnd{life: f.life, number: n}
+			if _, known := f.confirmed[end]; known {
+				break
+			}
+			f.confirmed[end] = f.endedIn[n-1] == f.lapses
+		}
+	}
+	return answer
 }
 
 func (f *fakeWorker) report(answer runner.Answer) *runner.Report {
@@ -585,6 +631,9 @@
 		}
 	}
 	w.ranAt[which.Task] = w.now
+	if w.control != nil {
+		w.notesDone(which)
+	}
 }
 
 // crash ends a worker; another life begins later.
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -47,10 +47,12 @@
 	if r.isBusy() && r.lapsed(now) {
 		r.loseOrdered(now)
 	}
+	r.dropLate(now)
 	r.updatePace(now)
 	r.startQueued(now)
 	r.sendStops(now)
 	r.sendHold(now)
+	r.tellUnconfirmed(now)
 	r.fillFrames(now)
 }
 
@@ -97,7 +99,7 @@
 // mayStart reports whether the worker gets new tasks.
 func (r *Runner) mayStart(now time.Duration) bool {
 	w := &r.worker
-	return w.accepts() && !r.draining && now >= w.restUntil && w.silence < maxSilence
+	return w.accepts() && !r.draining && !r.needsLapse() && now >= w.restUntil && w.silence < maxSilence
 }
 
 // startQueued orders what fits, those with the least slack first.
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -53,7 +53,12 @@
 	r.read(now, report.Reading)
 	r.takeEnds(now, report)
 	r.takeRunning(now, report)
-	if !w.hasNews && len(r.runs) == 0 {
+	switch {
+	case w.hasNews:
+	case len(r.unconfirmed) > 0:
+		// The worker lists these ends again at once.
+		w.nextHold = now + confirmPause
+	case len(r.runs) == 0:
 		w.nextHold = now + idleHold
 	}
 }
@@ -79,14 +84,18 @@
 	w := &r.worker
 	for i := range report.Ended {
 		listed := &report.Ended[i]
-		if listed.Number <= w.confirmed {
+		if listed.Number <= w.listed {
 			continue
 		}
-		w.confirmed, w.hasNews = listed.Number, true
+		w.listed = listed.Number
 		one := r.runs[listed.Task]
 		if one == nil || one.Run != listed.Run || one.state == queued {
+			r.awaitConfirmation(now, listed, nil)
 			continue
 		}
+		if one.IsStored {
+			r.awaitConfirmation(now, listed, one)
+		}
 		if listed.Checkpoint != "" {
 			one.checkpoint = listed.Checkpoint
 		}
@@ -99,6 +108,7 @@
 		}
 		r.end(now, one, outcome)
 	}
+	r.advanceConfirmed()
 }
 
 func (r *Runner) takeRunning(now time.Duration, report *Report) {
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -95,6 +95,8 @@
 	effects   Effects
 	meanNeeds float64
 	pace      pace
+	// unconfirmed are ends that wait to be recorded, in the order of their numbers.
+	unconfirmed []unconfirmedEnd
 }
 
 // New returns a runner whose orders carry the fence, or a higher one if the worker asks for it.
@@ -155,6 +157,9 @@
 	for _, job := range frame.CancelledJobs {
 		r.cancelJob(now, id, job)
 	}
+	for _, confirmed := range frame.Confirmed {
+		r.confirm(now, confirmed)
+	}
 }
 
 func (r *Runner) offer(now time.Duration, id Session, s *session, offer work.Offer) {
@@ -224,9 +229,9 @@
 	r.refuseQueued()
 }
 
-// Idle reports whether nothing runs or is about to.
+// Idle reports whether nothing runs or is about to, and no end waits to be confirmed.
 func (r *Runner) Idle() bool {
-	return len(r.runs) == 0
+	return len(r.runs) == 0 && len(r.unconfirmed) == 0
 }
 
 func (r *Runner) refuseQueued() {
@@ -273,6 +278,7 @@
 		return
 	}
 	ended := work.Ended{RunID: one.RunID, Outcome: outcome, Checkpoint: one.checkpoint}
+	ended.AwaitsConfirmation = one.IsStored && (outcome == work.Done || outcome == work.Failed)
 	if one.wasStarted {
 		ended.RanMS = (now - one.startedAt).Milliseconds()
 	}
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -41,8 +41,10 @@
 	clockMS int64
 	clockAt time.Duration
 	// leaseEnd is the latest time up to which the worker may have been told to keep what runs.
-	leaseEnd  time.Duration
+	leaseEnd time.Duration
+	// confirmed is the last end that the worker may forget, listed the last one taken in.
 	confirmed uint64
+	listed    uint64
 	// holdNumber is that of the last Hold; holding is true while its answer is awaited.
 	holdNumber uint64
 	holding    bool
@@ -118,7 +120,7 @@
 		Worker: said.Worker, known: true, born: said.Born, fence: fence, heardAt: now, holdNumber: r.worker.holdNumber,
 		reported: r.worker.holdNumber,
 	}
-	r.pace = pace{}
+	r.pace, r.unconfirmed = pace{}, nil
 	for _, s := range r.sessions {
 		s.knowsWorker = false
 	}
@@ -182,7 +184,7 @@
 	w := &r.worker
 	order := Order{Incarnation: w.Incarnation, Fence: w.fence}
 	end := r.lease(now)
-	if w.clockAt == 0 || end <= now || w.suspect {
+	if w.clockAt == 0 || end <= now || w.suspect || r.needsLapse() && !r.isBusy() {
 		// What runs on a worker that does not answer must end at a known time, so its lease is not renewed.
 		return order
 	}
--- a/core/work/message.go
+++ b/core/work/message.go
@@ -11,6 +11,15 @@
 	Stops []RunID `cbor:"4,keyasint,omitempty"`
 	// CancelledJobs are jobs of which no task may run on, whoever offered it.
 	CancelledJobs []string `cbor:"5,keyasint,omitempty"`
+	// Confirmed are ends that are recorded, or that nobody needs any more.
+	Confirmed []Confirmed `cbor:"6,keyasint,omitempty"`
+}
+
+// Confirmed tells that an end needs to be told no more.
+type Confirmed struct {
+	RunID
+	// IsRecorded is false for the end of a run that control does not keep.
+	IsRecorded bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Hello names the entry that opens a session.
@@ -41,6 +50,8 @@
 	SlackMS int64 `cbor:"8,keyasint,omitempty"`
 	// Checkpoint lets the task resume; empty to start from its beginning.
 	Checkpoint string `cbor:"9,keyasint,omitempty"`
+	// IsStored means that the end of the run has to be confirmed before the worker may forget it.
+	IsStored bool `cbor:"10,keyasint,omitempty"`
 }
 
 // ToEntry is one frame from a sidecar to an entry.
@@ -140,6 +151,9 @@
 	RanMS int64 `cbor:"4,keyasint,omitempty"`
 	// Checkpoint is the last one seen.
 	Checkpoint string `cbor:"5,keyasint,omitempty"`
+	// AwaitsConfirmation means that the end is told again until it is confirmed. The run may be one of another entry, or of
+	// an earlier process.
+	AwaitsConfirmation bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Reason says why an offer was refused.
