Serve accepted jobs at control

Store, Record and Cancel go through the log, batched with all that waits; Find answers from this VM's state; Keep renews an owner's right and is answered by a leader only after a majority has confirmed it.

--- /dev/null
+++ b/node/control/jobs.go
@@ -0,0 +1,243 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"flamingohall.example/core/fault"
+	"flamingohall.example/core/jobstore"
+	"flamingohall.example/core/state"
+	"flamingohall.example/node/faultrpc"
+	"flamingohall.example/node/rpc"
+)
+
+// Limits of requests about accepted jobs.
+const (
+	maxJobBody  = 256 << 10
+	maxJobSteps = 1_400
+	maxEnds     = 4_096
+	maxChecked  = 4_096
+)
+
+// jobs serves rpc.Jobs.
+type jobs struct {
+	role *Role
+}
+
+// Store accepts a job.
+func (j *jobs) Store(ctx context.Context, request *rpc.StoreRequest) (*rpc.StoreResponse, error) {
+	if err := checkStore(request); err != nil {
+		return nil, faultrpc.To(err)
+	}
+	step := jobstore.Store{
+		Job: request.GetJobId(), Queue: request.GetQueue(), Owner: request.GetOwner(), Body: request.GetBody(),
+		Steps: request.GetSteps(), Attempts: request.GetAttempts(),
+	}
+	answers, err := j.propose(ctx, state.Step{Store: &step})
+	if err != nil {
+		return nil, faultrpc.To(err)
+	}
+	j.role.metrics.Add("jobs_stored", 1)
+	return &rpc.StoreResponse{
+		Status: storeStatus(answers[0].Result), State: jobState(answers[0].State), Owner: answers[0].Owner,
+	}, nil
+}
+
+func checkStore(request *rpc.StoreRequest) error {
+	for _, text := range []string{request.GetJobId(), request.GetOwner()} {
+		if text == "" || len(text) > maxNameBytes {
+			return fault.New(fault.Invalid, "give 1 to 256 bytes", "store: job or owner of %d bytes", len(text))
+		}
+	}
+	if len(request.GetBody()) > maxJobBody || len(request.GetSteps()) > maxJobSteps {
+		return fault.New(fault.TooLarge, "split the job", "store: job %q of %d bytes and %d steps",
+			request.GetJobId(), len(request.GetBody()), len(request.GetSteps()))
+	}
+	return nil
+}
+
+// Record takes in how runs ended.
+func (j *jobs) Record(ctx context.Context, request *rpc.RecordRequest) (*rpc.RecordResponse, error) {
+	if len(request.GetEnds()) == 0 || len(request.GetEnds()) > maxEnds {
+		return nil, faultrpc.To(fault.New(fault.Invalid, "send 1 to 4096 ends", "record: %d ends", len(request.GetEnds())))
+	}
+	var ends []jobstore.End
+	for _, end := range request.GetEnds() {
+		ends = append(ends, jobstore.End{Task: end.GetTask(), Run: end.GetRun(), IsFailure: end.GetFailed()})
+	}
+	answers, err := j.propose(ctx, state.Step{Record: ends})
+	if err != nil {
+		return nil, faultrpc.To(err)
+	}
+	response := &rpc.RecordResponse{}
+	for _, answer := range answers {
+		response.Ends = append(response.Ends, &rpc.RecordedEnd{
+			Status: storeStatus(answer.Result), State: jobState(answer.State),
+		})
+	}
+	return response, nil
+}
+
+// Cancel ends an accepted job.
+func (j *jobs) Cancel(ctx context.Context, request *rpc.CancelStoredRequest) (*rpc.CancelStoredResponse, error) {
+	answers, err := j.propose(ctx, state.Step{Cancel: &state.Cancel{Job: request.GetJobId()}})
+	if err != nil {
+		return nil, faultrpc.To(err)
+	}
+	return &rpc.CancelStoredResponse{State: jobState(answers[0].State)}, nil
+}
+
+// propose puts a step into the log and returns its answers, of which there is at least one.
+func (j *jobs) propose(ctx context.Context, step state.Step) ([]jobstore.Answer, error) {
+	if _, err := j.role.gate.check(); err != nil {
+		return nil, err
+	}
+	_, result, err := j.role.proposer.propose(ctx, step)
+	if err != nil {
+		return nil, err
+	}
+	if len(result.Jobs) == 0 {
+		return nil, fault.New(fault.Internal, "upgrade all control VMs to one version", "jobs: no answer")
+	}
+	return result.Jobs, nil
+}
+
+// Find tells how far a job is.
+func (j *jobs) Find(ctx context.Context, request *rpc.FindRequest) (*rpc.FindResponse, error) {
+	if _, err := j.role.gate.check(); err != nil {
+		return nil, faultrpc.To(err)
+	}
+	if request.GetConfirmed() {
+		if err := (&operator{role: j.role}).confirm(ctx); err != nil {
+			return nil, faultrpc.To(err)
+		}
+	}
+	response := &rpc.FindResponse{}
+	j.role.machine.read(func(s *state.State) {
+		found := s.Jobs.Find(request.GetJobId())
+		if found == nil {
+			return
+		}
+		response.State = jobState(found.State)
+		if request.GetConfirmed() {
+			response.Progress = taskProgress(found)
+		}
+	})
+	return response, nil
+}
+
+// Keep renews an owner's right to run its jobs. Only the leader can, once a majority has confirmed that it leads: an
+// earlier leader would renew what a later one has given to others.
+func (j *jobs) Keep(ctx context.Context, request *rpc.KeepRequest) (*rpc.KeepResponse, error) {
+	status := j.role.group.Status()
+	if !status.IsLeader {
+		return j.askLeaderToKeep(ctx, status, request)
+	}
+	if len(request.GetCheck()) > maxChecked {
+		return nil, faultrpc.To(fault.New(fault.TooLarge, "check fewer jobs at once", "keep: %d jobs", len(request.GetCheck())))
+	}
+	arrived := time.Now()
+	if err := (&operator{role: j.role}).confirm(ctx); err != nil {
+		return nil, faultrpc.To(err)
+	}
+	if !j.role.owners.renew(request.GetOwner(), status.Term, arrived, request.GetWaiting()) {
+		return nil, faultrpc.To(fault.New(fault.Unavailable, "send it again", "the jobs of %q are being given away", request.GetOwner()))
+	}
+	response := &rpc.KeepResponse{LeaderAddress: status.LeaderAddress}
+	j.role.machine.read(func(s *state.State) { fillKeep(response, request, s) })
+	response.Waiting = j.role.owners.waiting(arrived)
+	return response, nil
+}
+
+// askLeaderToKeep hands the call on.
+func (j *jobs) askLeaderToKeep(ctx context.Context, status Status, request *rpc.KeepRequest) (*rpc.KeepResponse, error) {
+	if status.LeaderAddress == "" {
+		return nil, faultrpc.To(fault.New(fault.Unavailable, "send it again", "the control VMs have no leader"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	response, err := rpc.NewJobsProtobufClient("http://"+status.LeaderAddress, j.role.http).Keep(ctx, request)
+	if err != nil {
+		j.role.http.CloseIdleConnections()
+	}
+	return response, faultrpc.To(faultrpc.From(err))
+}
+
+// fillKeep adds what the state knows of the caller's jobs.
+func fillKeep(response *rpc.KeepResponse, request *rpc.KeepRequest, s *state.State) {
+	if s.Jobs.IsRetired(request.GetOwner()) {
+		response.Retired = true
+		return
+	}
+	response.Index = s.Index
+	for _, job := range s.Jobs.OwnedBy(request.GetOwner(), request.GetKnownIndex()) {
+		// A job that the caller has stored itself is known to it, unless it asks for everything.
+		if job.Epoch > 1 || request.GetKnownIndex() == 0 {
+			response.Assigned = append(response.Assigned, ownedJob(job))
+		}
+	}
+	for _, id := range request.GetCheck() {
+		if job := s.Jobs.Find(id); job == nil || job.State != jobstore.Open || job.Owner != request.GetOwner() {
+			response.Over = append(response.Over, id)
+		}
+	}
+}
+
+func ownedJob(job *jobstore.Job) *rpc.OwnedJob {
+	return &rpc.OwnedJob{JobId: job.ID, Epoch: job.Epoch, Body: job.Body, Progress: taskProgress(job)}
+}
+
+// taskProgress lists the tasks for which something is recorded.
+func taskProgress(job *jobstore.Job) []*rpc.TaskProgress {
+	var listed []*rpc.TaskProgress
+	for step, count := range job.Steps {
+		for index := range count {
+			progress := job.Progress(step, int(index))
+			if progress.IsDone || progress.Failures > 0 {
+				listed = append(listed, &rpc.TaskProgress{
+					Step: uint32(step), Index: index, Done: progress.IsDone,
+					Failures: uint32(progress.Failures),
+				})
+			}
+		}
+	}
+	return listed
+}
+
+func storeStatus(result jobstore.Result) rpc.StoreStatus {
+	switch result {
+	case jobstore.Stored:
+		return rpc.StoreStatus_STORE_STATUS_STORED
+	case jobstore.Known:
+		return rpc.StoreStatus_STORE_STATUS_KNOWN
+	case jobstore.Unknown:
+		return rpc.StoreStatus_STORE_STATUS_UNKNOWN
+	case jobstore.OwnerRetired:
+		return rpc.StoreStatus_STORE_STATUS_OWNER_RETIRED
+	case jobstore.Full:
+		return rpc.StoreStatus_STORE_STATUS_FULL
+	}
+	return rpc.StoreStatus_STORE_STATUS_UNSPECIFIED
+}
+
+func jobState(state jobstore.State) rpc.JobState {
+	switch state {
+	case jobstore.Open:
+		return rpc.JobState_JOB_STATE_OPEN
+	case jobstore.Completed:
+		return rpc.JobState_JOB_STATE_COMPLETED
+	case jobstore.Failed:
+		return rpc.JobState_JOB_STATE_FAILED
+	case jobstore.Cancelled:
+		return rpc.JobState_JOB_STATE_CANCELLED
+	}
+	return rpc.JobState_JOB_STATE_UNSPECIFIED
+}
+
+// addWaiting adds an owner's counts to a sum.
+func addWaiting(sum, counts map[string]uint32) {
+	for queue := range maps.Keys(counts) {
+		sum[queue] += counts[queue]
+	}
+}
--- a/node/control/proposer.go
+++ b/node/control/proposer.go
@@ -21,6 +21,7 @@
 	// patientPeriod is how long a step that can wait is held for a command that goes anyway.
 	patientPeriod = 50 * time.Millisecond
 	targetSize    = 48
+	endSize       = 48
 )
 
 // proposal is one step that waits for its result.
@@ -200,6 +201,10 @@
 		size += len(step.Finish.Body)
 	case step.Change != nil:
 		size += len(step.Change.Document)
+	case step.Store != nil:
+		size += len(step.Store.Body)
+	case step.Record != nil:
+		size += endSize * len(step.Record)
 	}
 	return size
 }
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -40,6 +40,7 @@
 	proposer *proposer
 	presence *presence
 	gate     *gate
+	owners   *owners
 
 	cancel context.CancelFunc
 	// duties are the named loops, background the proposals that nobody waits for.
@@ -68,6 +69,7 @@
 		return nil, err
 	}
 	role.group = group
+	role.owners = newOwners(role)
 	role.proposer = newProposer(group, role.metrics)
 	role.publishGauges()
 	return role, nil
@@ -94,6 +96,7 @@
 	r.group.Register(mux)
 	mux.Handle(rpc.ControlPathPrefix, withoutDate(rpc.NewControlServer(r)))
 	mux.Handle(rpc.OperatorPathPrefix, rpc.NewOperatorServer(&operator{role: r}))
+	mux.Handle(rpc.JobsPathPrefix, withoutDate(rpc.NewJobsServer(&jobs{role: r})))
 }
 
 // withoutDate saves the Date header on each answer: a nil value keeps the library from adding it.
@@ -113,6 +116,7 @@
 	r.duties.Go(func() { r.proposer.run(ctx) })
 	r.duties.Go(func() { (&digester{role: r}).run(ctx) })
 	r.duties.Go(func() { (&leaseWatch{role: r}).run(ctx) })
+	r.duties.Go(func() { r.owners.run(ctx) })
 	r.duties.Go(func() { r.watchContact(ctx) })
 	return nil
 }
--- a/node/events/control.go
+++ b/node/events/control.go
@@ -16,6 +16,8 @@
 	QuorumRegained = define(4008, Info, "in contact with a majority", "this control VM serves again", "none")
 	DigestFailed   = define(4009, Debug, "digest not delivered", "the leader did not answer; the next digest repeats it",
 		"none, unless a leader is missing for long")
+	OwnerRetired = define(4020, Warn, "owner retired", "an entry that owns accepted jobs was not heard; others run them now",
+		"check the entry")
 	LeadershipGained = define(4010, Info, "watching over nodes", "this control VM leads; it gives no node up for one lease",
 		"none")
 	MemberChanged      = define(4011, Info, "control member changed", "an operator added or removed a control VM", "none")
