Store, run and tell of jobs at the entry

The gateway stores a job before it is accepted, keeps its right renewed, brings ends to control in batches and tells states.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -55,6 +55,12 @@
 	callers map[string][]chan dispatch.Answer
 	peers   map[string]*stream.Peer
 
+	// stored calls control about stored jobs, for which owner is this entry's name.
+	stored   *controlclient.Jobs
+	owner    atomic.Pointer[string]
+	keeper   *keeper
+	recorder *recorder
+
 	counters counters
 	jobs     atomic.Int64
 	// workers is the number of workers that take tasks.
@@ -85,6 +91,7 @@
 		Logger: options.Logger, Metrics: options.Metrics, Hold: options.ControlHold,
 		MaxBackoff: controlclient.ShortMaxBackoff, DialTimeout: controlclient.ShortDialTimeout,
 	})
+	g.stored, g.keeper, g.recorder = g.follower.Jobs(), newKeeper(g), newRecorder(g)
 	g.publishGauges()
 	return g
 }
@@ -98,6 +105,8 @@
 	g.follower.Start(g.context)
 	g.duties.Go(func() { g.loop.Run(g.advance) })
 	g.duties.Go(g.openWhenAble)
+	g.duties.Go(func() { g.keeper.run(g.context) })
+	g.duties.Go(func() { g.recorder.run(g.context) })
 	g.duties.Go(func() { (&roster{gateway: g, kept: map[string]*keptSession{}}).run(g.context) })
 	return nil
 }
@@ -206,10 +215,11 @@
 	return false
 }
 
-// Pending returns how many of a queue's jobs have not begun here.
+// Pending returns how many of a queue's jobs have not begun: those of callers who wait here, and all stored ones as told
+// at the last call to control.
 func (g *Gateway) Pending(ctx context.Context, queue string) int {
 	counted := make(chan int, 1)
-	g.put(func(time.Duration) { counted <- g.core.Pending(queue) })
+	g.put(func(time.Duration) { counted <- g.core.Pending(queue) + int(g.keeper.waiting[queue]) })
 	select {
 	case count := <-counted:
 		return count
@@ -238,6 +248,12 @@
 
 // carryOut sends what the core wants sent.
 func (g *Gateway) carryOut(effects dispatch.Effects) {
+	if len(effects.Records) > 0 {
+		g.recorder.add(effects.Records)
+	}
+	for _, ask := range effects.Asks {
+		g.duties.Go(func() { g.ask(ask) })
+	}
 	for i := range effects.Frames {
 		frame := &effects.Frames[i]
 		if peer := g.peers[frame.Worker]; peer != nil {
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -23,6 +23,11 @@
 	took     metrics.Histogram
 	waited   metrics.Histogram
 	expected metrics.Histogram
+	// storeTook is the time until a job was stored, recordTook that until ends were recorded.
+	storeTook     metrics.Histogram
+	recordTook    metrics.Histogram
+	keepsFailed   atomic.Int64
+	recordsFailed atomic.Int64
 }
 
 func (c *counters) answered(answer *dispatch.Answer) {
@@ -56,13 +61,15 @@
 		"jobs_completed": &g.counters.completed, "jobs_failed": &g.counters.failed, "jobs_refused": &g.counters.refused,
 		"jobs_given_up": &g.counters.givenUp, "jobs_cancelled": &g.counters.cancelled,
 		"jobs_in_time": &g.counters.inTime, "offers": &g.counters.offers, "malformed_frames": &g.counters.malformed,
-		"jobs": &g.jobs,
+		"jobs": &g.jobs, "keeps_failed": &g.counters.keepsFailed, "records_failed": &g.counters.recordsFailed,
 	} {
 		role.Gauge(name, func() any { return counter.Load() })
 	}
 	role.Histogram("job_took", &g.counters.took)
 	role.Histogram("job_waited", &g.counters.waited)
 	role.Histogram("job_expected_wait", &g.counters.expected)
+	role.Histogram("store_took", &g.counters.storeTook)
+	role.Histogram("record_took", &g.counters.recordTook)
 }
 
 // logAnswer writes the one line that every job gets.
@@ -99,5 +106,13 @@
 		events.WorkerOnTrial.Log(logger, "worker", note.Worker)
 	case dispatch.WorkerTrusted:
 		events.WorkerTrusted.Log(logger, "worker", note.Worker)
+	case dispatch.RightLost:
+		events.RightLost.Log(logger, "owner", *g.owner.Load(), "silence_ms", age)
+	case dispatch.RightGained:
+		events.RightGained.Log(logger, "owner", *g.owner.Load(), "age_ms", age)
+	case dispatch.JobTakenOver:
+		events.StoredJobTakenOver.Log(logger, "job", note.Task, "epoch", note.Run)
+	case dispatch.JobGivenAway:
+		events.StoredJobDropped.Log(logger, "job", note.Task)
 	}
 }
--- a/node/workwire/workwire.go
+++ b/node/workwire/workwire.go
@@ -1,10 +1,11 @@
-// Package workwire encodes the messages of core/work as CBOR with numbered fields.
+// Package workwire encodes the messages of core/work, and jobs that are to be stored, as CBOR with numbered fields.
 package workwire
 
 import (
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"flamingohall.example/core/dispatch"
 	"flamingohall.example/core/work"
 )
 
@@ -71,3 +72,17 @@
 	}
 	return &frame, nil
 }
+
+// EncodeSubmission returns the bytes of a job that is to be stored.
+func EncodeSubmission(job *dispatch.Submission) []byte {
+	return encode(job)
+}
+
+// DecodeSubmission reads the bytes of EncodeSubmission.
+func DecodeSubmission(encoded []byte) (*dispatch.Submission, error) {
+	var job dispatch.Submission
+	if err := decoder.Unmarshal(encoded, &job); err != nil {
+		return nil, errors.Wrap(err, "stored job")
+	}
+	return &job, nil
+}
