Let a sidecar recall its worker after a restart

Cause: a sidecar learns its worker from the worker's announcements, one in 1.5 s. Change: a sidecar has control keep what its worker says of itself, when that changes, and is told it again with its first call after a restart. The worker gets tasks once it has answered a call that names the incarnation; one that was leaving gets none; what it says itself goes first.

--- a/core/registry/registry.go
+++ b/core/registry/registry.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Limits of what a registry keeps.
@@ -35,6 +37,9 @@
 	Cores        float64 `cbor:"cores"`
 	MemoryMB     uint64  `cbor:"mem"`
 	Accelerators uint32  `cbor:"acc"`
+	// Record is what the node wants to be told again after a restart. An announcement without one keeps the earlier one.
+	// Its bytes are any, so that it is no text.
+	Record cbor.ByteString `cbor:"record,omitempty"`
 }
 
 // Node is one announced process.
@@ -61,6 +66,14 @@
 	return n == other
 }
 
+// inherit returns an announcement with the earlier record if it has none.
+func (n Node) inherit(announced Node) Node {
+	if announced.Target.Record == "" {
+		announced.Target.Record = n.Target.Record
+	}
+	return announced
+}
+
 // tombstone marks a removal.
 type tombstone struct {
 	ID string `cbor:"id"`
@@ -129,7 +142,7 @@
 // Differs reports whether the announcement would change the registry.
 func (r *Registry) Differs(announced Node) bool {
 	node, found := r.nodes[announced.ID]
-	return !found || !node.sameAnnouncement(announced)
+	return !found || !node.sameAnnouncement(node.inherit(announced))
 }
 
 // Announce adds or changes a record at a log index. It returns false for an incarnation that has ended.
@@ -138,6 +151,7 @@
 		return false
 	}
 	node, found := r.nodes[announced.ID]
+	announced = node.inherit(announced)
 	if found && node.sameAnnouncement(announced) {
 		return true
 	}
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -471,3 +471,56 @@
 		t.Errorf("%d holds in half a second, want one about every 50 ms", holds)
 	}
 }
+
+// TestRunner_RecalledWorkerGetsTasksOnceItHasAnswered replays a restart of the sidecar long before the worker announces itself
+// again.
+func TestRunner_RecalledWorkerGetsTasksOnceItHasAnswered(t *testing.T) {
+	b := &bench{t: t, core: runner.New(runner.DefaultLimits, 10), now: time.Minute, clockMS: 5000}
+	b.core.Open(b.now, session, work.Hello{Entry: "e"})
+	b.core.Recall(b.now, announcement(1))
+	b.step(0)
+	b.echo()
+	b.offer("early", 1000)
+	if len(b.frame.Refused) != 1 {
+		t.Fatal("a task was taken before the worker has answered")
+	}
+	b.answerHold()
+	b.offer("j", 1000)
+	if len(b.starts) != 1 || b.starts[0].Incarnation != "w@1" {
+		t.Fatalf("starts %+v", b.starts)
+	}
+	b.core.Recall(b.now, announcement(7))
+	b.core.Announced(b.now, announcement(2))
+	b.step(0)
+	if b.hold == nil || b.hold.Incarnation != "w@2" {
+		t.Errorf("hold %+v, want the worker as it announces itself", b.hold)
+	}
+}
+
+func TestRunner_RecalledWorkerOfAnotherLifeGetsNothing(t *testing.T) {
+	b := &bench{t: t, core: runner.New(runner.DefaultLimits, 10), now: time.Minute, clockMS: 5000}
+	b.core.Open(b.now, session, work.Hello{Entry: "e"})
+	b.core.Recall(b.now, announcement(1))
+	b.step(0)
+	b.echo()
+	b.report(&runner.Report{Answer: runner.WrongIncarnation})
+	b.offer("j", 1000)
+	if len(b.starts) != 0 {
+		t.Errorf("starts %+v", b.starts)
+	}
+}
+
+func TestRunner_RecalledWorkerThatWasLeavingGetsNothing(t *testing.T) {
+	b := &bench{t: t, core: runner.New(runner.DefaultLimits, 10), now: time.Minute, clockMS: 5000}
+	b.core.Open(b.now, session, work.Hello{Entry: "e"})
+	said := announcement(1)
+	said.Leaving = true
+	b.core.Recall(b.now, said)
+	b.step(0)
+	b.echo()
+	b.answerHold()
+	b.offer("j", 1000)
+	if len(b.starts) != 0 {
+		t.Errorf("starts %+v", b.starts)
+	}
+}
--- a/core/runner/types.go
+++ b/core/runner/types.go
@@ -32,13 +32,13 @@
 
 // Announcement is what the worker says of itself.
 type Announcement struct {
-	work.Worker
+	work.Worker `cbor:"1,keyasint"`
 	// Leaving means that the worker takes no new tasks.
-	Leaving bool
+	Leaving bool `cbor:"2,keyasint,omitempty"`
 	// Sequence orders the announcements of one incarnation.
-	Sequence uint64
+	Sequence uint64 `cbor:"3,keyasint,omitempty"`
 	// Born orders the incarnations, by the time of day at which they started.
-	Born int64
+	Born int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Effects are what the runner wants done, in the order of the fields.
@@ -50,6 +50,8 @@
 	Hold *Hold
 	// Close lists sessions whose grant has ended.
 	Close []Session
+	// Record is what is to be remembered for a successor of this process; nil when that has not changed.
+	Record *Announcement
 	// Notes are decisions for the log.
 	Notes []Note
 }
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -94,9 +94,24 @@
 	}
 	if changed {
 		r.note(Note{Kind: WorkerChanged, Reason: r.describe()})
+		record := said
+		record.Sequence = 0
+		r.effects.Record = &record
 	}
 }
 
+// Recall takes in what the worker said of itself to a predecessor of this process. It is used only until the worker speaks,
+// and gets tasks only once the worker has answered a call that names its incarnation. It answers restarts of many sidecars
+// at once, after which workers would stand idle until their next announcements.
+func (r *Runner) Recall(now time.Duration, said Announcement) {
+	if r.worker.known {
+		return
+	}
+	r.reset(now, said)
+	r.worker.leaving = said.Leaving
+	r.note(Note{Kind: WorkerChanged, Reason: "recalled"})
+}
+
 func (r *Runner) describe() string {
 	switch {
 	case r.worker.gone:
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
 
 	"flamingohall.example/core/fault"
 	"flamingohall.example/core/runner"
@@ -68,6 +69,9 @@
 	byPeer   map[*stream.Peer]runner.Session
 	sessions runner.Session
 
+	// record is what control is told of this node.
+	record atomic.Pointer[rpc.Node]
+
 	counters counters
 	idle     atomic.Bool
 	leaving  atomic.Bool
@@ -93,12 +97,12 @@
 	a.context, a.cancel = context.WithCancel(context.Background())
 	a.loop = duty.NewLoop(inputRing, a.context.Done())
 	a.server = stream.NewServer(stream.Handler{Opened: a.opened, Received: a.received})
-	record := &rpc.Node{
+	a.record.Store(&rpc.Node{
 		Id: options.ID, Role: rpc.Role_ROLE_SIDECAR, Incarnation: duty.Incarnation(), DataCentre: options.DataCentre,
 		Address: options.Listen, Target: &rpc.TargetInfo{},
-	}
+	})
 	a.follower = controlclient.NewFollower(controlclient.Options{
-		Addresses: options.Control, Self: func() *rpc.Node { return record }, Logger: options.Logger,
+		Addresses: options.Control, Self: a.record.Load, Logger: options.Logger, Recall: a.recall,
 		Metrics: options.Metrics, Hold: options.ControlHold, MaxBackoff: controlclient.ShortMaxBackoff, DialTimeout: controlclient.ShortDialTimeout,
 	})
 	a.publishGauges()
@@ -153,6 +157,24 @@
 	a.put(func(now time.Duration) { a.core.Announced(now, said) })
 }
 
+// recall takes in what the worker said to a predecessor of this process.
+func (a *Agent) recall(record []byte) {
+	said, err := workwire.DecodeAnnouncement(record)
+	if err != nil {
+		a.counters.malformed.Add(1)
+		return
+	}
+	a.put(func(now time.Duration) { a.core.Recall(now, *said) })
+}
+
+// remember has control keep what the worker says of itself.
+func (a *Agent) remember(said *runner.Announcement) {
+	changed := proto.CloneOf(a.record.Load())
+	changed.Target.Record = workwire.EncodeAnnouncement(said)
+	a.record.Store(changed)
+	a.follower.Announce()
+}
+
 // Left tells that the worker has ended by itself.
 func (a *Agent) Left() {
 	a.put(a.core.Left)
@@ -218,6 +240,9 @@
 	if effects.Hold != nil {
 		a.hold(effects.Hold)
 	}
+	if effects.Record != nil {
+		a.remember(effects.Record)
+	}
 	for _, note := range effects.Notes {
 		a.log(note)
 	}
--- a/node/control/answer.go
+++ b/node/control/answer.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"flamingohall.example/core/fault"
 	"flamingohall.example/core/registry"
 	"flamingohall.example/core/state"
@@ -34,6 +36,9 @@
 	response.Index = s.Index
 	response.CatalogueRevision = current.Number
 	response.Drained = own.Drained
+	if target := request.GetNode().GetTarget(); target != nil && len(target.GetRecord()) == 0 {
+		response.OwnRecord = []byte(own.Target.Record)
+	}
 	if request.GetWantCatalogue() && s.CatalogueIndex > known {
 		response.Catalogue = current.Document
 	}
@@ -93,6 +98,10 @@
 		made.Target = registry.Target{
 			Worker: target.GetWorker(), Rack: target.GetRack(), Pool: target.GetPool(), Slots: target.GetSlots(),
 			Cores: target.GetCores(), MemoryMB: target.GetMemoryMb(), Accelerators: target.GetAccelerators(),
+			Record: cbor.ByteString(target.GetRecord()),
+		}
+		if len(made.Target.Record) > maxRecordBytes {
+			return made, fault.New(fault.TooLarge, "announce a smaller record", "node %q: record of %d bytes", made.ID, len(made.Target.Record))
 		}
 	}
 	return made, nil
--- a/node/control/sync.go
+++ b/node/control/sync.go
@@ -24,6 +24,8 @@
 	settleTime = 50 * time.Millisecond
 	// maxNameBytes bounds ids and incarnations.
 	maxNameBytes = 256
+	// maxRecordBytes bounds what a node has remembered for it.
+	maxRecordBytes = 4 << 10
 )
 
 // Sync announces the caller, renews its lease and answers with what changed.
--- a/node/workwire/workwire.go
+++ b/node/workwire/workwire.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"flamingohall.example/core/dispatch"
+	"flamingohall.example/core/runner"
 	"flamingohall.example/core/work"
 )
 
@@ -86,3 +87,17 @@
 	}
 	return &job, nil
 }
+
+// EncodeAnnouncement returns the bytes of what a worker said of itself.
+func EncodeAnnouncement(said *runner.Announcement) []byte {
+	return encode(said)
+}
+
+// DecodeAnnouncement reads the bytes of EncodeAnnouncement.
+func DecodeAnnouncement(encoded []byte) (*runner.Announcement, error) {
+	var said runner.Announcement
+	if err := decoder.Unmarshal(encoded, &said); err != nil {
+		return nil, errors.Wrap(err, "announcement of a worker")
+	}
+	return &said, nil
+}
