Open when workers have gathered, and leave room for jobs that can be in time

Ruled out: waiting a fixed 250 ms for every sidecar that control lists (workers taken away stay listed for 30 s). The catalogue document has no field for the source any more.

--- a/core/catalogue/document.go
+++ b/core/catalogue/document.go
@@ -40,8 +40,6 @@
 	Entries []Entry `json:"entries"`
 	// Pools lists the sets of workers that entries may name. Without it entries may name any.
 	Pools []Pool `json:"pools,omitempty"`
-	// Source is the text that the document was made from, if another system's. It is kept and not read.
-	Source string `json:"source,omitempty"`
 }
 
 // Pool is a set of workers.
--- a/core/catalogue/store.go
+++ b/core/catalogue/store.go
@@ -29,7 +29,9 @@
 	// revision, which it then becomes, and otherwise changes nothing. ChangeID is not looked at.
 	Version  uint64 `cbor:"version,omitempty"`
 	Document []byte `cbor:"doc"`
-	Author   string `cbor:"by"`
+	// Source is the text that the document was made from, kept with the revision; nodes do not get it.
+	Source []byte `cbor:"source,omitempty"`
+	Author string `cbor:"by"`
 }
 
 // Answer tells what became of a change.
@@ -47,8 +49,9 @@
 	ChangeID      string `cbor:"id"`
 	Author        string `cbor:"by"`
 	AppliedUnixMS int64  `cbor:"at"`
-	// Document is nil once KeptDocumentBytes has pushed it out.
+	// Document and Source are nil once KeptDocumentBytes has pushed them out.
 	Document []byte `cbor:"doc"`
+	Source   []byte `cbor:"source,omitempty"`
 }
 
 // remembered is the first answer to a change id.
@@ -136,7 +139,7 @@
 	if isApplied {
 		s.append(Revision{
 			Number: change.Version, ChangeID: change.ChangeID, Author: change.Author,
-			AppliedUnixMS: nowMS, Document: change.Document,
+			AppliedUnixMS: nowMS, Document: change.Document, Source: change.Source,
 		})
 	}
 	current := s.Current()
@@ -147,17 +150,21 @@
 
 func (s *Store) append(revision Revision) {
 	s.revisions = append(s.revisions, revision)
-	s.documentBytes += len(revision.Document)
+	s.documentBytes += revision.size()
 	for i := 0; i < len(s.revisions)-1 && s.documentBytes > KeptDocumentBytes; i++ {
-		s.documentBytes -= len(s.revisions[i].Document)
-		s.revisions[i].Document = nil
+		s.documentBytes -= s.revisions[i].size()
+		s.revisions[i].Document, s.revisions[i].Source = nil, nil
 	}
 	if len(s.revisions) > KeptAnswers {
-		s.documentBytes -= len(s.revisions[0].Document)
+		s.documentBytes -= s.revisions[0].size()
 		s.revisions = s.revisions[1:]
 	}
 }
 
+func (r *Revision) size() int {
+	return len(r.Document) + len(r.Source)
+}
+
 func (s *Store) remember(first remembered) {
 	s.byChange[first.ChangeID] = s.dropped + len(s.answers)
 	s.answers = append(s.answers, first)
@@ -209,7 +216,7 @@
 		restored.byChange[first.ChangeID] = i
 	}
 	for _, revision := range image.Revisions {
-		restored.documentBytes += len(revision.Document)
+		restored.documentBytes += revision.size()
 	}
 	return restored
 }
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -298,3 +298,28 @@
 		}
 	}
 }
+
+// TestLoad_JobsThatCanOnlyBeLateLeaveRoomForThoseThatCome replays a start of the system: callers have waited for it, some
+// too long to be served in time, and others come.
+func TestLoad_JobsThatCanOnlyBeLateLeaveRoomForThoseThatCome(t *testing.T) {
+	d := newDesk(t, 2)
+	taken := 0
+	for n := range 20 {
+		late := submission(fmt.Sprint("late", n), 2, 60*time.Millisecond)
+		late.Waited = 300 * time.Millisecond
+		d.core.Submit(d.now, late)
+		d.step(0)
+		if _, isRefused := d.answers[late.ID]; !isRefused {
+			taken++
+		}
+	}
+	if taken == 0 || taken > 3 {
+		t.Errorf("%d late jobs were taken, want a few while the workers are idle", taken)
+	}
+	for n := range 6 {
+		d.submit(fmt.Sprint("fresh", n), 2, 60*time.Millisecond)
+		if got, isRefused := d.answers[fmt.Sprint("fresh", n)]; isRefused {
+			t.Errorf("fresh job: %+v", got)
+		}
+	}
+}
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -61,6 +61,9 @@
 // expectedWait returns how long the job's first tasks would wait, and why that is too long. It answers bursts: what
 // can't end in time anyway is refused at once, before it keeps others from ending in time.
 func (d *Dispatcher) expectedWait(now time.Duration, j *job) (time.Duration, Cause) {
+	if j.isLate(now) && d.usedShare(j.Queue.Pool) > lateRoom {
+		return 0, Overloaded
+	}
 	allowed := j.allowedWait(now)
 	var longest time.Duration
 	for i := range j.Steps {
@@ -80,6 +83,27 @@
 	return longest, 0
 }
 
+// lateRoom is the used share of a pool above which no job is taken that can only be late: it would keep those that come now
+// from being in time. It is small since every entry that opens at the same time takes as much.
+const lateRoom = 0.15
+
+// isLate reports whether the job will be late even if nothing keeps it waiting any more. It answers a start of the system,
+// before which callers have waited at the entries.
+func (j *job) isLate(now time.Duration) bool {
+	return now+j.longestChain() > j.objective
+}
+
+// usedShare returns which part of a pool's capacity is in use or asked for.
+func (d *Dispatcher) usedShare(pool string) float64 {
+	var used, all work.Needs
+	for _, w := range d.order {
+		if w.isUp && w.isAttached && w.load.Accepts && w.Pool == pool {
+			used, all = used.Plus(w.committed()), all.Plus(w.Capacity)
+		}
+	}
+	return used.ShareOf(all)
+}
+
 // allowedWait returns how long the job's tasks may wait.
 func (j *job) allowedWait(now time.Duration) time.Duration {
 	chain := j.longestChain()
--- a/node/control/proposer.go
+++ b/node/control/proposer.go
@@ -200,7 +200,7 @@
 	case step.Finish != nil:
 		size += len(step.Finish.Body)
 	case step.Change != nil:
-		size += len(step.Change.Document)
+		size += len(step.Change.Document) + len(step.Change.Source)
 	case step.Store != nil:
 		size += len(step.Store.Body)
 	case step.Record != nil:
--- a/node/control/versions.go
+++ b/node/control/versions.go
@@ -9,11 +9,11 @@
 	"flamingohall.example/node/events"
 )
 
-// ApplyVersion makes a document the catalogue if its version is above the current one, and otherwise changes nothing.
-// The same version may be sent again, to any control VM. Errors: fault.Malformed, fault.Invalid, fault.TooLarge and
+// ApplyVersion makes a document the catalogue if its version is above the current one, and otherwise changes nothing. The
+// source, from which the document was made, is kept with it. The same version may be sent again, to any control VM. Errors: fault.Malformed, fault.Invalid, fault.TooLarge and
 // fault.Unavailable, nothing was changed; fault.Unknown, it may be in force or not.
 func (r *Role) ApplyVersion(
-	ctx context.Context, version uint64, document []byte, author string,
+	ctx context.Context, version uint64, document, source []byte, author string,
 ) (catalogue.Answer, error) {
 	if version == 0 {
 		return catalogue.Answer{}, fault.New(fault.Invalid, "number versions from 1", "catalogue: version is 0")
@@ -24,7 +24,7 @@
 	if _, err := r.gate.await(ctx); err != nil {
 		return catalogue.Answer{}, err
 	}
-	change := catalogue.Change{Version: version, Document: document, Author: author}
+	change := catalogue.Change{Version: version, Document: document, Source: source, Author: author}
 	_, result, err := r.proposer.propose(ctx, state.Step{Change: &change})
 	if err != nil {
 		return catalogue.Answer{}, err
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -129,18 +129,43 @@
 	// leader after a loss of power. After that callers are told at once that there are none.
 	openPatience = 2 * time.Second
 	openPoll     = 10 * time.Millisecond
+	// gatherPause is how long no further worker must have come in reach: several times as long as a session takes to begin.
+	// With the first worker alone most callers would be turned away.
+	gatherPause = 60 * time.Millisecond
 )
 
-// openWhenAble closes opened once jobs can be run, a catalogue being in force and a worker in reach, and after
+// openWhenAble closes opened once jobs can be run, a catalogue being in force and the workers in reach, and after
 // openPatience in any case.
 func (g *Gateway) openWhenAble() {
 	defer close(g.opened)
 	ctx, cancel := context.WithTimeout(g.context, openPatience)
 	defer cancel()
 	duty.Until(ctx, openPoll, func() bool {
-		_, known := g.Catalogue()
-		return known && g.workers.Load() > 0
+		_, revision := g.Catalogue()
+		return revision != 0 && g.workers.Load() > 0
 	})
+	var most int64
+	var grewAt time.Time
+	duty.Until(ctx, openPoll, func() bool {
+		count := g.workers.Load()
+		if count > most {
+			most, grewAt = count, time.Now()
+		}
+		return count >= g.listedSidecars() || time.Since(grewAt) > gatherPause
+	})
+}
+
+// listedSidecars returns how many sidecars control lists.
+func (g *Gateway) listedSidecars() int64 {
+	var count int64
+	if view := g.follower.View(); view != nil {
+		for _, node := range view.Nodes {
+			if node.GetRole() == rpc.Role_ROLE_SIDECAR {
+				count++
+			}
+		}
+	}
+	return count
 }
 
 // AwaitOpening holds a request that comes while the process starts, and returns for how long.
@@ -172,13 +197,13 @@
 	return nil
 }
 
-// Catalogue returns the catalogue in force, and false before the first one.
-func (g *Gateway) Catalogue() (catalogue.Document, bool) {
+// Catalogue returns the catalogue in force and its revision, 0 before the first one.
+func (g *Gateway) Catalogue() (catalogue.Document, uint64) {
 	view := g.follower.View()
-	if view == nil || view.Revision == 0 {
-		return catalogue.Document{}, false
+	if view == nil {
+		return catalogue.Document{}, 0
 	}
-	return view.Catalogue, true
+	return view.Catalogue, view.Revision
 }
 
 // Submit hands a job in and returns its answer. When ctx ends first, the job loses this caller, and the answer is that
