Cancel without control where the caller waits; refuse to store while control is away

Cause: a cancel of a job whose caller waits cost a synced write (every cancel asked control first); a submission to be stored was held until its caller's time was nearly over while control was away, though it could not be served. Test: the core's, on both sides of the loss; the whole path's as before.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -43,6 +43,8 @@
 	// rightUntil is until when stored jobs may be run; hasRight is false while they are stopped.
 	rightUntil time.Duration
 	hasRight   bool
+	// isCutOff is true from the loss of the right until control answers again.
+	isCutOff bool
 	// candidates is used within one decision.
 	candidates []*worker
 	// epoch turns spans into times for the judge.
@@ -100,6 +102,12 @@
 	return count
 }
 
+// HasUnstored reports whether a job whose caller waits is under way here.
+func (d *Dispatcher) HasUnstored(id string) bool {
+	j := d.jobs[id]
+	return j != nil && !j.IsStored
+}
+
 // Opened begins a session with a worker's sidecar.
 func (d *Dispatcher) Opened(now time.Duration, id, dataCentre string) {
 	w := d.workers[id]
--- a/core/dispatch/stored.go
+++ b/core/dispatch/stored.go
@@ -10,10 +10,14 @@
 )
 
 // Consider returns the refusal of a submission that can't be served in time now. It answers bursts, as Submit does; a
-// stored job has to be judged before it is stored, since what is stored is owed.
+// stored job has to be judged before it is stored, since what is stored is owed. It answers long absences of control, too:
+// nothing can be stored then.
 func (d *Dispatcher) Consider(now time.Duration, s Submission) (Answer, bool) {
 	s.Patience = 0
 	j, refusal := d.consider(now, s)
+	if refusal == nil && d.isCutOff {
+		refusal = &Answer{Result: Refused, Cause: ControlAway, RetryAfter: minRetryAfter}
+	}
 	if refusal == nil {
 		return Answer{}, false
 	}
@@ -61,7 +65,7 @@
 func (d *Dispatcher) Renewed(now, sentAt time.Duration) {
 	d.rightUntil = max(d.rightUntil, sentAt+d.limits.Right)
 	if !d.hasRight && now < d.rightUntil {
-		d.hasRight = true
+		d.hasRight, d.isCutOff = true, false
 		d.note(Note{Kind: RightGained, Age: now - sentAt})
 	}
 }
@@ -71,7 +75,7 @@
 	if !d.hasRight || now < d.rightUntil {
 		return
 	}
-	d.hasRight = false
+	d.hasRight, d.isCutOff = false, true
 	d.note(Note{Kind: RightLost, Age: now - d.rightUntil + d.limits.Right})
 	for _, j := range d.sortedJobs() {
 		if !j.IsStored {
--- a/core/dispatch/stored_test.go
+++ b/core/dispatch/stored_test.go
@@ -218,3 +218,21 @@
 		t.Error("not taken under a higher epoch")
 	}
 }
+
+// TestStored_SubmissionIsRefusedAtOnceWhileControlIsAway replays a long absence of control.
+func TestStored_SubmissionIsRefusedAtOnceWhileControlIsAway(t *testing.T) {
+	d := newDesk(t, 1)
+	if _, isRefused := d.core.Consider(d.now, submission("early", 1, 60*time.Millisecond)); isRefused {
+		t.Error("refused before control was ever asked")
+	}
+	d.core.Renewed(d.now, d.now)
+	d.step(dispatch.DefaultLimits.Right)
+	answer, isRefused := d.core.Consider(d.now, submission("j", 1, 60*time.Millisecond))
+	if !isRefused || answer.Cause != dispatch.ControlAway || answer.RetryAfter <= 0 {
+		t.Errorf("answer %+v", answer)
+	}
+	d.core.Renewed(d.now, d.now)
+	if _, isRefused := d.core.Consider(d.now, submission("k", 1, 60*time.Millisecond)); isRefused {
+		t.Error("refused though control is back")
+	}
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -227,13 +227,33 @@
 	return dispatch.Answer{Job: job.ID, Queue: job.Queue.Name, Result: dispatch.GivenUp, Cause: dispatch.CallerGone}
 }
 
-// Cancel stops a job wherever it runs. It reports whether the job was under way here.
-func (g *Gateway) Cancel(ctx context.Context, job string) bool {
+// Cancel stops a job wherever it runs, and reports whether it is known: a stored one, or one whose caller waits here. The
+// error is fault.Unavailable or fault.Unknown when the job may go on.
+func (g *Gateway) Cancel(ctx context.Context, job string) (bool, error) {
+	if g.cancelHere(ctx, job, false) {
+		return true, nil
+	}
+	if isStored, err := g.cancelStored(ctx, job); isStored || err != nil {
+		return isStored, err
+	}
+	// Its caller may wait at another entry, which hears of the cancel through the sidecars.
+	return g.cancelHere(ctx, job, true), nil
+}
+
+// cancelHere stops a job whose caller waits, and reports whether it is under way here. With everywhere the other entries
+// are told of it in any case.
+func (g *Gateway) cancelHere(ctx context.Context, job string, everywhere bool) bool {
 	known := make(chan bool, 1)
-	g.put(func(now time.Duration) { known <- g.core.Cancel(now, job) })
+	g.put(func(now time.Duration) {
+		isHere := g.core.HasUnstored(job)
+		if isHere || everywhere {
+			g.core.Cancel(now, job)
+		}
+		known <- isHere
+	})
 	select {
-	case found := <-known:
-		return found
+	case isHere := <-known:
+		return isHere
 	case <-ctx.Done():
 	case <-g.context.Done():
 	}
--- a/node/gateway/stored.go
+++ b/node/gateway/stored.go
@@ -252,9 +252,9 @@
 	return Unknown
 }
 
-// CancelStored ends a stored job wherever it runs, and reports whether there is one. The error is fault.Unavailable or
+// cancelStored ends a stored job wherever it runs, and reports whether there is one. The error is fault.Unavailable or
 // fault.Unknown when the job may go on.
-func (g *Gateway) CancelStored(ctx context.Context, id string) (bool, error) {
+func (g *Gateway) cancelStored(ctx context.Context, id string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, storePatience)
 	defer cancel()
 	var response *rpc.CancelStoredResponse
