--- a/tools/cli/fakes_test.go
+++ b/tools/cli/fakes_test.go
@@ -200,3 +200,39 @@
 		"kind": kind, "message": message, "remedy": "see docs/API.md", "retry_after_ms": retryAfterMS,
 	}})
 }
+
+// fakeJobs is a control VM that keeps one open job of three tasks.
+type fakeJobs struct {
+	rpc.Jobs
+	mutex sync.Mutex
+	state rpc.JobState
+}
+
+const fakeJobID = "5c0e7a21d94b36f8"
+
+func newFakeJobs() *fakeJobs {
+	return &fakeJobs{state: rpc.JobState_JOB_STATE_OPEN}
+}
+
+func (f *fakeJobs) Find(_ context.Context, r *rpc.FindRequest) (*rpc.FindResponse, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if r.JobId != fakeJobID {
+		return &rpc.FindResponse{}, nil
+	}
+	response := &rpc.FindResponse{State: f.state}
+	if f.state == rpc.JobState_JOB_STATE_OPEN && r.Confirmed {
+		response.Progress = []*rpc.TaskProgress{{Done: true}, {Index: 1, Done: true, Failures: 1}, {Index: 2, Failures: 2}}
+	}
+	return response, nil
+}
+
+func (f *fakeJobs) Cancel(_ context.Context, r *rpc.CancelStoredRequest) (*rpc.CancelStoredResponse, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if r.JobId != fakeJobID {
+		return &rpc.CancelStoredResponse{}, nil
+	}
+	f.state = rpc.JobState_JOB_STATE_CANCELLED
+	return &rpc.CancelStoredResponse{State: f.state}, nil
+}
--- a/tools/cli/main.go
+++ b/tools/cli/main.go
@@ -30,6 +30,7 @@
 	Drain      drainCommand      `cmd:"" group:"operators" help:"Send a target no new work, or send it work again."`
 	Owners     ownersCommand     `cmd:"" group:"operators" help:"List the owners with their shares and quotas."`
 	Members    membersCommand    `cmd:"" group:"operators" help:"List and change the control VMs."`
+	Job        jobCommand        `cmd:"" group:"operators" help:"Show or cancel a stored job."`
 	Explain    explainCommand    `cmd:"" group:"operators" help:"Tell from logs what became of one request, and why."`
 	Report     reportCommand     `cmd:"" group:"operators" help:"Report on the service."`
 	StandIn    standInCommand    `cmd:"" group:"experiments" help:"Run a stand-in target until SIGTERM or SIGINT."`
--- a/tools/cli/script_test.go
+++ b/tools/cli/script_test.go
@@ -40,7 +40,10 @@
 		Dir:                 "testdata/script",
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
-			control := httptest.NewServer(rpc.NewOperatorServer(newFakeOperator()))
+			services := http.NewServeMux()
+			services.Handle(rpc.OperatorPathPrefix, rpc.NewOperatorServer(newFakeOperator()))
+			services.Handle(rpc.JobsPathPrefix, rpc.NewJobsServer(newFakeJobs()))
+			control := httptest.NewServer(services)
 			entry := httptest.NewServer(newFakeEntry())
 			env.Defer(control.Close)
 			env.Defer(entry.Close)
--- a/tools/client/operator.go
+++ b/tools/client/operator.go
@@ -6,37 +6,58 @@
 	"strings"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"flamingohall.example/core/fault"
 	"flamingohall.example/node/faultrpc"
 	"flamingohall.example/node/rpc"
 )
 
-// Operator calls control VMs. It tries them in turn, beginning with the one that answered last.
-type Operator struct {
+// Control calls one service of the control VMs. It tries them in turn, beginning with the one that answered last.
+type Control[Service any] struct {
 	names   []string
-	clients []rpc.Operator
+	clients []Service
 	timeout time.Duration
 	last    int
 }
 
+// Services of control VMs.
+type (
+	// Operator is what operators ask.
+	Operator = Control[rpc.Operator]
+	// Jobs is about accepted jobs.
+	Jobs = Control[rpc.Jobs]
+)
+
 // NewOperator returns a client over the control VMs at addresses (host:port or URLs). Timeout bounds each try.
 func NewOperator(addresses []string, timeout time.Duration) (*Operator, error) {
+	return newControl(addresses, timeout, rpc.NewOperatorProtobufClient)
+}
+
+// NewJobs returns a client over the control VMs at addresses (host:port or URLs). Timeout bounds each try.
+func NewJobs(addresses []string, timeout time.Duration) (*Jobs, error) {
+	return newControl(addresses, timeout, rpc.NewJobsProtobufClient)
+}
+
+func newControl[Service any](
+	addresses []string, timeout time.Duration, open func(string, rpc.HTTPClient, ...twirp.ClientOption) Service,
+) (*Control[Service], error) {
 	if len(addresses) == 0 {
 		return nil, fault.New(fault.Malformed, "give --control or set FLAMINGOHALL_CONTROL", "no control VM is named")
 	}
-	operator := &Operator{timeout: timeout}
+	control := &Control[Service]{timeout: timeout}
 	transport := &http.Client{Transport: newTransport()}
 	for _, address := range addresses {
-		operator.names = append(operator.names, address)
-		operator.clients = append(operator.clients, rpc.NewOperatorProtobufClient(baseURL(address), transport))
+		control.names = append(control.names, address)
+		control.clients = append(control.clients, open(baseURL(address), transport))
 	}
-	return operator, nil
+	return control, nil
 }
 
-// Call runs one call against the control VMs in turn until one answers or refuses for good. All calls of the service
-// are idempotent: changes carry a change id.
-func Call[Request, Response any](ctx context.Context, o *Operator, request *Request,
-	method func(rpc.Operator, context.Context, *Request) (*Response, error),
+// Call runs one call against the control VMs in turn until one answers or refuses for good. All calls of the services
+// are idempotent: changes carry a change id, or name what they change for good.
+func Call[Service, Request, Response any](ctx context.Context, o *Control[Service], request *Request,
+	method func(Service, context.Context, *Request) (*Response, error),
 ) (*Response, error) {
 	var failures []string
 	for try := range o.clients {
@@ -62,8 +83,8 @@
 	return kind == fault.Unavailable || kind == fault.Unknown || kind == fault.Storage
 }
 
-func callOne[Request, Response any](ctx context.Context, client rpc.Operator, timeout time.Duration, request *Request,
-	method func(rpc.Operator, context.Context, *Request) (*Response, error),
+func callOne[Service, Request, Response any](ctx context.Context, client Service, timeout time.Duration, request *Request,
+	method func(Service, context.Context, *Request) (*Response, error),
 ) (*Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
