--- a/core/dispatch/control_test.go
+++ b/core/dispatch/control_test.go
@@ -11,11 +11,11 @@
 
 // Times of the control that the world plays, those of package control and package gateway.
 const (
-	keepPeriod    = 200 * time.Millisecond
-	ownerPatience = 3300 * time.Millisecond
-	ownerFresh    = time.Second
-	syncedWrite   = 9 * time.Millisecond
-	callTimeout   = 400 * time.Millisecond
+	keepPeriod     = 200 * time.Millisecond
+	holderPatience = 3300 * time.Millisecond
+	holderFresh    = time.Second
+	syncedWrite    = 9 * time.Millisecond
+	callTimeout    = 400 * time.Millisecond
 )
 
 // fakeControl keeps jobs as the control VMs do together, and answers nothing while it is away.
@@ -43,20 +43,20 @@
 	w := c.world
 	if w.now < c.awayUntil {
 		// A leader that comes begins to count anew.
-		for owner := range c.heard {
-			c.heard[owner] = c.awayUntil
+		for holder := range c.heard {
+			c.heard[holder] = c.awayUntil
 		}
 	} else {
 		var fresh []string
 		for _, n := range w.entries {
-			if at, known := c.heard[n.owner]; known && w.now-at < ownerFresh {
-				fresh = append(fresh, n.owner)
+			if at, known := c.heard[n.holder]; known && w.now-at < holderFresh {
+				fresh = append(fresh, n.holder)
 			}
 		}
-		for _, owner := range c.table.Owners() {
-			if w.now-c.heard[owner] > c.patience && len(fresh) > 0 {
+		for _, holder := range c.table.Holders() {
+			if w.now-c.heard[holder] > c.patience && len(fresh) > 0 {
 				c.index++
-				c.table.Retire(jobstore.Retire{Owner: owner, Successors: fresh}, c.index)
+				c.table.Retire(jobstore.Retire{Holder: holder, Successors: fresh}, c.index)
 			}
 		}
 	}
@@ -102,14 +102,14 @@
 		return
 	}
 	if w.now >= n.frozenUntil {
-		sentAt, owner, known := w.now, n.owner, n.known
+		sentAt, holder, known := w.now, n.holder, n.known
 		check := n.core.StoredSince(w.now - 2*time.Second)
 		c.call(entry, 0, func() func() {
-			c.heard[owner] = w.now
-			if c.table.IsRetired(owner) {
-				return func() { c.rename(entry, owner) }
+			c.heard[holder] = w.now
+			if c.table.IsRetired(holder) {
+				return func() { c.rename(entry, holder) }
 			}
-			return c.told(entry, owner, known, sentAt, check)
+			return c.told(entry, holder, known, sentAt, check)
 		})
 	}
 	w.after(keepPeriod, func() { c.keep(entry, life) })
@@ -117,18 +117,18 @@
 
 func (c *fakeControl) rename(entry int, lost string) {
 	n := c.world.entries[entry]
-	if n.owner != lost {
+	if n.holder != lost {
 		return
 	}
 	n.core.DisownAll(c.world.now)
-	n.owner, n.known = lost+"'", 0
+	n.holder, n.known = lost+"'", 0
 }
 
 // told returns what an entry does with the answer to its call.
-func (c *fakeControl) told(entry int, owner string, known uint64, sentAt time.Duration, check []string) func() {
+func (c *fakeControl) told(entry int, holder string, known uint64, sentAt time.Duration, check []string) func() {
 	n := c.world.entries[entry]
 	var given []dispatch.Submission
-	for _, j := range c.table.OwnedBy(owner, known) {
+	for _, j := range c.table.HeldBy(holder, known) {
 		if j.Epoch == 1 && known != 0 {
 			continue
 		}
@@ -138,13 +138,13 @@
 	}
 	var over []string
 	for _, id := range check {
-		if j := c.table.Find(id); j == nil || j.State != jobstore.Open || j.Owner != owner {
+		if j := c.table.Find(id); j == nil || j.State != jobstore.Open || j.Holder != holder {
 			over = append(over, id)
 		}
 	}
 	index := c.index
 	return func() {
-		if n.owner != owner {
+		if n.holder != holder {
 			return
 		}
 		n.core.Renewed(c.world.now, sentAt)
@@ -163,14 +163,14 @@
 	w := c.world
 	n := w.entries[entry]
 	life, isAnswered := n.life, false
-	owner := n.owner
+	holder := n.holder
 	var steps []uint32
 	for _, step := range s.Steps {
 		steps = append(steps, uint32(step.Count))
 	}
 	c.call(entry, syncedWrite, func() func() {
 		answer := c.table.Store(jobstore.Store{
-			Job: s.ID, Queue: s.Queue.Name, Owner: owner, Body: []byte(s.Spec), Steps: steps, Attempts: 3,
+			Job: s.ID, Queue: s.Queue.Name, Holder: holder, Body: []byte(s.Spec), Steps: steps, Attempts: 3,
 		}, c.index)
 		if answer.Result == jobstore.Stored {
 			c.bodies[s.ID] = s
@@ -178,10 +178,10 @@
 		return func() {
 			isAnswered = true
 			switch {
-			case answer.Result == jobstore.OwnerRetired:
-				c.rename(entry, owner)
+			case answer.Result == jobstore.HolderRetired:
+				c.rename(entry, holder)
 				c.store(entry, s)
-			case answer.Owner == owner && answer.State == jobstore.Open && n.owner == owner:
+			case answer.Holder == holder && answer.State == jobstore.Open && n.holder == holder:
 				s.Epoch = 1
 				n.core.Accept(w.now, s)
 			}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -96,10 +96,10 @@
 	return j
 }
 
-// epochRuns is the distance between the run numbers of two owners of a job: more than one gives out.
+// epochRuns is the distance between the run numbers of two holders of a job: more than one gives out.
 const epochRuns = 10_000
 
-// resume takes in what earlier owners of a stored job have recorded.
+// resume takes in what earlier holders of a stored job have recorded.
 func (j *job) resume() {
 	if j.Epoch > 1 {
 		for _, t := range j.tasks {
--- a/core/dispatch/past.go
+++ b/core/dispatch/past.go
@@ -31,7 +31,7 @@
 	Completed: StoredCompleted, JobFailed: StoredFailed, JobCancelled: StoredCancelled,
 }
 
-// knows reports whether the job was here as this owner's, or a later one's.
+// knows reports whether the job was here as this holder's, or a later one's.
 func (p *past) knows(id string, epoch uint32) bool {
 	known, isKnown := p.jobs[id]
 	return isKnown && epoch <= known.epoch
--- a/core/dispatch/stored.go
+++ b/core/dispatch/stored.go
@@ -40,7 +40,7 @@
 	d.take(j)
 }
 
-// Disown drops a stored job that is another owner's, or over.
+// Disown drops a stored job that is another holder's, or over.
 func (d *Dispatcher) Disown(now time.Duration, id string) {
 	j := d.jobs[id]
 	if j == nil || !j.IsStored {
--- a/core/dispatch/stored_history_test.go
+++ b/core/dispatch/stored_history_test.go
@@ -16,7 +16,7 @@
 // last of them every job that was stored ends.
 func TestStoredHistory_EveryStoredJobEndsAndNoTaskIsDoneTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		for _, problem := range playStored(t, rapid.Uint64().Draw(t, "seed"), defaultLimits, ownerPatience) {
+		for _, problem := range playStored(t, rapid.Uint64().Draw(t, "seed"), defaultLimits, holderPatience) {
 			t.Error(problem)
 		}
 	})
@@ -31,7 +31,7 @@
 func TestStoredHistory_LongerRightLetsRunsOverlap(t *testing.T) {
 	wrong := defaultLimits
 	wrong.entry.Right = time.Minute
-	expectStoredProblem(t, wrong, ownerPatience)
+	expectStoredProblem(t, wrong, holderPatience)
 }
 
 func expectStoredProblem(t *testing.T, wrong limits, patience time.Duration) {
@@ -67,7 +67,7 @@
 	}
 	for n := range 60 {
 		if j := w.control.table.Find(jobID(n)); j != nil && j.State == jobstore.Open {
-			problems = append(problems, fmt.Sprintf("seed %d: job %s of %s has not ended", seed, j.ID, j.Owner))
+			problems = append(problems, fmt.Sprintf("seed %d: job %s of %s has not ended", seed, j.ID, j.Holder))
 		}
 	}
 	return problems
--- a/core/dispatch/trace_test.go
+++ b/core/dispatch/trace_test.go
@@ -18,7 +18,7 @@
 // TestTrace_StoredHistory plays one history again and prints what happened to a job:
 // go test -run Trace -v . -trace.seed 501 -trace.job 000000000000001f
 func TestTrace_StoredHistory(t *testing.T) {
-	for _, problem := range playStored(t, *traceSeed, defaultLimits, ownerPatience) {
+	for _, problem := range playStored(t, *traceSeed, defaultLimits, holderPatience) {
 		t.Error(problem)
 	}
 }
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -15,7 +15,7 @@
 }
 
 // DefaultLimits agree with runner.DefaultLimits: the grant, the slow rate of the worker's clock, and a stop's time. Control
-// gives jobs away after the right and the grant have ended (control.ownerPatience); the right outlasts an election there.
+// gives jobs away after the right and the grant have ended (control.holderPatience); the right outlasts an election there.
 var DefaultLimits = Limits{Grant: 1100 * time.Millisecond, Right: 2 * time.Second}
 
 // Submission is one job as its caller sent it.
@@ -33,7 +33,7 @@
 	Patience time.Duration `cbor:"-"`
 	// IsStored means that control keeps the job, and that it goes on without its caller.
 	IsStored bool `cbor:"-"`
-	// Epoch numbers the owners of a stored job, from 1. Progress is what earlier ones have recorded.
+	// Epoch numbers the holders of a stored job, from 1. Progress is what earlier ones have recorded.
 	Epoch    uint32         `cbor:"-"`
 	Progress []TaskProgress `cbor:"-"`
 }
@@ -252,7 +252,7 @@
 	RightLost
 	// RightGained means that control has confirmed that this entry runs its stored jobs.
 	RightGained
-	// JobTakenOver means that a stored job came from another owner.
+	// JobTakenOver means that a stored job came from another holder.
 	JobTakenOver
 	// JobGivenAway means that a stored job is not this entry's any more.
 	JobGivenAway
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -77,9 +77,9 @@
 	alive bool
 	// frozen until.
 	frozenUntil time.Duration
-	// owner is the name under which the process stores jobs, known the index of control's last answer; until cutOffUntil
+	// holder is the name under which the process stores jobs, known the index of control's last answer; until cutOffUntil
 	// it does not reach control.
-	owner       string
+	holder      string
 	known       uint64
 	cutOffUntil time.Duration
 }
@@ -156,7 +156,7 @@
 	}
 	w.tickEntry(i, life)
 	if w.control != nil {
-		n.owner, n.known = fmt.Sprintf("e%d.%d", i, life), 0
+		n.holder, n.known = fmt.Sprintf("e%d.%d", i, life), 0
 		w.control.keep(i, life)
 	}
 }
--- a/core/jobstore/image.go
+++ b/core/jobstore/image.go
@@ -34,7 +34,7 @@
 			t.ended = append(t.ended, j.ID)
 			continue
 		}
-		t.own(&j)
+		t.hold(&j)
 		t.bytes += len(j.Body) + jobOverhead
 	}
 	return t
--- a/core/jobstore/job.go
+++ b/core/jobstore/job.go
@@ -34,8 +34,8 @@
 	// Job is the job's id. The same id names the same job.
 	Job   string `cbor:"job"`
 	Queue string `cbor:"queue"`
-	// Owner is the entry process that will run the job.
-	Owner string `cbor:"owner"`
+	// Holder is the entry process that will run the job.
+	Holder string `cbor:"holder"`
 	// Body is the submission as entries encode it.
 	Body []byte `cbor:"body"`
 	// Steps holds the number of tasks of each step.
@@ -53,9 +53,9 @@
 	IsFailure bool `cbor:"failed,omitempty"`
 }
 
-// Retire takes an owner's jobs away.
+// Retire takes a holder's jobs away.
 type Retire struct {
-	Owner      string   `cbor:"owner"`
+	Holder     string   `cbor:"holder"`
 	Successors []string `cbor:"successors"`
 }
 
@@ -70,8 +70,8 @@
 	Known
 	// Unknown means that there is no such job.
 	Unknown
-	// OwnerRetired means that the owner can store nothing more under its name.
-	OwnerRetired
+	// HolderRetired means that the holder can store nothing more under its name.
+	HolderRetired
 	// Full means that there is no room for another job.
 	Full
 )
@@ -80,7 +80,7 @@
 type Answer struct {
 	Result Result `cbor:"result"`
 	State  State  `cbor:"state,omitempty"`
-	Owner  string `cbor:"owner,omitempty"`
+	Holder string `cbor:"holder,omitempty"`
 }
 
 // Failure is one failed run.
@@ -98,9 +98,9 @@
 	Body     []byte   `cbor:"body,omitempty"`
 	Steps    []uint32 `cbor:"steps,omitempty"`
 	Attempts uint32   `cbor:"attempts,omitempty"`
-	Owner    string   `cbor:"owner,omitempty"`
+	Holder   string   `cbor:"holder,omitempty"`
 	Epoch    uint32   `cbor:"epoch,omitempty"`
-	// AssignedAt is the log index at which the owner got the job.
+	// AssignedAt is the log index at which the holder got the job.
 	AssignedAt uint64 `cbor:"assigned,omitempty"`
 	// Done has a bit for each task, in the order of the steps.
 	Done     []byte    `cbor:"done,omitempty"`
@@ -115,7 +115,7 @@
 	if j == nil {
 		return Answer{Result: Unknown}
 	}
-	return Answer{Result: result, State: j.State, Owner: j.Owner}
+	return Answer{Result: result, State: j.State, Holder: j.Holder}
 }
 
 func (j *Job) tasks() int {
--- a/core/jobstore/table.go
+++ b/core/jobstore/table.go
@@ -11,7 +11,7 @@
 	Bytes int
 	// RetentionMS is how long the state of a job stays readable after its end.
 	RetentionMS int64
-	// Retired is how many retired owners are remembered.
+	// Retired is how many retired holders are remembered.
 	Retired int
 }
 
@@ -26,18 +26,18 @@
 type Table struct {
 	limits Limits
 	jobs   map[string]*Job
-	// byOwner holds the open jobs.
-	byOwner map[string]map[string]*Job
+	// byHolder holds the open jobs.
+	byHolder map[string]map[string]*Job
 	// ended holds the ids of ended jobs in the order of their ends.
 	ended []string
-	// retired holds the owners that lost their jobs, the oldest first.
+	// retired holds the holders that lost their jobs, the oldest first.
 	retired []string
 	bytes   int
 }
 
 // NewTable returns an empty table.
 func NewTable(limits Limits) *Table {
-	return &Table{limits: limits, jobs: map[string]*Job{}, byOwner: map[string]map[string]*Job{}}
+	return &Table{limits: limits, jobs: map[string]*Job{}, byHolder: map[string]map[string]*Job{}}
 }
 
 // Len returns the number of jobs, ended ones included.
@@ -50,19 +50,19 @@
 	if known := t.jobs[s.Job]; known != nil {
 		return known.answer(Known)
 	}
-	if slices.Contains(t.retired, s.Owner) {
-		return Answer{Result: OwnerRetired}
+	if slices.Contains(t.retired, s.Holder) {
+		return Answer{Result: HolderRetired}
 	}
 	if t.bytes+len(s.Body)+jobOverhead > t.limits.Bytes {
 		return Answer{Result: Full}
 	}
 	j := &Job{
-		ID: s.Job, Queue: s.Queue, Body: s.Body, Steps: s.Steps, Attempts: max(1, s.Attempts), Owner: s.Owner, Epoch: 1,
+		ID: s.Job, Queue: s.Queue, Body: s.Body, Steps: s.Steps, Attempts: max(1, s.Attempts), Holder: s.Holder, Epoch: 1,
 		AssignedAt: index, State: Open,
 	}
 	j.Done = make([]byte, (j.tasks()+bitsPerByte-1)/bitsPerByte)
 	t.jobs[j.ID] = j
-	t.own(j)
+	t.hold(j)
 	t.bytes += len(j.Body) + jobOverhead
 	return j.answer(Stored)
 }
@@ -104,44 +104,44 @@
 	return j.answer(Stored)
 }
 
-// Retire takes all jobs from an owner and spreads them over others. It returns how many there were.
+// Retire takes all jobs from a holder and spreads them over others. It returns how many there were.
 func (t *Table) Retire(r Retire, index uint64) int {
-	if len(r.Successors) == 0 || slices.Contains(r.Successors, r.Owner) {
+	if len(r.Successors) == 0 || slices.Contains(r.Successors, r.Holder) {
 		return 0
 	}
-	if !slices.Contains(t.retired, r.Owner) {
-		t.retired = append(t.retired, r.Owner)
+	if !slices.Contains(t.retired, r.Holder) {
+		t.retired = append(t.retired, r.Holder)
 		t.retired = t.retired[max(0, len(t.retired)-t.limits.Retired):]
 	}
-	moved := t.OwnedBy(r.Owner, 0)
-	delete(t.byOwner, r.Owner)
+	moved := t.HeldBy(r.Holder, 0)
+	delete(t.byHolder, r.Holder)
 	for n, j := range moved {
-		j.Owner, j.AssignedAt = r.Successors[n%len(r.Successors)], index
+		j.Holder, j.AssignedAt = r.Successors[n%len(r.Successors)], index
 		j.Epoch++
-		t.own(j)
+		t.hold(j)
 	}
 	return len(moved)
 }
 
-// IsRetired reports whether an owner has lost its jobs.
-func (t *Table) IsRetired(owner string) bool {
-	return slices.Contains(t.retired, owner)
+// IsRetired reports whether a holder has lost its jobs.
+func (t *Table) IsRetired(holder string) bool {
+	return slices.Contains(t.retired, holder)
 }
 
-// Owners returns the owners of open jobs, in order.
-func (t *Table) Owners() []string {
-	owners := make([]string, 0, len(t.byOwner))
-	for owner := range t.byOwner {
-		owners = append(owners, owner)
+// Holders returns the holders of open jobs, in order.
+func (t *Table) Holders() []string {
+	holders := make([]string, 0, len(t.byHolder))
+	for holder := range t.byHolder {
+		holders = append(holders, holder)
 	}
-	slices.Sort(owners)
-	return owners
+	slices.Sort(holders)
+	return holders
 }
 
-// OwnedBy returns an owner's open jobs that it got after a log index, by id. They must not be changed.
-func (t *Table) OwnedBy(owner string, after uint64) []*Job {
+// HeldBy returns a holder's open jobs that it got after a log index, by id. They must not be changed.
+func (t *Table) HeldBy(holder string, after uint64) []*Job {
 	var found []*Job
-	for _, j := range t.byOwner[owner] {
+	for _, j := range t.byHolder[holder] {
 		if j.AssignedAt > after {
 			found = append(found, j)
 		}
@@ -169,18 +169,18 @@
 	t.ended = t.ended[count:]
 }
 
-func (t *Table) own(j *Job) {
-	if t.byOwner[j.Owner] == nil {
-		t.byOwner[j.Owner] = map[string]*Job{}
+func (t *Table) hold(j *Job) {
+	if t.byHolder[j.Holder] == nil {
+		t.byHolder[j.Holder] = map[string]*Job{}
 	}
-	t.byOwner[j.Owner][j.ID] = j
+	t.byHolder[j.Holder][j.ID] = j
 }
 
 // end keeps of a job only what its state can be told from.
 func (t *Table) end(j *Job, state State, nowMS int64) {
-	delete(t.byOwner[j.Owner], j.ID)
-	if len(t.byOwner[j.Owner]) == 0 {
-		delete(t.byOwner, j.Owner)
+	delete(t.byHolder[j.Holder], j.ID)
+	if len(t.byHolder[j.Holder]) == 0 {
+		delete(t.byHolder, j.Holder)
 	}
 	t.bytes -= len(j.Body) + jobOverhead
 	t.ended = append(t.ended, j.ID)
--- a/core/jobstore/table_test.go
+++ b/core/jobstore/table_test.go
@@ -20,13 +20,13 @@
 	os.Exit(m.Run())
 }
 
-func store(job, owner string) Store {
-	return Store{Job: job, Queue: "q", Owner: owner, Body: []byte("body"), Steps: []uint32{2, 1}, Attempts: 2}
+func store(job, holder string) Store {
+	return Store{Job: job, Queue: "q", Holder: holder, Body: []byte("body"), Steps: []uint32{2, 1}, Attempts: 2}
 }
 
 func TestTable_JobEndsWithItsLastTask(t *testing.T) {
 	table := NewTable(DefaultLimits)
-	if answer := table.Store(store("j", "a"), 1); answer.Result != Stored || answer.State != Open || answer.Owner != "a" {
+	if answer := table.Store(store("j", "a"), 1); answer.Result != Stored || answer.State != Open || answer.Holder != "a" {
 		t.Fatalf("answer %+v", answer)
 	}
 	for n, task := range []string{"j.0.0.0", "j.0.1.0", "j.0.0.0"} {
@@ -40,8 +40,8 @@
 	if answer := table.Cancel("j", 8); answer.State != Completed {
 		t.Errorf("a job that has ended was cancelled: %+v", answer)
 	}
-	if len(table.Owners()) != 0 || table.bytes != 0 {
-		t.Errorf("owners %v, %d bytes", table.Owners(), table.bytes)
+	if len(table.Holders()) != 0 || table.bytes != 0 {
+		t.Errorf("holders %v, %d bytes", table.Holders(), table.bytes)
 	}
 }
 
@@ -62,7 +62,7 @@
 func TestTable_SameIDIsTheSameJob(t *testing.T) {
 	table := NewTable(DefaultLimits)
 	table.Store(store("j", "a"), 1)
-	if answer := table.Store(store("j", "b"), 2); answer.Result != Known || answer.Owner != "a" {
+	if answer := table.Store(store("j", "b"), 2); answer.Result != Known || answer.Holder != "a" {
 		t.Errorf("answer %+v", answer)
 	}
 	table.Cancel("j", 0)
@@ -71,20 +71,20 @@
 	}
 }
 
-func TestTable_RetiredOwnerLosesItsJobsAndGetsNoOthers(t *testing.T) {
+func TestTable_RetiredHolderLosesItsJobsAndGetsNoOthers(t *testing.T) {
 	table := NewTable(DefaultLimits)
 	for n := range 4 {
 		table.Store(store(fmt.Sprint("j", n), "a"), 1)
 	}
 	table.Record(End{Task: "j0.0.0.1", Run: 1}, 0)
-	if moved := table.Retire(Retire{Owner: "a", Successors: []string{"b", "c"}}, 9); moved != 4 {
+	if moved := table.Retire(Retire{Holder: "a", Successors: []string{"b", "c"}}, 9); moved != 4 {
 		t.Fatalf("%d moved", moved)
 	}
-	if answer := table.Store(store("new", "a"), 10); answer.Result != OwnerRetired {
+	if answer := table.Store(store("new", "a"), 10); answer.Result != HolderRetired {
 		t.Errorf("answer %+v", answer)
 	}
-	given := table.OwnedBy("b", 8)
-	if len(given) != 2 || given[0].Epoch != 2 || len(table.OwnedBy("b", 9)) != 0 || len(table.OwnedBy("c", 0)) != 2 {
+	given := table.HeldBy("b", 8)
+	if len(given) != 2 || given[0].Epoch != 2 || len(table.HeldBy("b", 9)) != 0 || len(table.HeldBy("c", 0)) != 2 {
 		t.Fatalf("given %+v", given)
 	}
 	if progress := given[0].Progress(0, 1); !progress.IsDone {
@@ -96,7 +96,7 @@
 	table := NewTable(DefaultLimits)
 	table.Store(store("j", "a"), 1)
 	for _, successors := range [][]string{nil, {"b", "a"}} {
-		if moved := table.Retire(Retire{Owner: "a", Successors: successors}, 2); moved != 0 || table.IsRetired("a") {
+		if moved := table.Retire(Retire{Holder: "a", Successors: successors}, 2); moved != 0 || table.IsRetired("a") {
 			t.Errorf("%d moved to %v", moved, successors)
 		}
 	}
@@ -120,7 +120,7 @@
 		t.Error("not forgotten, or the wrong one")
 	}
 	for n := range 5 {
-		table.Retire(Retire{Owner: fmt.Sprint("o", n), Successors: []string{"x"}}, 1)
+		table.Retire(Retire{Holder: fmt.Sprint("o", n), Successors: []string{"x"}}, 1)
 	}
 	if len(table.retired) != 2 || !table.IsRetired("o4") {
 		t.Errorf("retired %v", table.retired)
@@ -147,17 +147,17 @@
 		table := NewTable(limits)
 		ended := map[string]State{}
 		done := map[string]bool{}
-		owners := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		holders := rapid.SampledFrom([]string{"a", "b", "c", "d"})
 		jobs := rapid.SampledFrom([]string{"0", "1", "2", "3", "4"})
 		for index := uint64(1); index <= 60; index++ {
 			job := jobs.Draw(r, "job")
 			task := fmt.Sprintf("%s.0.%d.%d", job, rapid.IntRange(0, 1).Draw(r, "step"), rapid.IntRange(0, 1).Draw(r, "index"))
 			switch rapid.IntRange(0, 5).Draw(r, "request") {
 			case 0:
-				owner := owners.Draw(r, "owner")
-				wasRetired := table.IsRetired(owner)
-				if answer := table.Store(store(job, owner), index); wasRetired && answer.Result == Stored {
-					r.Fatalf("%s stored for the retired %s", job, owner)
+				holder := holders.Draw(r, "holder")
+				wasRetired := table.IsRetired(holder)
+				if answer := table.Store(store(job, holder), index); wasRetired && answer.Result == Stored {
+					r.Fatalf("%s stored for the retired %s", job, holder)
 				}
 			case 1:
 				if answer := table.Record(End{Task: task, Run: 1}, int64(index)); answer.Result == Stored {
@@ -168,7 +168,7 @@
 			case 3:
 				table.Cancel(job, int64(index))
 			case 4:
-				table.Retire(Retire{Owner: owners.Draw(r, "from"), Successors: []string{owners.Draw(r, "to")}}, index)
+				table.Retire(Retire{Holder: holders.Draw(r, "from"), Successors: []string{holders.Draw(r, "to")}}, index)
 			case 5:
 				restored := Restore(limits, table.Image())
 				if !reflect.DeepEqual(restored.Image(), table.Image()) || restored.bytes != table.bytes {
@@ -181,7 +181,7 @@
 	})
 }
 
-// check fails if a job changed after its end, is owned by a retired owner, or forgot a task that was done.
+// check fails if a job changed after its end, is owned by a retired holder, or forgot a task that was done.
 func check(r *rapid.T, table *Table, ended map[string]State, done map[string]bool) {
 	for id, j := range table.jobs {
 		if before, isEnded := ended[id]; isEnded && before != j.State {
@@ -191,11 +191,11 @@
 			ended[id] = j.State
 			continue
 		}
-		if table.IsRetired(j.Owner) && len(table.OwnedBy(j.Owner, 0)) == 0 {
-			r.Fatalf("job %s has a retired owner that does not know it", id)
+		if table.IsRetired(j.Holder) && len(table.HeldBy(j.Holder, 0)) == 0 {
+			r.Fatalf("job %s has a retired holder that does not know it", id)
 		}
 		for task := range done {
-			if owner, at, _ := parseTask(task); owner == id && !j.Progress(at.step, at.index).IsDone {
+			if holder, at, _ := parseTask(task); holder == id && !j.Progress(at.step, at.index).IsDone {
 				r.Fatalf("task %s was done", task)
 			}
 		}
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -112,7 +112,7 @@
 		if one.state != queued || now < one.retryAt || !one.Needs.FitsIn(free) {
 			continue
 		}
-		if !one.owner.hasAnswered || one.owner.answeredAt+r.limits.Grant-now < minGrant {
+		if !one.offeredBy.hasAnswered || one.offeredBy.answeredAt+r.limits.Grant-now < minGrant {
 			continue
 		}
 		free = free.Minus(one.Needs)
--- a/core/runner/confirm.go
+++ b/core/runner/confirm.go
@@ -22,9 +22,9 @@
 type unconfirmedEnd struct {
 	number uint64
 	work.Ended
-	// owner is the session that offered the run, nil for a run of a predecessor.
-	owner   *session
-	session Session
+	// offeredBy is the session that offered the run, nil for a run of a predecessor.
+	offeredBy *session
+	session   Session
 	// listedAt is when the worker told the end, toldAt when it was last told to entries.
 	listedAt time.Duration
 	toldAt   time.Duration
@@ -45,7 +45,7 @@
 	}}
 	if one != nil {
 		// The end of the run tells its own session.
-		kept.owner, kept.session, kept.toldAt = one.owner, one.session, now
+		kept.offeredBy, kept.session, kept.toldAt = one.offeredBy, one.session, now
 	}
 	r.unconfirmed = append(r.unconfirmed, kept)
 }
@@ -65,12 +65,12 @@
 
 // countsUntil returns until when an end has to be confirmed for nobody to have started the task again.
 func (r *Runner) countsUntil(kept *unconfirmedEnd) time.Duration {
-	if kept.owner == nil {
+	if kept.offeredBy == nil {
 		return 0
 	}
 	until := kept.listedAt + r.limits.Grant
 	if r.sessions[kept.session] == nil {
-		until = min(until, kept.owner.answeredAt+r.limits.Grant)
+		until = min(until, kept.offeredBy.answeredAt+r.limits.Grant)
 	}
 	return until
 }
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -30,9 +30,9 @@
 type run struct {
 	work.Offer
 	session Session
-	// owner stays readable after the session has ended.
-	owner *session
-	state state
+	// offeredBy stays readable after the session has ended.
+	offeredBy *session
+	state     state
 	// arrivedAt is when the offer came, changedAt when it got into its state.
 	arrivedAt time.Duration
 	changedAt time.Duration
@@ -175,7 +175,7 @@
 	}
 	r.meanNeeds += weight * (share - r.meanNeeds)
 	r.runs[offer.Task] = &run{
-		Offer: offer, session: id, owner: s, arrivedAt: now, changedAt: now, checkpoint: offer.Checkpoint,
+		Offer: offer, session: id, offeredBy: s, arrivedAt: now, changedAt: now, checkpoint: offer.Checkpoint,
 	}
 }
 
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -189,7 +189,7 @@
 		if !one.takesRoom() {
 			continue
 		}
-		end = min(end, one.owner.answeredAt+r.limits.Grant)
+		end = min(end, one.offeredBy.answeredAt+r.limits.Grant)
 	}
 	return end
 }
--- a/node/control/jobs.go
+++ b/node/control/jobs.go
@@ -31,7 +31,7 @@
 		return nil, faultrpc.To(err)
 	}
 	step := jobstore.Store{
-		Job: request.GetJobId(), Queue: request.GetQueue(), Owner: request.GetOwner(), Body: request.GetBody(),
+		Job: request.GetJobId(), Queue: request.GetQueue(), Holder: request.GetHolder(), Body: request.GetBody(),
 		Steps: request.GetSteps(), Attempts: request.GetAttempts(),
 	}
 	answers, err := j.propose(ctx, state.Step{Store: &step})
@@ -40,14 +40,14 @@
 	}
 	j.role.metrics.Add("jobs_stored", 1)
 	return &rpc.StoreResponse{
-		Status: storeStatus(answers[0].Result), State: jobState(answers[0].State), Owner: answers[0].Owner,
+		Status: storeStatus(answers[0].Result), State: jobState(answers[0].State), Holder: answers[0].Holder,
 	}, nil
 }
 
 func checkStore(request *rpc.StoreRequest) error {
-	for _, text := range []string{request.GetJobId(), request.GetOwner()} {
+	for _, text := range []string{request.GetJobId(), request.GetHolder()} {
 		if text == "" || len(text) > maxNameBytes {
-			return fault.New(fault.Invalid, "give 1 to 256 bytes", "store: job or owner of %d bytes", len(text))
+			return fault.New(fault.Invalid, "give 1 to 256 bytes", "store: job or holder of %d bytes", len(text))
 		}
 	}
 	if len(request.GetBody()) > maxJobBody || len(request.GetSteps()) > maxJobSteps {
@@ -127,7 +127,7 @@
 	return response, nil
 }
 
-// Keep renews an owner's right to run its jobs. Only the leader can, once a majority has confirmed that it leads: an
+// Keep renews a holder's right to run its jobs. Only the leader can, once a majority has confirmed that it leads: an
 // earlier leader would renew what a later one has given to others.
 func (j *jobs) Keep(ctx context.Context, request *rpc.KeepRequest) (*rpc.KeepResponse, error) {
 	status := j.role.group.Status()
@@ -141,12 +141,12 @@
 	if err := (&operator{role: j.role}).confirm(ctx); err != nil {
 		return nil, faultrpc.To(err)
 	}
-	if !j.role.owners.renew(request.GetOwner(), status.Term, arrived, request.GetWaiting()) {
-		return nil, faultrpc.To(fault.New(fault.Unavailable, "send it again", "the jobs of %q are being given away", request.GetOwner()))
+	if !j.role.holders.renew(request.GetHolder(), status.Term, arrived, request.GetWaiting()) {
+		return nil, faultrpc.To(fault.New(fault.Unavailable, "send it again", "the jobs of %q are being given away", request.GetHolder()))
 	}
 	response := &rpc.KeepResponse{LeaderAddress: status.LeaderAddress}
 	j.role.machine.read(func(s *state.State) { fillKeep(response, request, s) })
-	response.Waiting = j.role.owners.waiting(arrived)
+	response.Waiting = j.role.holders.waiting(arrived)
 	return response, nil
 }
 
@@ -166,26 +166,26 @@
 
 // fillKeep adds what the state knows of the caller's jobs.
 func fillKeep(response *rpc.KeepResponse, request *rpc.KeepRequest, s *state.State) {
-	if s.Jobs.IsRetired(request.GetOwner()) {
+	if s.Jobs.IsRetired(request.GetHolder()) {
 		response.Retired = true
 		return
 	}
 	response.Index = s.Index
-	for _, job := range s.Jobs.OwnedBy(request.GetOwner(), request.GetKnownIndex()) {
+	for _, job := range s.Jobs.HeldBy(request.GetHolder(), request.GetKnownIndex()) {
 		// A job that the caller has stored itself is known to it, unless it asks for everything.
 		if job.Epoch > 1 || request.GetKnownIndex() == 0 {
-			response.Assigned = append(response.Assigned, ownedJob(job))
+			response.Assigned = append(response.Assigned, heldJob(job))
 		}
 	}
 	for _, id := range request.GetCheck() {
-		if job := s.Jobs.Find(id); job == nil || job.State != jobstore.Open || job.Owner != request.GetOwner() {
+		if job := s.Jobs.Find(id); job == nil || job.State != jobstore.Open || job.Holder != request.GetHolder() {
 			response.Over = append(response.Over, id)
 		}
 	}
 }
 
-func ownedJob(job *jobstore.Job) *rpc.OwnedJob {
-	return &rpc.OwnedJob{JobId: job.ID, Epoch: job.Epoch, Body: job.Body, Progress: taskProgress(job)}
+func heldJob(job *jobstore.Job) *rpc.HeldJob {
+	return &rpc.HeldJob{JobId: job.ID, Epoch: job.Epoch, Body: job.Body, Progress: taskProgress(job)}
 }
 
 // taskProgress lists the tasks for which something is recorded.
@@ -213,8 +213,8 @@
 		return rpc.StoreStatus_STORE_STATUS_KNOWN
 	case jobstore.Unknown:
 		return rpc.StoreStatus_STORE_STATUS_UNKNOWN
-	case jobstore.OwnerRetired:
-		return rpc.StoreStatus_STORE_STATUS_OWNER_RETIRED
+	case jobstore.HolderRetired:
+		return rpc.StoreStatus_STORE_STATUS_HOLDER_RETIRED
 	case jobstore.Full:
 		return rpc.StoreStatus_STORE_STATUS_FULL
 	}
@@ -235,7 +235,7 @@
 	return rpc.JobState_JOB_STATE_UNSPECIFIED
 }
 
-// addWaiting adds an owner's counts to a sum.
+// addWaiting adds a holder's counts to a sum.
 func addWaiting(sum, counts map[string]uint32) {
 	for queue := range maps.Keys(counts) {
 		sum[queue] += counts[queue]
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -40,7 +40,7 @@
 	proposer *proposer
 	presence *presence
 	gate     *gate
-	owners   *owners
+	holders  *holders
 
 	cancel context.CancelFunc
 	// duties are the named loops, background the proposals that nobody waits for.
@@ -69,7 +69,7 @@
 		return nil, err
 	}
 	role.group = group
-	role.owners = newOwners(role)
+	role.holders = newHolders(role)
 	role.proposer = newProposer(group, role.metrics)
 	role.publishGauges()
 	return role, nil
@@ -116,7 +116,7 @@
 	r.duties.Go(func() { r.proposer.run(ctx) })
 	r.duties.Go(func() { (&digester{role: r}).run(ctx) })
 	r.duties.Go(func() { (&leaseWatch{role: r}).run(ctx) })
-	r.duties.Go(func() { r.owners.run(ctx) })
+	r.duties.Go(func() { r.holders.run(ctx) })
 	r.duties.Go(func() { r.watchContact(ctx) })
 	return nil
 }
--- a/node/events/control.go
+++ b/node/events/control.go
@@ -16,7 +16,7 @@
 	QuorumRegained = define(4008, Info, "in contact with a majority", "this control VM serves again", "none")
 	DigestFailed   = define(4009, Debug, "digest not delivered", "the leader did not answer; the next digest repeats it",
 		"none, unless a leader is missing for long")
-	OwnerRetired = define(4020, Warn, "owner retired", "an entry that owns accepted jobs was not heard; others run them now",
+	HolderRetired = define(4020, Warn, "holder retired", "an entry that holds accepted jobs was not heard; others run them now",
 		"check the entry")
 	LeadershipGained = define(4010, Info, "watching over nodes", "this control VM leads; it gives no node up for one lease",
 		"none")
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -30,10 +30,10 @@
 	RightLost      = define(2312, Warn, "right to run stored jobs lost", "control has not answered in time; stored jobs of this entry are stopped",
 		"check that a majority of the control VMs runs and can be reached")
 	RightGained        = define(2313, Info, "right to run stored jobs", "control has confirmed that this entry runs its stored jobs", "none")
-	StoredJobTakenOver = define(2314, Info, "stored job taken over", "control gave this entry a job of an owner that it did not hear", "none")
-	StoredJobDropped   = define(2315, Info, "stored job dropped", "the job is another owner's, or over", "none")
+	StoredJobTakenOver = define(2314, Info, "stored job taken over", "control gave this entry a job of a holder that it did not hear", "none")
+	StoredJobDropped   = define(2315, Info, "stored job dropped", "the job is another holder's, or over", "none")
 	StoredJobCancelled = define(2316, Info, "stored job cancelled", "a caller's cancel is in force", "none")
-	OwnerRenamed       = define(2317, Warn, "owner renamed", "control gave all stored jobs of this entry to others; it goes on under another name",
+	HolderRenamed      = define(2317, Warn, "holder renamed", "control gave all stored jobs of this entry to others; it goes on under another name",
 		"look for the silence before it")
 	StoreUncertain      = define(2318, Warn, "storing uncertain", "nobody could tell in time whether a job is stored", "check control")
 	StoredJobUnreadable = define(2319, Error, "stored job unreadable", "a job given to this entry can't be read", "upgrade all entries to one version")
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -55,9 +55,9 @@
 	callers map[string][]chan dispatch.Answer
 	peers   map[string]*stream.Peer
 
-	// stored calls control about stored jobs, for which owner is this entry's name.
+	// stored calls control about stored jobs, for which holder is this entry's name.
 	stored   *controlclient.Jobs
-	owner    atomic.Pointer[string]
+	holder   atomic.Pointer[string]
 	keeper   *keeper
 	recorder *recorder
 
--- a/node/gateway/keeper.go
+++ b/node/gateway/keeper.go
@@ -27,20 +27,20 @@
 // the gateway's loop.
 type keeper struct {
 	gateway *Gateway
-	// base and names make the owner's name: a new one after each loss of all jobs.
+	// base and names make the holder's name: a new one after each loss of all jobs.
 	base  string
 	names int
 	// known is the index of the last answer.
 	known uint64
 	// checkedAt is when jobs were last checked.
 	checkedAt time.Duration
-	// waiting is how many stored jobs have not begun, by queue, at all owners together.
+	// waiting is how many stored jobs have not begun, by queue, at all holders together.
 	waiting map[string]uint32
 }
 
 func newKeeper(g *Gateway) *keeper {
 	k := &keeper{gateway: g, base: g.options.ID + "/" + duty.Incarnation(), waiting: map[string]uint32{}}
-	g.owner.Store(&k.base)
+	g.holder.Store(&k.base)
 	return k
 }
 
@@ -74,7 +74,7 @@
 		return
 	}
 	k.gateway.stored.SetLeader(response.GetLeaderAddress())
-	k.gateway.put(func(now time.Duration) { k.take(now, sentAt, request.GetOwner(), response) })
+	k.gateway.put(func(now time.Duration) { k.take(now, sentAt, request.GetHolder(), response) })
 }
 
 // request returns the next call and the time from which its answer counts.
@@ -83,7 +83,7 @@
 	sentAt := boottime.Now()
 	isIn := k.gateway.put(func(now time.Duration) {
 		request := &rpc.KeepRequest{
-			Owner: *k.gateway.owner.Load(), KnownIndex: k.known, Waiting: k.gateway.core.WaitingStored(),
+			Holder: *k.gateway.holder.Load(), KnownIndex: k.known, Waiting: k.gateway.core.WaitingStored(),
 		}
 		if now >= k.checkedAt+checkPeriod {
 			k.checkedAt, request.Check = now, k.gateway.core.StoredSince(now-checkAge)
@@ -102,12 +102,12 @@
 }
 
 // take takes an answer in.
-func (k *keeper) take(now, sentAt time.Duration, owner string, response *rpc.KeepResponse) {
-	if owner != *k.gateway.owner.Load() {
+func (k *keeper) take(now, sentAt time.Duration, holder string, response *rpc.KeepResponse) {
+	if holder != *k.gateway.holder.Load() {
 		return
 	}
 	if response.GetRetired() {
-		k.rename(now, owner)
+		k.rename(now, holder)
 		return
 	}
 	core := k.gateway.core
@@ -128,17 +128,17 @@
 	}
 }
 
-// rename gives the owner a new name after its jobs went to others. It runs in the loop.
+// rename gives the holder a new name after its jobs went to others. It runs in the loop.
 func (k *keeper) rename(now time.Duration, lost string) {
-	if lost != *k.gateway.owner.Load() {
+	if lost != *k.gateway.holder.Load() {
 		return
 	}
 	k.gateway.core.DisownAll(now)
 	k.names++
 	name := k.base + "#" + strconv.Itoa(k.names)
 	k.known = 0
-	k.gateway.owner.Store(&name)
-	events.OwnerRenamed.Log(k.gateway.options.Logger, "owner", lost, "now", name)
+	k.gateway.holder.Store(&name)
+	events.HolderRenamed.Log(k.gateway.options.Logger, "holder", lost, "now", name)
 }
 
 // taskProgress translates what control has recorded.
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -107,9 +107,9 @@
 	case dispatch.WorkerTrusted:
 		events.WorkerTrusted.Log(logger, "worker", note.Worker)
 	case dispatch.RightLost:
-		events.RightLost.Log(logger, "owner", *g.owner.Load(), "silence_ms", age)
+		events.RightLost.Log(logger, "holder", *g.holder.Load(), "silence_ms", age)
 	case dispatch.RightGained:
-		events.RightGained.Log(logger, "owner", *g.owner.Load(), "age_ms", age)
+		events.RightGained.Log(logger, "holder", *g.holder.Load(), "age_ms", age)
 	case dispatch.JobTakenOver:
 		events.StoredJobTakenOver.Log(logger, "job", note.Task, "epoch", note.Run)
 	case dispatch.JobGivenAway:
--- a/node/gateway/stored.go
+++ b/node/gateway/stored.go
@@ -136,7 +136,7 @@
 	}, true
 }
 
-// store puts the job into control's log and, if this entry is its owner, into the core. The error is fault.Unknown when it
+// store puts the job into control's log and, if this entry is its holder, into the core. The error is fault.Unknown when it
 // may be stored.
 func (g *Gateway) store(ctx context.Context, job *dispatch.Submission) error {
 	request := &rpc.StoreRequest{
@@ -147,8 +147,8 @@
 		request.Steps = append(request.Steps, uint32(job.Steps[i].Count))
 	}
 	for {
-		owner := *g.owner.Load()
-		request.Owner = owner
+		holder := *g.holder.Load()
+		request.Holder = holder
 		var response *rpc.StoreResponse
 		err := g.stored.Retry(ctx, func(ctx context.Context, jobs rpc.Jobs) (err error) {
 			response, err = jobs.Store(ctx, request)
@@ -159,28 +159,28 @@
 			return err
 		case response.GetStatus() == rpc.StoreStatus_STORE_STATUS_FULL:
 			return fault.New(fault.Overloaded, "send it later", "control holds as many accepted jobs as it can")
-		case response.GetStatus() == rpc.StoreStatus_STORE_STATUS_OWNER_RETIRED:
-			g.put(func(now time.Duration) { g.keeper.rename(now, owner) })
-			if *g.owner.Load() == owner {
+		case response.GetStatus() == rpc.StoreStatus_STORE_STATUS_HOLDER_RETIRED:
+			g.put(func(now time.Duration) { g.keeper.rename(now, holder) })
+			if *g.holder.Load() == holder {
 				// The loop has not come to it yet.
 				time.Sleep(busyTick)
 			}
 			continue
 		}
-		if response.GetOwner() == owner && response.GetState() == rpc.JobState_JOB_STATE_OPEN {
-			g.take(ctx, owner, *job)
+		if response.GetHolder() == holder && response.GetState() == rpc.JobState_JOB_STATE_OPEN {
+			g.take(ctx, holder, *job)
 		}
 		return nil
 	}
 }
 
-// take hands a job that was stored under an owner's name to the core, and returns when it is there. Under an earlier name
+// take hands a job that was stored under a holder's name to the core, and returns when it is there. Under an earlier name
 // the job is another entry's by now.
-func (g *Gateway) take(ctx context.Context, owner string, job dispatch.Submission) {
+func (g *Gateway) take(ctx context.Context, holder string, job dispatch.Submission) {
 	taken := make(chan struct{})
 	job.Epoch = 1
 	g.put(func(now time.Duration) {
-		if owner == *g.owner.Load() {
+		if holder == *g.holder.Load() {
 			g.core.Accept(now, job)
 		}
 		close(taken)
