Send the catalogue to nodes packed

Change: control packs a revision once (CBOR, flate); nodes that ask for it read that, others get the text. Ruled out: sending only what differs (two ways to get a catalogue, and the whole is needed after a restart anyway).

--- a/node/control/answer.go
+++ b/node/control/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"flamingohall.example/core/catalogue"
 	"flamingohall.example/core/fault"
 	"flamingohall.example/core/registry"
 	"flamingohall.example/core/state"
@@ -20,7 +21,9 @@
 		response.Number = caller.number
 		response.GrantedHoldMs = r.allowedHold(request).Milliseconds()
 	}
-	r.machine.read(func(s *state.State) { fill(response, request, caller, s) })
+	var changed *catalogue.Revision
+	r.machine.read(func(s *state.State) { changed = fill(response, request, caller, s) })
+	r.addCatalogue(response, request, changed)
 	r.addAddresses(response, request.GetAddressesDigest())
 	now := time.Now()
 	response.StalenessMs = max(0, now.Sub(r.group.Status().ConfirmedAt)).Milliseconds()
@@ -28,8 +31,23 @@
 	return response
 }
 
-// fill copies from the state what the request asks for.
-func fill(response *rpc.SyncResponse, request *rpc.SyncRequest, caller process, s *state.State) {
+// addCatalogue adds a revision, packed if the caller reads that.
+func (r *Role) addCatalogue(response *rpc.SyncResponse, request *rpc.SyncRequest, changed *catalogue.Revision) {
+	if changed == nil {
+		return
+	}
+	if request.GetWantPacked() {
+		response.PackedCatalogue = r.packed.of(r, changed)
+	}
+	if len(response.GetPackedCatalogue()) == 0 {
+		response.Catalogue = changed.Document
+	}
+}
+
+// fill copies from the state what the request asks for. It returns the catalogue's revision if that is wanted and new.
+func fill(
+	response *rpc.SyncResponse, request *rpc.SyncRequest, caller process, s *state.State,
+) (changedCatalogue *catalogue.Revision) {
 	known := request.GetKnownIndex()
 	current := s.Catalogue.Current()
 	own, _ := s.Registry.Node(caller.id)
@@ -40,10 +58,10 @@
 		response.OwnRecord = []byte(own.Target.Record)
 	}
 	if request.GetWantCatalogue() && s.CatalogueIndex > known {
-		response.Catalogue = current.Document
+		changedCatalogue = &current
 	}
 	if !request.GetWantNodes() {
-		return
+		return changedCatalogue
 	}
 	changed, removed, ok := s.Registry.Delta(known)
 	if !ok || len(changed)+len(removed) > s.Registry.Len() {
@@ -55,6 +73,7 @@
 	for _, node := range changed {
 		response.Nodes = append(response.Nodes, nodeToRPC(node))
 	}
+	return changedCatalogue
 }
 
 // addAddresses names the control VMs unless the caller has the same list.
--- /dev/null
+++ b/node/control/packed.go
@@ -0,0 +1,34 @@
+package control
+
+import (
+	"sync"
+
+	"flamingohall.example/core/catalogue"
+	"flamingohall.example/node/events"
+)
+
+// packedCatalogue keeps the packed form of the newest revision, so that it is made once for all nodes.
+type packedCatalogue struct {
+	mutex    sync.Mutex
+	revision uint64
+	packed   []byte
+}
+
+// of returns the packed form of a revision's document, nil if it can't be made.
+func (p *packedCatalogue) of(r *Role, current *catalogue.Revision) []byte {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.revision == current.Number {
+		return p.packed
+	}
+	document, err := catalogue.Parse(current.Document)
+	if err == nil {
+		p.packed, err = document.Pack()
+	}
+	if err != nil {
+		events.CatalogueNotPacked.LogError(r.logger, err, "revision", current.Number)
+		p.packed = nil
+	}
+	p.revision = current.Number
+	return p.packed
+}
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -41,6 +41,7 @@
 	presence *presence
 	gate     *gate
 	holders  *holders
+	packed   packedCatalogue
 
 	cancel context.CancelFunc
 	// duties are the named loops, background the proposals that nobody waits for.
--- a/node/control/role_test.go
+++ b/node/control/role_test.go
@@ -144,3 +144,24 @@
 		t.Fatalf("stored answer: %v, %v", served, err)
 	}
 }
+
+// TestRole_CatalogueIsPackedForThoseThatReadIt holds that a node of an earlier version still gets the text.
+func TestRole_CatalogueIsPackedForThoseThatReadIt(t *testing.T) {
+	c := newCluster(t, 1, 6*time.Second)
+	if _, err := c.operator(0).ApplyCatalogue(t.Context(), &rpc.ApplyCatalogueRequest{
+		ChangeId: "one", Document: document("a"), Author: "ana",
+	}); err != nil {
+		t.Fatal(err)
+	}
+	for _, isPacked := range []bool{false, true} {
+		answer, err := c.control(0).Sync(t.Context(), &rpc.SyncRequest{
+			Node: entryNode("entry-1", "a"), WantCatalogue: true, WantPacked: isPacked,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if hasText, hasPacked := len(answer.GetCatalogue()) > 0, len(answer.GetPackedCatalogue()) > 0; hasText == isPacked || hasPacked != isPacked {
+			t.Errorf("asked for packed: %v; text %v, packed %v", isPacked, hasText, hasPacked)
+		}
+	}
+}
--- a/node/controlclient/follower.go
+++ b/node/controlclient/follower.go
@@ -267,6 +267,7 @@
 	request := &rpc.SyncRequest{
 		HoldMs:    f.options.Hold.Milliseconds(),
 		WantNodes: f.options.WantNodes, WantCatalogue: f.options.WantCatalogue, AddressesDigest: f.addressesDigest,
+		WantPacked: true,
 	}
 	self := f.options.Self()
 	if f.number != 0 && proto.Equal(self, f.sent) {
--- a/node/controlclient/view.go
+++ b/node/controlclient/view.go
@@ -48,14 +48,16 @@
 		made.ConfirmedAt = later(v.ConfirmedAt, confirmedAt)
 	}
 	made.Nodes = mergeNodes(made.Nodes, answer)
-	if len(answer.GetCatalogue()) == 0 {
-		return made, nil
+	var err error
+	switch {
+	case len(answer.GetPackedCatalogue()) > 0:
+		made.Catalogue, err = catalogue.Unpack(answer.GetPackedCatalogue())
+	case len(answer.GetCatalogue()) > 0:
+		made.Catalogue, err = catalogue.Parse(answer.GetCatalogue())
 	}
-	document, err := catalogue.Parse(answer.GetCatalogue())
 	if err != nil {
 		return nil, err
 	}
-	made.Catalogue = document
 	return made, nil
 }
 
--- a/node/events/control.go
+++ b/node/events/control.go
@@ -16,6 +16,8 @@
 	QuorumRegained = define(4008, Info, "in contact with a majority", "this control VM serves again", "none")
 	DigestFailed   = define(4009, Debug, "digest not delivered", "the leader did not answer; the next digest repeats it",
 		"none, unless a leader is missing for long")
+	CatalogueNotPacked = define(4021, Error, "catalogue not packed", "a revision can't be packed; nodes get its text",
+		"report it with the revision")
 	HolderRetired = define(4020, Warn, "holder retired", "an entry that holds accepted jobs was not heard; others run them now",
 		"check the entry")
 	LeadershipGained = define(4010, Info, "watching over nodes", "this control VM leads; it gives no node up for one lease",
