--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -90,11 +90,13 @@
 	GivenUp
 	// JobCancelled was asked for.
 	JobCancelled
+	// Accepted means that control keeps the job, which is run without its caller.
+	Accepted
 )
 
 // String returns the result's name in logs.
 func (r Result) String() string {
-	names := [...]string{"none", "completed", "failed", "refused", "given up", "cancelled"}
+	names := [...]string{"none", "completed", "failed", "refused", "given up", "cancelled", "accepted"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/node/gateway/stored.go
+++ b/node/gateway/stored.go
@@ -42,7 +42,7 @@
 	dispatch.StoredCancelled: Cancelled,
 }
 
-// SubmitStored stores a job, which is then run whether its caller waits or not. The result is dispatch.Completed once the
+// SubmitStored stores a job, which is then run whether its caller waits or not. The result is dispatch.Accepted once the
 // job is stored, dispatch.Refused if it is not and never will be, and dispatch.GivenUp if nobody can tell.
 func (g *Gateway) SubmitStored(ctx context.Context, job dispatch.Submission) dispatch.Answer {
 	job.IsStored = true
@@ -101,7 +101,7 @@
 func (g *Gateway) accepted(job *dispatch.Submission, began time.Time) dispatch.Answer {
 	events.JobStored.Log(g.options.Logger, "request", job.Request, "job", job.ID, "queue", job.Queue.Name,
 		"took_ms", time.Since(began).Milliseconds())
-	return dispatch.Answer{Job: job.ID, Request: job.Request, Queue: job.Queue.Name, IsStored: true, Result: dispatch.Completed}
+	return dispatch.Answer{Job: job.ID, Request: job.Request, Queue: job.Queue.Name, IsStored: true, Result: dispatch.Accepted}
 }
 
 // learn goes on until it is known whether the job is stored: it is run by this entry if so.
