Answer for control in the histories without stored jobs

Sidecars tell the ends that a predecessor's runs had, and entries ask control about them; the world of the older histories had nobody to answer and panicked. Nothing is checked less: the world now says that nobody keeps such a job, as control does.

--- a/core/dispatch/control_test.go
+++ b/core/dispatch/control_test.go
@@ -194,6 +194,21 @@
 	})
 }
 
+// record has an end recorded. A world without control keeps no jobs: nobody needs the ends that sidecars found at their
+// workers when they started.
+func (w *world) record(entry int, record dispatch.Record) {
+	if w.control != nil {
+		w.control.record(entry, record)
+		return
+	}
+	life := w.entries[entry].life
+	w.after(2*w.delay(), func() {
+		w.whenAwake(entry, life, func() {
+			w.entries[entry].core.Recorded(w.now, record.RunID, dispatch.StoredUnknown)
+		})
+	})
+}
+
 // record brings an end to control until it is recorded.
 func (c *fakeControl) record(entry int, record dispatch.Record) {
 	w := c.world
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -294,7 +294,7 @@
 		})
 	}
 	for _, record := range effects.Records {
-		w.control.record(i, record)
+		w.record(i, record)
 	}
 	for _, ask := range effects.Asks {
 		w.control.ask(i, ask)
