Give a replica that hears of its leader by a higher term the full election timeout

Cause: a replica that starts has a short timeout until it hears a leader. A first message of a higher term made it a follower before that was noted, so the short timeout stayed: a control VM that had just joined asked for pre-votes within a few ticks, lost its leader for a moment, and ended the calls that it had handed on (fault.Unknown). Traced by printing each change of role: campaign at tick 4 with its leader known. Change: hearing a leader for the first time always draws the timeout anew.

--- a/core/raft/replica.go
+++ b/core/raft/replica.go
@@ -317,8 +317,10 @@
 	if r.role == Leader {
 		return false
 	}
+	wasStarting := r.starting
 	r.starting = false
-	if r.role != Follower || r.leader != m.From {
+	if wasStarting || r.role != Follower || r.leader != m.From {
+		// The timeout of a start is too short for one that has a leader.
 		r.becomeFollower(m.Term, m.From)
 	}
 	r.elapsed = 0
