Keep an adopted or re-sent attempt from counting as not run

Cause: a refusal by a process that replaced the target counts as not run if only one Run call was made for the attempt. After a takeover the earlier holder's call was not counted, so that a never-repeated task that had started could start again. For repeatable tasks, whose requests name no incarnation, a successor's refusal for the deadline was told as not run although the replaced process had started the task. Ruled out: the gate of the sidecar, which reports the incarnation in both cases. Change: an adopted attempt starts with one call made; an answer carries the incarnation that gave it, and a refusal by another one is unknown once a second call was made. The simulation no longer tells entries of a replaced target at once, ends a call with the process that received it, and reports each attempt number to the check of the disabled safeguard by itself.

--- a/core/job/answers.go
+++ b/core/job/answers.go
@@ -6,10 +6,26 @@
 // runAnswered applies the outcomes and attaches again to the attempts that continue.
 func (j *Job) runAnswered(e RunAnswered) {
 	j.release(e.Asked, e.Target)
-	j.applyReports(e.Target, renumber(e.Asked, e.Reports))
+	reports := renumber(e.Asked, e.Reports)
+	if e.Incarnation != "" && e.Incarnation != e.Target.Incarnation {
+		j.correctReplacedReports(e.Target, reports)
+	}
+	j.applyReports(e.Target, reports)
 	j.attach(e.Target, e.Asked)
 }
 
+// correctReplacedReports corrects reports by a process that replaced the target. It can't know whether the previous
+// process, which may have received an earlier Run of the same attempt, started the task.
+func (j *Job) correctReplacedReports(target Target, reports []Report) {
+	for i := range reports {
+		report := &reports[i]
+		if _, live := j.liveAttempt(report.Ref, target); live != nil && live.runs > 1 && report.Outcome == NotRun {
+			report.Outcome, report.Cause = Unknown, CauseLost
+			report.Reason = target.ID + " was replaced, and what it started is not known"
+		}
+	}
+}
+
 // runUnanswered queries the status on a new connection before anything else is decided.
 func (j *Job) runUnanswered(e RunUnanswered) {
 	j.release(e.Asked, e.Target)
--- a/core/job/job_test.go
+++ b/core/job/job_test.go
@@ -9,9 +9,15 @@
 	"pgregory.net/rapid"
 )
 
+// lossHeardRound is the round of drain by which entries hear of every replaced target.
+const lossHeardRound = 20
+
 // drain runs the simulation to its end: calls in flight arrive or time out, and the deadline passes.
 func (w *simulation) drain() {
-	for range 60 {
+	for round := range 60 {
+		if round == lossHeardRound {
+			w.reportLosses()
+		}
 		for _, c := range slices.Clone(w.calls) {
 			if c.dropped || c.ended {
 				continue
@@ -139,6 +145,40 @@
 	}
 }
 
+// An attempt that a takeover adopted had started: a process that replaced its target can't tell that it had not.
+func TestJob_AdoptedAttemptMeetsAReplacedTarget(t *testing.T) {
+	j := New(Spec{ID: "j", Attempts: 2, Deadline: time.Unix(10, 0), Tasks: make([]TaskSpec, 1)})
+	target := Target{ID: "a", Incarnation: "1"}
+	ref := Ref{Index: 0, Attempt: 1}
+	j.Step(time.Unix(0, 0), Begin{})
+	j.Step(time.Unix(0, 0), ClaimGranted{Epoch: 2, Earlier: []Target{target}})
+	j.Step(time.Unix(0, 0), SealAnswered{Target: target, Asked: []Ref{{}}, Reports: []Report{{Ref: ref, Outcome: Running}}})
+	j.Step(time.Unix(0, 0), RunAnswered{Target: target, Asked: []Ref{ref}, Reports: []Report{
+		{Ref: ref, Outcome: Unknown, Cause: CauseIncarnation, Reason: "meant for an earlier process"},
+	}})
+	if got := j.Task(0); got.Outcome != Unknown || j.IsWaiting() {
+		t.Errorf("task is %+v, waits %v, want unknown", got, j.IsWaiting())
+	}
+}
+
+// A repeatable task may have started in a process that was replaced: its successor's refusal of a second Run does not
+// show that nothing ran. Found by TestJob_AnyHistory with -rapid.seed=2476426.
+func TestJob_ReplacedTargetRefusesTheSecondRun(t *testing.T) {
+	j := New(Spec{ID: "j", Repeatable: true, Attempts: 1, Deadline: time.Unix(10, 0), Tasks: make([]TaskSpec, 1)})
+	target := Target{ID: "a", Incarnation: "1"}
+	ref := Ref{Index: 0, Attempt: 1}
+	j.Step(time.Unix(0, 0), Begin{})
+	j.Step(time.Unix(0, 0), Place{Target: target, Indexes: []int{0}})
+	j.Step(time.Unix(0, 0), RunUnanswered{Target: target, Asked: []Ref{ref}})
+	j.Step(time.Unix(0, 0), StatusAnswered{Target: target, Asked: []Ref{ref}})
+	j.Step(time.Unix(0, 0), RunAnswered{Target: target, Incarnation: "2", Asked: []Ref{ref}, Reports: []Report{
+		{Ref: ref, Outcome: NotRun, Cause: CauseDeadline, Reason: "the deadline passed"},
+	}})
+	if got := j.Task(0); !j.IsAnswered() || got.Outcome != Failed {
+		t.Errorf("task is %+v, want failed", got)
+	}
+}
+
 // A task that ran once is never reported as not run, whatever the outcome of its later attempts.
 func TestJob_RefusedRetryOfAStartedTaskIsNotReportedAsNotRun(t *testing.T) {
 	for _, cause := range []Cause{CauseDeadline, CauseTarget} {
--- a/core/job/simulation_test.go
+++ b/core/job/simulation_test.go
@@ -17,15 +17,23 @@
 	tasks      int
 	deadline   time.Time
 	// skew is how much earlier the deadline passes at the targets than at the entries.
-	skew     time.Duration
-	claim    claimState
-	entries  []*entryState
-	targets  []*targetState
-	calls    []*callState
-	starts   map[int]int
+	skew    time.Duration
+	claim   claimState
+	entries []*entryState
+	targets []*targetState
+	calls   []*callState
+	starts  map[int]int
+	// losses are the replaced targets that an entry has not heard of.
+	losses   []loss
 	disabled safeguards
 }
 
+// loss is a replaced target, and the entry that has not heard of it.
+type loss struct {
+	entry  int
+	target Target
+}
+
 // safeguards selects the safeguards to disable, which shows that the check detects their absence.
 type safeguards struct {
 	// seal: a target that does not answer a Seal counts as sealed.
@@ -74,8 +82,10 @@
 	refs   []Ref
 	// delivered is set once the callee has received the call. It may receive it again until the call is dropped.
 	delivered bool
-	reports   []Report
-	status    string
+	// receiver is the incarnation of the target that received the call first: the answer comes on its connection.
+	receiver string
+	reports  []Report
+	status   string
 	// ended is set once the caller has its answer or has timed out.
 	ended   bool
 	dropped bool
@@ -153,7 +163,7 @@
 }
 
 func (w *simulation) injectFault() {
-	switch rapid.IntRange(0, 6).Draw(w.t, "disturb") {
+	switch rapid.IntRange(0, 7).Draw(w.t, "disturb") {
 	case 0:
 		w.timeOutAnyCall()
 	case 1:
@@ -168,6 +178,8 @@
 		w.step(w.drawEntry(), GiveUp{Reason: "too late"})
 	case 6:
 		w.step(w.drawEntry(), TargetLost{Target: w.drawTarget().name()})
+	case 7:
+		w.reportLosses()
 	}
 }
 
@@ -213,6 +225,9 @@
 
 func (w *simulation) deliverCall(c *callState) {
 	w.t.Logf("deliver %+v", *c)
+	if !c.delivered && c.target.ID != "" {
+		c.receiver = w.target(c.target.ID).name().Incarnation
+	}
 	c.delivered = true
 	switch c.kind {
 	case EffectClaim:
@@ -262,6 +277,11 @@
 }
 
 func (w *simulation) replyCall(c *callState) {
+	if c.target.ID != "" && c.receiver != w.target(c.target.ID).name().Incarnation {
+		// The connection ended with the process.
+		w.timeOutCall(c)
+		return
+	}
 	c.ended = true
 	asked := slices.Clone(c.refs)
 	switch c.kind {
@@ -275,7 +295,7 @@
 		}
 	case EffectRun:
 		c.reports = w.target(c.target.ID).handle(w, c)
-		w.step(c.entry, RunAnswered{Target: c.target, Asked: asked, Reports: c.reports})
+		w.step(c.entry, RunAnswered{Target: c.target, Incarnation: c.receiver, Asked: asked, Reports: c.reports})
 	case EffectStatus:
 		w.step(c.entry, StatusAnswered{Target: c.target, Asked: asked, Reports: c.reports})
 	case EffectSeal:
@@ -317,6 +337,8 @@
 	case EffectStatus:
 		c.ended = true
 		w.step(c.entry, StatusUnanswered{Target: c.target, Asked: c.refs})
+	case EffectCancel:
+		c.ended = true
 	case EffectSeal:
 		c.ended = true
 		if w.disabled.seal {
@@ -352,12 +374,23 @@
 	g.tasks = map[int]*gateTask{}
 	g.fence = 0
 	for i := range w.entries {
+		w.losses = append(w.losses, loss{entry: i, target: lost})
+	}
+	if rapid.Bool().Draw(w.t, "heard at once") {
+		w.reportLosses()
+	}
+}
+
+// reportLosses tells the entries which targets were replaced.
+func (w *simulation) reportLosses() {
+	for _, l := range w.losses {
 		if w.disabled.replaced {
-			w.reportAllNotRun(i, lost)
+			w.reportAllNotRun(l.entry, l.target)
 			continue
 		}
-		w.step(i, TargetLost{Target: lost, Replaced: true})
+		w.step(l.entry, TargetLost{Target: l.target, Replaced: true})
 	}
+	w.losses = nil
 }
 
 // replaceEntry starts another entry, to which the caller resubmits. An entry may die before that.
@@ -373,13 +406,14 @@
 
 // reportAllNotRun reports every attempt at a target as not run.
 func (w *simulation) reportAllNotRun(entry int, target Target) {
-	var refs []Ref
-	for i := range w.tasks {
-		for attempt := range 10 {
+	for attempt := 1; attempt < 10; attempt++ {
+		var refs []Ref
+		for i := range w.tasks {
 			refs = append(refs, Ref{Index: i, Attempt: attempt})
 		}
+		// One event for each attempt number: an answer reports on the latest attempt that it was asked for.
+		w.step(entry, RunAnswered{Target: target, Asked: refs, Reports: sealedAll(refs)})
 	}
-	w.step(entry, RunAnswered{Target: target, Asked: refs, Reports: sealedAll(refs)})
 }
 
 func (w *simulation) finishTask() {
--- a/core/job/takeover.go
+++ b/core/job/takeover.go
@@ -65,7 +65,8 @@
 		t.starts, t.Attempts = 1, 1
 		t.Outcome = Running
 		t.Target = target.ID
-		t.liveAttempts = append(t.liveAttempts, liveAttempt{attempt: report.Attempt, target: target})
+		// The earlier holder made the first Run call, so a refusal by another incarnation does not show that nothing ran.
+		t.liveAttempts = append(t.liveAttempts, liveAttempt{attempt: report.Attempt, target: target, runs: 1})
 		j.emit(Effect{Kind: EffectAdopted, Target: target})
 		j.call(EffectRun, target, []Ref{report.Ref})
 	}
--- a/core/job/types.go
+++ b/core/job/types.go
@@ -128,11 +128,13 @@
 		Target  Target
 		Indexes []int
 	}
-	// RunAnswered carries the answer to a Run effect.
+	// RunAnswered carries the answer to a Run effect. Incarnation is the process that answered, which may have replaced
+	// the target; empty means the target itself.
 	RunAnswered struct {
-		Target  Target
-		Asked   []Ref
-		Reports []Report
+		Target      Target
+		Incarnation string
+		Asked       []Ref
+		Reports     []Report
 	}
 	// RunUnanswered reports that a Run got no answer in time, or that its connection broke after sending.
 	RunUnanswered struct {
--- a/node/entry/calls.go
+++ b/node/entry/calls.go
@@ -99,7 +99,9 @@
 	}
 	l.post(callResult{
 		record: c.record, target: target, load: response.GetLoad(), reports: reports,
-		event: job.RunAnswered{Target: target, Asked: refs, Reports: reports},
+		event: job.RunAnswered{
+			Target: target, Incarnation: response.GetIncarnation(), Asked: refs, Reports: reports,
+		},
 	})
 }
 
