Report a cancelled task of a forgotten job as unknown

Cause: a cancel that names a task makes a record for it. If the job's tombstone had been dropped, a later seal or status reported that record as cancelled, although the task may have run before. Change: such a record counts like no record where the claim may be as old as a dropped tombstone, and for a status, which names no claim. A newer claim still learns that the task is cancelled.

--- a/core/target/job.go
+++ b/core/target/job.go
@@ -130,6 +130,11 @@
 	return highest
 }
 
+// isCancelledUnseen reports whether a cancel made the record, and no attempt of the task has arrived since.
+func (t *task) isCancelledUnseen() bool {
+	return t.attempt == 0 && t.outcome == Cancelled
+}
+
 // taskOutcome returns the known state of the task.
 func (t *task) taskOutcome() TaskOutcome {
 	return TaskOutcome{
--- a/core/target/regression_test.go
+++ b/core/target/regression_test.go
@@ -100,6 +100,30 @@
 	wantOutcome(t, d.run(1, 1, 1), Unknown, CauseLost)
 }
 
+// A cancel that names a task of a forgotten job records it as cancelled, which does not show that it never ran.
+func TestDropped_CancelledTaskMayHaveRun(t *testing.T) {
+	cancel := Cancel{Waiter: 100, Jobs: []CancelledJob{{Job: JobID{1}, Indexes: []uint32{0}}}}
+	queries := map[string]Event{
+		"seal of the task":  Seal{Waiter: 101, Job: JobID{1}, Incarnation: "here", Epoch: 1, Attempt: 1, Indexes: []uint32{0}},
+		"takeover":          Seal{Waiter: 101, Job: JobID{1}, Incarnation: "here", Epoch: 9, FirstEpoch: 1, Indexes: []uint32{0}, All: true},
+		"status":            Status{Waiter: 101, Job: JobID{1}, Indexes: []uint32{0}},
+		"status of the job": Status{Waiter: 101, Job: JobID{1}},
+	}
+	for name, query := range queries {
+		t.Run(name, func(t *testing.T) {
+			d := dropped()
+			d.send(cancel)
+			wantOutcome(t, d.send(query)[0], Unknown, CauseLost)
+		})
+	}
+	t.Run("takeover of a newer claim", func(t *testing.T) {
+		d := dropped()
+		d.send(cancel)
+		seal := Seal{Waiter: 101, Job: JobID{1}, Incarnation: "here", Epoch: 9, FirstEpoch: 8, Indexes: []uint32{0}, All: true}
+		wantOutcome(t, d.send(seal)[0], Cancelled, CauseCancelled)
+	})
+}
+
 func TestDropped_SealReportsUnknownUnlessTheClaimIsNewer(t *testing.T) {
 	d := dropped()
 	seal := Seal{Waiter: 100, Job: JobID{9}, Incarnation: "here", Epoch: 9, Indexes: []uint32{0}, All: true}
--- a/core/target/seal.go
+++ b/core/target/seal.go
@@ -71,10 +71,10 @@
 // sealTask prevents attempts of one task from starting.
 func (t *Target) sealTask(j *job, index uint32, event Seal, unseen conclusion) {
 	tk := j.find(index)
+	if unseen.outcome == Unknown && (tk == nil || tk.isCancelledUnseen()) {
+		return
+	}
 	if tk == nil {
-		if unseen.outcome == Unknown {
-			return
-		}
 		tk = t.addTask(j, index)
 		t.conclude(j, tk, unseen, nil)
 	}
@@ -97,23 +97,28 @@
 	listed := map[uint32]bool{}
 	for _, index := range event.Indexes {
 		listed[index] = true
-		if tk := j.find(index); tk != nil {
-			outcomes = append(outcomes, t.deliver(tk))
-			continue
-		}
-		outcomes = append(outcomes, unseen.taskOutcome(index, 0))
+		outcomes = append(outcomes, t.reportTask(j.find(index), index, unseen))
 	}
 	if !event.All {
 		return outcomes
 	}
 	for _, tk := range j.tasks {
 		if !listed[tk.index] {
-			outcomes = append(outcomes, t.deliver(tk))
+			outcomes = append(outcomes, t.reportTask(tk, tk.index, unseen))
 		}
 	}
 	return outcomes
 }
 
+// reportTask returns the outcome of a task. If the job may have had an earlier record, the cancel of a task that no
+// request has named does not show that it never ran.
+func (t *Target) reportTask(tk *task, index uint32, unseen conclusion) TaskOutcome {
+	if tk == nil || tk.isCancelledUnseen() && unseen.outcome == Unknown {
+		return unseen.taskOutcome(index, 0)
+	}
+	return t.deliver(tk)
+}
+
 // deliver returns the outcome of a task and marks it as delivered.
 func (t *Target) deliver(tk *task) TaskOutcome {
 	t.setUndelivered(tk, false)
@@ -188,11 +193,22 @@
 		answer.Outcomes = outcomesOf(unseen, event.Indexes)
 	} else {
 		answer.Outcomes = t.report(j, Seal{Indexes: event.Indexes, All: len(event.Indexes) == 0}, unseen)
+		j.forgetCancelled(answer.Outcomes)
 		t.packLater(j)
 	}
 	t.answer(answer)
 }
 
+// forgetCancelled changes the outcomes of tasks that only a cancel has named to unknown if the job may have had an
+// earlier record. A status names no claim, so it can't exclude that.
+func (j *job) forgetCancelled(outcomes []TaskOutcome) {
+	for i := range outcomes {
+		if tk := j.find(outcomes[i].Index); j.maxDroppedEpoch > 0 && tk != nil && tk.isCancelledUnseen() {
+			outcomes[i] = forgotten.taskOutcome(tk.index, 0)
+		}
+	}
+}
+
 func (t *Target) statusUnseen(id JobID, j *job) conclusion {
 	tomb, hasTombstone := t.tombstones.byJob[id]
 	switch {
