Send nothing of a sole voter's term before it is synced

Cause: a sole voter leads without asking for votes, and its messages to learners left before its term was synced; after a power loss the term could have been led by another replica. A leader that had never heard from another one kept the short election timeout of a start after stepping down. A field was written and never read. Change: a leader's messages wait for the sync of its term, which other leaders have behind them; leading ends the start. Result: TestReplica_SoleVoterSendsNothingInAnUnsyncedTerm and TestReplica_FormerLeaderWaitsAFullElectionTimeout failed before.

--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -62,6 +62,7 @@
 func (r *Replica) becomeLeader() {
 	r.role = Leader
 	r.leader = r.config.ID
+	r.starting = false
 	r.votes = nil
 	r.quorumTick = r.now
 	r.leading = leaderState{members: map[ID]*progress{}}
--- a/core/raft/replica.go
+++ b/core/raft/replica.go
@@ -91,14 +91,13 @@
 	// elapsed is the number of ticks since the replica last heard from its leader, granted a vote or started an
 	// election.
 	elapsed uint64
-	// starting is true until the replica first hears from a leader.
+	// starting is true until the replica first hears from a leader or becomes one.
 	starting        bool
 	electionTimeout uint64
 	// quorumTick is the start time of the last heartbeat round that a quorum is known to have answered.
 	quorumTick uint64
 
 	votes    map[ID]bool
-	transfer bool
 	leading  leaderState
 	incoming *Snapshot
 	reads    readQueue
@@ -179,7 +178,6 @@
 	}
 	r.role = Follower
 	r.leader = leader
-	r.transfer = false
 	r.votes = nil
 	r.leading = leaderState{}
 	r.resetElectionTimer()
@@ -210,13 +208,11 @@
 	r.messages = append(r.messages, m)
 }
 
-// isImmediate reports whether a message may be sent before this replica's state is synced. A leader's messages may: its
-// term was synced before it requested votes (a sole voter requests none). A heartbeat response depends only on the term.
+// isImmediate reports whether a message may be sent before this replica's state is synced. A leader's messages and
+// heartbeat responses depend only on the term. A leader whose group has several voters has synced its term before it
+// requested their votes; a sole voter leads at once.
 func (r *Replica) isImmediate(m *Message) bool {
-	if m.fromLeader() {
-		return true
-	}
-	if m.Type == HeartbeatResponse {
+	if m.fromLeader() || m.Type == HeartbeatResponse {
 		return r.syncedTerm() == r.hard.Term
 	}
 	return m.Type == VoteResponse && r.config.withoutSyncedVote
--- a/core/raft/start_test.go
+++ b/core/raft/start_test.go
@@ -33,3 +33,31 @@
 		}
 	}
 }
+
+func TestReplica_FormerLeaderWaitsAFullElectionTimeout(t *testing.T) {
+	r := newTestReplica(t, 1)
+	leadTestReplica(t, r)
+	r.becomeFollower(r.hard.Term, None)
+	if got := ticksUntilPreVote(t, r); got < r.config.ElectionTicks {
+		t.Errorf("pre-vote requested %d ticks after leading, want at least %d", got, r.config.ElectionTicks)
+	}
+}
+
+// A term that is not synced may be used again after a restart, by another leader.
+func TestReplica_SoleVoterSendsNothingInAnUnsyncedTerm(t *testing.T) {
+	r := newTestReplica(t, 1)
+	genesis := InitialSnapshot([]Member{{ID: 1, Name: "a"}, {ID: 2, Name: "b"}})
+	genesis.Configuration.Members[1].Learner = true
+	r, err := New(r.config, Restart{HardState: HardState{Group: 9, Term: 2}, Snapshot: &genesis})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.startElection(false)
+	ready := r.Ready()
+	if r.role != Leader || len(ready.Immediate) > 0 {
+		t.Errorf("role %v sends %v before its term is synced", r.role, ready.Immediate)
+	}
+	if len(ready.Messages) == 0 {
+		t.Error("nothing is sent to the learner once the term is synced")
+	}
+}
