Keep a sidecar reachable after a failed accept or a lost handshake

Cause: an error of Accept, such as too many open files, ended the listener for entries for good while the process stayed ready. A first handshake whose reply could not be written left its session behind, never opened and never used. Change: the server reports the error (event 3208) and accepts again; it forgets a session that the other side can't know. Result: TestServer_AcceptsAgainAfterAFailure and TestServer_ForgetsASessionWhoseFirstReplyIsLost; without the change the first ends with Serve returning and the second keeps one session (by reading; the handler's field did not exist).

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -17,6 +17,7 @@
 	"flamingohall.example/core/runner"
 	"flamingohall.example/node/controlclient"
 	"flamingohall.example/node/duty"
+	"flamingohall.example/node/events"
 	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/rpc"
 	"flamingohall.example/node/stream"
@@ -96,7 +97,7 @@
 	// Heartbeats may arrive before the loops run, so the context that ends them must exist from the start.
 	a.context, a.cancel = context.WithCancel(context.Background())
 	a.loop = duty.NewLoop(inputCapacity, a.context.Done())
-	a.server = stream.NewServer(stream.Handler{Opened: a.opened, Received: a.received})
+	a.server = stream.NewServer(stream.Handler{Opened: a.opened, Received: a.received, AcceptFailed: a.acceptFailed})
 	a.record.Store(&rpc.Node{
 		Id: options.ID, Role: rpc.Role_ROLE_SIDECAR, Incarnation: duty.Incarnation(), DataCentre: options.DataCentre,
 		Address: options.Listen, Target: &rpc.TargetInfo{},
@@ -120,7 +121,7 @@
 	}
 	a.listener = listener
 	context.AfterFunc(ctx, a.cancel)
-	a.duties.Go(func() { _ = a.server.Serve(listener) })
+	a.duties.Go(func() { a.server.Serve(listener) })
 	a.duties.Go(func() { a.loop.Run(a.advance) })
 	a.follower.Start(a.context)
 	return nil
@@ -192,6 +193,10 @@
 	})
 }
 
+func (a *Agent) acceptFailed(err error) {
+	events.ConnectionNotAccepted.LogError(a.options.Logger, err)
+}
+
 func (a *Agent) received(peer *stream.Peer, payload []byte) {
 	frame, err := workwire.DecodeToSidecar(payload)
 	if err != nil {
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -11,8 +11,10 @@
 		"look for earlier events about the worker's end or missing answers")
 	RunStalled = define(3204, Warn, "run stalled", "a run reported no progress and is stopped",
 		"check the worker if several of its runs stall")
-	OfferRefused  = define(3205, Info, "offer refused", "the task is not started here; the entry offers it to another worker", "none")
-	GrantEnded    = define(3206, Warn, "entry unreachable", "an entry does not answer probes; its tasks are stopped", "check the entry")
+	OfferRefused          = define(3205, Info, "offer refused", "the task is not started here; the entry offers it to another worker", "none")
+	GrantEnded            = define(3206, Warn, "entry unreachable", "an entry does not answer probes; its tasks are stopped", "check the entry")
+	ConnectionNotAccepted = define(3208, Error, "connection not accepted", "the listener for entries failed to accept a connection; it tries again",
+		"check the limit of open files")
 	WorkerChanged = define(3207, Info, "worker changed", "the worker started, is leaving, ended or is reachable again", "none")
 )
 
--- a/node/stream/serve.go
+++ b/node/stream/serve.go
@@ -11,13 +11,19 @@
 	"github.com/go-faster/errors"
 )
 
-// handshakeTimeout bounds the wait for the handshake on a new connection.
-const handshakeTimeout = time.Second
+const (
+	// handshakeTimeout bounds the wait for the handshake on a new connection.
+	handshakeTimeout = time.Second
+	// acceptPause is the time between two attempts to accept after a failure, such as a lack of file descriptors.
+	acceptPause = 50 * time.Millisecond
+)
 
-// Handler has the callbacks for sessions that the other side opens.
+// Handler has the callbacks for sessions that the other side opens. All are required.
 type Handler struct {
 	Opened   func(peer *Peer)
 	Received func(peer *Peer, payload []byte)
+	// AcceptFailed is called when a connection could not be accepted. The server tries again.
+	AcceptFailed func(err error)
 }
 
 // Server accepts sessions. The handler ends a session with Peer.Close.
@@ -35,14 +41,16 @@
 }
 
 // Serve accepts connections until the listener is closed.
-func (s *Server) Serve(listener net.Listener) error {
+func (s *Server) Serve(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
-			return err
+			s.handler.AcceptFailed(err)
+			time.Sleep(acceptPause)
+			continue
 		}
 		s.conns.Go(func() { s.serve(conn) })
 	}
@@ -88,6 +96,10 @@
 	}
 	wakeWriter, attachErr := peer.attach(conn, acknowledged)
 	if err != nil || attachErr != nil {
+		if isNew {
+			// The other side never learns of this session: it opens another one.
+			s.forget(peer)
+		}
 		_ = conn.Close()
 		return
 	}
@@ -98,6 +110,14 @@
 	_ = peer.serve(conn, reader, wakeWriter)
 }
 
+// forget ends a session and drops it.
+func (s *Server) forget(peer *Peer) {
+	peer.Close()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.peers, peer.id)
+}
+
 // find returns the session of that identity, or a new one if the other side has received no frame of it yet. It returns
 // nil for a session that has ended or is unknown.
 func (s *Server) find(id identity, acknowledged uint64) (peer *Peer, isNew bool) {
--- a/node/stream/stream_test.go
+++ b/node/stream/stream_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"flamingohall.example/node/relaytest"
 )
 
@@ -36,8 +38,9 @@
 		Received: func(_ *Peer, payload []byte) {
 			e.withLock(func() { e.toServer = append(e.toServer, binary.BigEndian.Uint64(payload)) })
 		},
+		AcceptFailed: func(err error) { t.Errorf("a connection was not accepted: %v", err) },
 	})
-	go func() { _ = e.listener.Serve(listener) }()
+	go e.listener.Serve(listener)
 	if e.relay, err = relaytest.Start(listener.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
@@ -133,3 +136,76 @@
 	first.Close()
 	e.eventually(t, "second session", func() bool { return e.opened == 2 && e.closed == 1 && e.server != first })
 }
+
+// failingListener fails to accept twice, then accepts.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, errors.New("too many open files")
+	}
+	return l.Listener.Accept()
+}
+
+func TestServer_AcceptsAgainAfterAFailure(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	failed, opened := make(chan error, 2), make(chan *Peer, 1)
+	server := NewServer(Handler{
+		Opened: func(peer *Peer) { opened <- peer }, Received: func(*Peer, []byte) {},
+		AcceptFailed: func(err error) { failed <- err },
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		server.Serve(&failingListener{Listener: listener, failures: 2})
+	}()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := conn.Write(make([]byte, handshakeBytes)); err != nil {
+		t.Fatal(err)
+	}
+	<-opened
+	if len(failed) != 2 {
+		t.Errorf("%d failures were reported, want 2", len(failed))
+	}
+	_ = listener.Close()
+	server.Close()
+	<-done
+}
+
+// brokenConn delivers a handshake and fails to write the reply.
+type brokenConn struct {
+	net.Conn
+	request []byte
+}
+
+func (c *brokenConn) Read(buffer []byte) (int, error) {
+	count := copy(buffer, c.request)
+	c.request = c.request[count:]
+	return count, nil
+}
+func (c *brokenConn) Write([]byte) (int, error)        { return 0, errors.New("broken pipe") }
+func (c *brokenConn) SetDeadline(time.Time) error      { return nil }
+func (c *brokenConn) SetWriteDeadline(time.Time) error { return nil }
+func (c *brokenConn) Close() error                     { return nil }
+
+func TestServer_ForgetsASessionWhoseFirstReplyIsLost(t *testing.T) {
+	server := NewServer(Handler{
+		Opened:   func(*Peer) { t.Error("a session was opened that its other side does not know") },
+		Received: func(*Peer, []byte) {}, AcceptFailed: func(error) {},
+	})
+	server.serve(&brokenConn{request: make([]byte, handshakeBytes)})
+	if len(server.peers) > 0 {
+		t.Errorf("%d sessions are kept, want none", len(server.peers))
+	}
+}
