--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -217,7 +217,7 @@
 func TestJob_NoWorkerAndTooLarge(t *testing.T) {
 	h := newHarness(t, 0)
 	h.submit("none", 1, 60*time.Millisecond)
-	if got := h.answers["none"]; got.Result != dispatch.Refused || got.Cause != dispatch.NoWorkers {
+	if got := h.answers["none"]; got.Result != dispatch.Refused || got.Cause != dispatch.NoWorkers || got.Trace.PredictedWait != 0 {
 		t.Errorf("answer %+v", got)
 	}
 	h = newHarness(t, 1)
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -75,7 +75,7 @@
 		}
 		wait, cause := d.stepWait(now, j, step)
 		if cause != 0 {
-			return minRetryAfter, cause
+			return 0, cause
 		}
 		longest = max(longest, wait)
 	}
--- a/node/controlclient/jobs.go
+++ b/node/controlclient/jobs.go
@@ -49,8 +49,8 @@
 	j.leader = address
 }
 
-// Once makes one attempt of a call. If another VM may succeed, it forgets the leader and rotates to the next VM in the
-// list.
+// Once makes one attempt of a call. If another VM may succeed, it forgets the leader, or rotates to the next VM in the list
+// if the preferred VM failed.
 func (j *Jobs) Once(ctx context.Context, call func(context.Context, rpc.Jobs) error) error {
 	address, client, server := j.choose()
 	ctx, cancel := context.WithTimeout(ctx, jobsAttemptTimeout)
@@ -58,7 +58,9 @@
 	err := faultrpc.From(call(ctx, client))
 	if err != nil && retryable(fault.Of(err).Kind) {
 		j.drop(address)
-		j.pool.rotate(server)
+		if server.address == address {
+			j.pool.rotate(server)
+		}
 	}
 	return err
 }
--- a/node/entry/api.go
+++ b/node/entry/api.go
@@ -62,7 +62,8 @@
 func (e *Entry) serveBurn(ctx iris.Context) {
 	view := e.follower.View()
 	if view == nil {
-		writeFault(ctx, fault.Of(e.Ready()).WithRetryAfter(noTargetRetryAfter))
+		noState := fault.New(fault.Unavailable, "try again, or ask another entry", "the entry has no state from control yet")
+		writeFault(ctx, noState.WithRetryAfter(noTargetRetryAfter))
 		return
 	}
 	report, ok := e.loop.burnReport(ctx.Request().Context(), view.Catalogue)
@@ -152,10 +153,15 @@
 		writeLookup(ctx, state, http.StatusOK)
 		return
 	}
+	var silent []string
 	for _, peer := range e.peers() {
 		request := &rpc.AwaitRequest{JobId: id}
 		response, err := link.Call(ctx.Request().Context(), peerTimeout, e.links.Peer(peer).Await, request)
-		if err != nil || !response.GetKnown() {
+		if err != nil {
+			silent = append(silent, peer)
+			continue
+		}
+		if !response.GetKnown() {
 			continue
 		}
 		if response.GetFinished() {
@@ -166,10 +172,16 @@
 		writeJSON(ctx, http.StatusOK, running.encode())
 		return
 	}
-	writeFault(ctx, unknownKey(name))
+	writeFault(ctx, unknownKey(name, silent))
 }
 
-func unknownKey(name submissionID) *fault.Error {
+// unknownKey returns the error for a submission that no entry knows. silent lists the entries that did not answer, which
+// may know it.
+func unknownKey(name submissionID, silent []string) *fault.Error {
+	if len(silent) > 0 {
+		return fault.New(fault.Unavailable, "try again", "the entries %s did not answer, and the others do not know the submission",
+			strings.Join(silent, ", ")).WithRetryAfter(noTargetRetryAfter)
+	}
 	return fault.New(fault.NotFound, "check owner and key, or submit it: the key is free, or its answer was forgotten",
 		"no submission of owner %q under key %q is known here", name.owner, name.key)
 }
@@ -186,16 +198,20 @@
 		e.writeState(ctx, id, r)
 		return
 	}
+	var silent []string
 	for _, peer := range e.peers() {
 		request := &rpc.CancelJobRequest{JobId: id}
 		response, err := link.Call(ctx.Request().Context(), peerTimeout, e.links.Peer(peer).CancelJob, request)
+		if err != nil {
+			silent = append(silent, peer)
+		}
 		if err == nil && response.GetKnown() {
 			running := &answer{Job: id, Owner: name.owner, Key: name.key, State: stateRunning, Tasks: []taskAnswer{}}
 			writeJSON(ctx, http.StatusAccepted, running.encode())
 			return
 		}
 	}
-	writeFault(ctx, unknownKey(name))
+	writeFault(ctx, unknownKey(name, silent))
 }
 
 // peers returns the addresses of the other entries.
--- a/node/entry/calls.go
+++ b/node/entry/calls.go
@@ -272,12 +272,25 @@
 	}
 }
 
+// repeat adds cancellations whose call failed to the next batch.
+func (b *cancelBatch) repeat(failed []*rpc.CancelledJob) {
+	for _, cancelled := range failed {
+		if later := b.jobs[cancelled.GetJobId()]; later != nil {
+			cancelled.Indexes = append(cancelled.Indexes, later.Indexes...)
+		}
+		b.jobs[cancelled.GetJobId()] = cancelled
+	}
+}
+
 func (l *loop) callCancel(target job.Target, address string, request *rpc.CancelRequest) {
 	l.entry.metrics.Add("wasted_cancel", 1)
 	response, err := link.Call(l.loopCtx, statusTimeout, l.entry.links.Sidecar(address).Cancel, request)
 	m := cancelResult{target: target}
 	if err == nil {
 		m.load = response.GetLoad()
+	} else {
+		m.failed = request.Jobs
+		sleep(l.loopCtx, callBackoff)
 	}
 	l.post(m)
 }
@@ -286,11 +299,16 @@
 type cancelResult struct {
 	target job.Target
 	load   *rpc.Load
+	// failed holds the cancellations of a call without an answer. They are repeated while the target is registered.
+	failed []*rpc.CancelledJob
 }
 
 func (m cancelResult) apply(l *loop, now time.Time) {
 	if batch := l.cancels[m.target]; batch != nil {
 		batch.isInFlight = false
+		if state, known := l.loadTable.Target(m.target.ID); known && state.Incarnation == m.target.Incarnation {
+			batch.repeat(m.failed)
+		}
 	}
 	if m.load != nil {
 		l.loadTable.Report(now, m.target.ID, loadOf(m.load, m.target.Incarnation))
--- a/node/entry/fakes_test.go
+++ b/node/entry/fakes_test.go
@@ -169,6 +169,8 @@
 	runs       int
 	cancelled  int
 	cancelRPCs int
+	// cancelFailures is the number of Cancel calls that get no answer.
+	cancelFailures int
 }
 
 type fakeTask struct {
@@ -331,6 +333,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.cancelRPCs++
+	if c.cancelRPCs <= c.cancelFailures {
+		return nil, context.DeadlineExceeded
+	}
 	for _, cancelled := range r.GetJobs() {
 		c.cancelled += len(cancelled.GetIndexes())
 	}
--- a/node/entry/faults_test.go
+++ b/node/entry/faults_test.go
@@ -234,6 +234,29 @@
 	})
 }
 
+// A cancel whose call got no answer is sent again, or its tasks would occupy the target until they end.
+func TestEntry_RepeatsACancelWithoutAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeSidecar("t1", 100*time.Millisecond)
+		s.cancelFailures = 2
+		e := newTestEntry(t, "cancel-again", newFakeControl(), s)
+		defer e.runLoop(t)()
+		r, err := e.submit(t, "check", "k", 100)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+		e.loop.cancel(t.Context(), jobID("team/a", "k"))
+		<-r.done
+		time.Sleep(10 * time.Second)
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		if s.cancelRPCs != 3 || s.cancelled != 8 {
+			t.Fatalf("%d calls cancelled %d tasks, want 3 calls and 8 tasks", s.cancelRPCs, s.cancelled)
+		}
+	})
+}
+
 // A target that fails every task quickly is ejected, and jobs still complete in the meantime.
 func TestEntry_EjectsAFailingTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/events/sidecar.go
+++ b/node/events/sidecar.go
@@ -6,6 +6,9 @@
 	SidecarLeaving              = define(3002, Info, "sidecar leaving", "a planned stop has started; new work is refused", "none")
 	SidecarDeregistrationFailed = define(3003, Warn, "deregistration not acknowledged",
 		"control did not acknowledge a planned stop; the lease expires by itself", "check the control VMs")
+	LeaveNotConfirmed = define(3005, Warn, "refusal of new work not confirmed",
+		"during a planned stop, the loop did not confirm in time that it refuses new work; tasks may still start until the stop ends",
+		"check the load of the VM")
 	SidecarDrained    = define(3004, Info, "target drain applied", "an operator drained the target or ended its drain", "none")
 	TargetUnreachable = define(3101, Warn, "target unreachable", "no connection to the target can be opened; work is refused",
 		"start the target")
--- a/node/settings/check.go
+++ b/node/settings/check.go
@@ -15,6 +15,9 @@
 	"flamingohall.example/core/fault"
 )
 
+// maxPort is the highest TCP port.
+const maxPort = 65535
+
 // Problem is one fault in a settings file.
 type Problem struct {
 	Line    int
@@ -98,10 +101,18 @@
 func (c *checker) address(path, value string) {
 	host, port, err := net.SplitHostPort(value)
 	number, portErr := strconv.Atoi(port)
-	ok := err == nil && portErr == nil && number >= 0 && number <= 65535 && net.ParseIP(host) != nil
+	ok := err == nil && portErr == nil && number >= 0 && number <= maxPort && net.ParseIP(host) != nil
 	c.require(ok, path, fmt.Sprintf("is %q", value), "write an IP address and a port, like 127.0.0.1:7101")
 }
 
+// hostPort checks an address whose host may be a name, and which other processes connect to.
+func (c *checker) hostPort(path, value string) {
+	host, port, err := net.SplitHostPort(value)
+	number, portErr := strconv.Atoi(port)
+	ok := err == nil && portErr == nil && number >= 0 && number <= maxPort && host != ""
+	c.require(ok, path, fmt.Sprintf("is %q", value), "write a host and a port, like entry-1.example:7101")
+}
+
 func (c *checker) addresses(path string, values []string) {
 	for i, value := range values {
 		c.address(fmt.Sprintf("%s/%d", path, i), value)
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -137,6 +137,7 @@
 	c.require(f.Node.ID != "", "/node/id", "is missing", "give the process a name that is unique in the system")
 	c.require(f.Node.DataCentre != "", "/node/data_centre", "is missing", "name the data centre of this VM")
 	c.address("/node/listen", f.Node.Listen)
+	c.hostPort("/node/advertise", f.Node.Advertise)
 	c.between("/node/stop_grace_ms", f.Node.StopGraceMS, 0, maxGraceMS)
 	c.between("/node/balancer_grace_ms", f.Node.BalancerGraceMS, 0, maxGraceMS)
 	c.between("/node/processors", f.Node.Processors, 1, maxProcessors)
--- a/node/settings/settings_test.go
+++ b/node/settings/settings_test.go
@@ -46,11 +46,12 @@
 
 func TestParse_ChecksValues(t *testing.T) {
 	cases := map[string]string{
-		"host name":     strings.Replace(validFile, "127.0.0.1:7001", "control:7001", 1),
-		"no role":       `{"node": {"id": "a", "data_centre": "b", "listen": "127.0.0.1:1"}}`,
-		"no control":    strings.Replace(validFile, `"127.0.0.1:7001"`, "", 1),
-		"no JSON":       `{"node": `,
-		"repeated name": strings.Replace(validFile, `"id":`, `"id": "x", "id":`, 1),
+		"host name":          strings.Replace(validFile, "127.0.0.1:7001", "control:7001", 1),
+		"advertised nowhere": strings.Replace(validFile, `"listen": "127.0.0.1:7101"`, `"listen": "127.0.0.1:7101", "advertise": "entry-1"`, 1),
+		"no role":            `{"node": {"id": "a", "data_centre": "b", "listen": "127.0.0.1:1"}}`,
+		"no control":         strings.Replace(validFile, `"127.0.0.1:7001"`, "", 1),
+		"no JSON":            `{"node": `,
+		"repeated name":      strings.Replace(validFile, `"id":`, `"id": "x", "id":`, 1),
 	}
 	for name, text := range cases {
 		if _, err := Parse(name, []byte(text)); err == nil {
--- a/node/settings/standin.go
+++ b/node/settings/standin.go
@@ -22,8 +22,10 @@
 }
 
 const (
-	defaultRunMS      = 50
-	maxRunMS          = 600_000
+	defaultRunMS = 50
+	maxRunMS     = 600_000
+	// maxEvery bounds the numbers of tasks between two that fail, are slow or hang.
+	maxEvery          = 1_000_000
 	defaultSlowFactor = 10
 	maxDelayUS        = 1_000_000
 )
@@ -38,9 +40,9 @@
 	c.address("/stand_in/listen", s.Listen)
 	c.between("/stand_in/slots", s.Slots, 1, maxSlots)
 	c.between("/stand_in/run_ms", s.RunMS, 0, maxRunMS)
-	c.between("/stand_in/fail_every", s.FailEvery, 0, maxRunMS)
-	c.between("/stand_in/slow_every", s.SlowEvery, 0, maxRunMS)
-	c.between("/stand_in/hang_every", s.HangEvery, 0, maxRunMS)
+	c.between("/stand_in/fail_every", s.FailEvery, 0, maxEvery)
+	c.between("/stand_in/slow_every", s.SlowEvery, 0, maxEvery)
+	c.between("/stand_in/hang_every", s.HangEvery, 0, maxEvery)
 	c.between("/stand_in/delay_us", s.DelayUS, 0, maxDelayUS)
 	c.require(s.SlowFactor >= 1, "/stand_in/slow_factor", "is below 1", "give a factor of 1 or more")
 }
--- a/node/sidecar/recorder.go
+++ b/node/sidecar/recorder.go
@@ -62,6 +62,7 @@
 	if err := s.recorder.writer.Err(); err != nil {
 		events.RecordingFailed.LogError(s.logger, err)
 	}
-	// Each step was written to the file at once, and Err above has reported a failed write.
-	_ = s.recorder.file.Close()
+	if err := s.recorder.file.Close(); err != nil {
+		events.RecordingFailed.LogError(s.logger, err)
+	}
 }
--- a/node/sidecar/sidecar.go
+++ b/node/sidecar/sidecar.go
@@ -185,7 +185,7 @@
 	s.post(ctx, request{event: target.Leave{}})
 	barrier := target.Status{Waiter: s.waiters.Add(1)}
 	if _, err := s.await(ctx, barrier, barrier.Waiter, maxHold); err != nil {
-		events.SidecarDeregistrationFailed.LogError(s.logger, err)
+		events.LeaveNotConfirmed.LogError(s.logger, err)
 	}
 }
 
