Refuse an offer at once if its worker is full

Cause: a task goes to the best of four workers drawn at random, by loads of 20 to 90 ms ago. Near saturation, with many entries, an offer often met a worker that others had filled meanwhile; it waited there for 40 ms, was refused as expired, and was offered again after another 15 ms. Change: a sidecar that does not expect to start an offer within its limit refuses it at once as full, with its current load; the limit is 10 ms where the entry expected free capacity. The entry offers the task again at once, up to three times in a row. A start that was not answered is offered elsewhere at once, too. TestRunner_OfferThatCannotStartInTimeIsRefusedAtOnce and TestLoad_TaskRefusedByAFullWorkerIsOfferedElsewhereAtOnce replay it.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -17,6 +17,11 @@
 	// startMargin is how long an offer may wait at one worker beyond twice the expected wait. Then a new worker is
 	// chosen.
 	startMargin = 40 * time.Millisecond
+	// roomMargin is how long an offer may wait at a worker that was expected to have free capacity. Other entries may have
+	// used it since the worker's last load report.
+	roomMargin = 10 * time.Millisecond
+	// maxFullOffers is how many offers of a task in a row are repeated at once after a worker was full.
+	maxFullOffers = 4
 	// supersededRunStep is added to a task's run number when a worker rejects an offer because it knows a later run.
 	supersededRunStep = 16
 )
@@ -300,6 +305,9 @@
 // startWithin returns how long an offer may wait at its worker.
 func (t *task) startWithin(now, expected time.Duration) time.Duration {
 	limit := startMargin + 2*expected
+	if expected == 0 {
+		limit = roomMargin
+	}
 	if t.job.deadline == 0 {
 		return limit
 	}
--- a/core/dispatch/ended.go
+++ b/core/dispatch/ended.go
@@ -102,15 +102,23 @@
 	d.note(Note{
 		Kind: OfferRejected, RunID: refused.RunID, Worker: w.id, Reason: refused.Reason.String(), Age: t.loadAge,
 	})
+	retryAt := now + refusalBackoff
 	switch refused.Reason {
 	case work.Malformed:
 		d.abandon(now, t.job, JobFailed, TaskFailed)
 		return
 	case work.Superseded:
 		t.run += supersededRunStep
-	case work.Unanswered, work.Unavailable, work.Busy:
+	case work.Unavailable, work.Busy:
 		t.avoid = w.id
+	case work.Unanswered:
+		t.avoid, retryAt = w.id, now
+	case work.Full:
+		// The refusal carries the worker's current load, so the next choice is a better one.
+		if t.fullOffers++; t.fullOffers%maxFullOffers != 0 {
+			retryAt = now
+		}
 	case work.Expired, work.TooLarge, work.Cancelled:
 	}
-	d.requeue(t, now+refusalBackoff)
+	d.requeue(t, retryAt)
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -55,6 +55,8 @@
 	moves int
 	// avoid is the worker that last failed to complete the task, or rejected it as busy, unavailable or unanswered.
 	avoid string
+	// fullOffers counts the offers that a full worker refused.
+	fullOffers int
 }
 
 // job is one submission in progress.
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -323,3 +323,52 @@
 		}
 	}
 }
+
+// Load pattern: nearly full pool, where loads are some milliseconds old. A task that a full worker refuses is offered again
+// at once, by the load that came with the refusal, and after a few refusals in a row only after a delay.
+func TestLoad_TaskRefusedByAFullWorkerIsOfferedElsewhereAtOnce(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit("j", 1, 200*time.Millisecond)
+	refuse := func() {
+		for worker, offers := range h.offers {
+			if len(offers) == 0 {
+				continue
+			}
+			delete(h.offers, worker)
+			h.core.Take(h.now, worker, &work.ToEntry{
+				Load: &work.Load{
+					Accepts: true, Committed: work.Needs{MilliCores: 32000, MemoryMB: 64000}, WaitMS: [3]int64{50, 50, 50},
+					LastSequence: offers[0].Sequence,
+				},
+				Refused: []work.Refused{{RunID: offers[0].RunID, Reason: work.Full}},
+			})
+		}
+		h.step(0)
+	}
+	first := h.workersWithOffers()
+	refuse()
+	if second := h.workersWithOffers(); len(first) != 1 || len(second) != 1 || first[0] == second[0] {
+		t.Fatalf("offered to %v and after the refusal to %v, want another worker at once", first, second)
+	}
+	immediate := 1
+	for ; h.total() > 0 && immediate < 20; immediate++ {
+		refuse()
+	}
+	if immediate >= 20 {
+		t.Fatalf("offered at once after %d refusals in a row, want a delay after a few", immediate)
+	}
+	h.step(time.Second)
+	if h.total() != 1 {
+		t.Errorf("%d offers after a delay, want one", h.total())
+	}
+}
+
+func (h *harness) workersWithOffers() []string {
+	var workers []string
+	for worker, offers := range h.offers {
+		if len(offers) > 0 {
+			workers = append(workers, worker)
+		}
+	}
+	return workers
+}
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -169,8 +169,14 @@
 		r.refuse(s, id, offer.RunID, reason)
 		return
 	}
-	const weight = 0.1
 	share := offer.Needs.ShareOf(r.worker.Capacity)
+	wait := r.expectedWaitFor(now, work.SlackLevel(offer.SlackMS), share)
+	if wait > time.Duration(offer.StartWithinMS)*time.Millisecond {
+		// The entry chose by an older load. It learns the current one with the refusal, while there is time to go elsewhere.
+		r.refuse(s, id, offer.RunID, work.Full)
+		return
+	}
+	const weight = 0.1
 	if r.meanShare == 0 {
 		r.meanShare = share
 	}
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -526,3 +526,51 @@
 		t.Errorf("starts %+v", h.starts)
 	}
 }
+
+// Load pattern: nearly full pool, where several entries choose the same worker by loads of some milliseconds ago. An offer
+// that the worker can't start in time returns at once with the current load, while it can still start elsewhere.
+func TestRunner_OfferThatCannotStartInTimeIsRefusedAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.run("a.0.0.0", 8000)
+	offer := func(task string, startWithinMS int64) {
+		h.core.Take(h.now, session, &work.ToSidecar{Offers: []work.Offer{{
+			RunID: work.RunID{Task: task, Run: 1}, Needs: work.Needs{MilliCores: 5000}, ExpectedMS: 200,
+			StartWithinMS: startWithinMS, SlackMS: 100,
+		}}})
+		h.step(0)
+	}
+	offer("b.0.0.0", 10)
+	if len(h.frame.Refused) != 1 || h.frame.Refused[0].Reason != work.Full {
+		t.Fatalf("refused %+v, want b.0.0.0 as full: the only run is expected to end in 200 ms", h.frame.Refused)
+	}
+	if h.frame.Load == nil || h.frame.Load.WaitMS[0] < 100 {
+		t.Errorf("load %+v with the refusal, want the current wait", h.frame.Load)
+	}
+	offer("c.0.0.0", 400)
+	if len(h.frame.Refused) != 1 {
+		t.Errorf("refused %+v, want c.0.0.0 queued", h.frame.Refused)
+	}
+}
+
+// Load pattern: a worker that leaves calls unanswered. The answer to a Hold that waits for ends may be lost; the end must
+// not stay unknown, and its capacity unused, for as long as a Hold may wait.
+func TestRunner_LostAnswerOfAWaitingHoldHidesNoEndForLong(t *testing.T) {
+	h := newHarness(t)
+	id := h.run("a.0.0.0", 8000)
+	h.answerHold(runner.ReportedRun{RunID: id})
+	lost := h.hold
+	if lost == nil || lost.Wait == 0 {
+		t.Fatalf("hold %+v, want one that waits", lost)
+	}
+	sent := h.now
+	for h.hold == lost && h.now < sent+lost.Wait {
+		h.step(5 * time.Millisecond)
+	}
+	if h.hold == lost || h.now-sent > lost.Wait/2 {
+		t.Fatalf("no other hold %v after the first, which waits for %v", h.now-sent, lost.Wait)
+	}
+	h.report(&runner.Report{Answer: runner.Accepted, Ended: []runner.ReportedEnd{{RunID: id, Number: 1, Outcome: work.Done}}})
+	if len(h.frame.Ended) != 1 {
+		t.Errorf("ended %+v, want the end", h.frame.Ended)
+	}
+}
--- a/core/runner/wait.go
+++ b/core/runner/wait.go
@@ -16,9 +16,14 @@
 	share float64
 }
 
-// expectedWait estimates how long another offer of mean size and the given slack level would wait for capacity. It
-// assumes that runs take as long as expected and start in the order of their slack.
+// expectedWait estimates how long another offer of mean size and the given slack level would wait for capacity.
 func (r *Runner) expectedWait(now time.Duration, level int) time.Duration {
+	return r.expectedWaitFor(now, level, r.meanShare)
+}
+
+// expectedWaitFor estimates how long an offer that needs a share of the capacity would wait for it. It assumes that runs
+// take as long as expected and start in the order of their slack.
+func (r *Runner) expectedWaitFor(now time.Duration, level int, needed float64) time.Duration {
 	free := 1.0
 	var releases []release
 	for _, run := range r.runs {
@@ -38,7 +43,7 @@
 		free -= share
 		releases = append(releases, release{at: at + time.Duration(run.ExpectedMS)*time.Millisecond, share: share})
 	}
-	at, _ = waitForShare(at, free, r.meanShare, &releases)
+	at, _ = waitForShare(at, free, needed, &releases)
 	return at - now
 }
 
--- a/core/work/message.go
+++ b/core/work/message.go
@@ -179,12 +179,14 @@
 	Busy
 	// Cancelled means that the job was cancelled.
 	Cancelled
+	// Full means that the offer would not start in time, by the worker's runs and the offers that wait before it.
+	Full
 )
 
 // String returns the reason's name in logs.
 func (r Reason) String() string {
 	names := [...]string{
-		"none", "expired", "unavailable", "outrun", "malformed", "unanswered", "too large", "busy", "cancelled",
+		"none", "expired", "unavailable", "outrun", "malformed", "unanswered", "too large", "busy", "cancelled", "full",
 	}
 	if int(r) < len(names) {
 		return names[r]
