Count accepted tasks that no load report shows yet

Cause: a job was accepted by the free capacity that load reports and offers in transit show. Tasks accepted in the same batch, and those of other entries, were not counted. After a loss of everything each entry released what had waited for it at once, late jobs up to 15% of all workers each, so that eight entries took 1.2 times the workers for late jobs alone. Change: tasks accepted and not yet offered count; for jobs that waited for the startup, as much again for each other entry in control's registry. TestLoad_EntriesThatOpenTogetherShareTheWorkers fails before: one of 8 entries accepted 100 of 100.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -38,8 +38,10 @@
 	waiting       []*task
 	estimates     map[string]*estimate
 	random        *rand.Rand
-	detector      *health.OutlierDetector
-	effects       Effects
+	// entries is the number of entries that use the same workers, this one included.
+	entries  int
+	detector *health.OutlierDetector
+	effects  Effects
 	// records maps each end that waits to be recorded to the workers that reported it.
 	records       map[work.RunID][]string
 	recentlyEnded recentlyEnded
@@ -60,7 +62,7 @@
 // their tasks differently.
 func New(limits Limits, dataCentre string, seed uint64) *Dispatcher {
 	return &Dispatcher{
-		limits: limits, localDataCentre: dataCentre, random: rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // Not a secret.
+		limits: limits, localDataCentre: dataCentre, entries: 1, random: rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // Not a secret.
 		workers: map[string]*worker{}, jobs: map[string]*job{},
 		tasks: map[string]*task{}, records: map[work.RunID][]string{},
 		recentlyEnded: recentlyEnded{jobs: map[string]endedJob{}}, estimates: map[string]*estimate{},
@@ -81,6 +83,11 @@
 	return effects
 }
 
+// SetEntries sets the number of entries that use the same workers, this one included.
+func (d *Dispatcher) SetEntries(count int) {
+	d.entries = max(1, count)
+}
+
 // Jobs returns the number of jobs in progress.
 func (d *Dispatcher) Jobs() int {
 	return len(d.jobs)
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -372,3 +372,33 @@
 	}
 	return workers
 }
+
+// Load pattern: after a loss of everything, all entries accept at the same moment what waited for them, before any load
+// report shows the others' tasks. Together they must not accept several times what the workers can run.
+func TestLoad_EntriesThatOpenTogetherShareTheWorkers(t *testing.T) {
+	const entries, workers, slotsPerWorker = 8, 10, 10
+	for name, c := range map[string]struct {
+		waited time.Duration
+		// maxShare is the largest share of the workers that all entries may take together.
+		maxShare float64
+	}{
+		"jobs in time": {time.Millisecond, 1.3},
+		"late jobs":    {2 * time.Second, 0.3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, workers)
+			h.core.SetEntries(entries)
+			for n := range 100 {
+				job := submission(fmt.Sprint("j", n), 1, 200*time.Millisecond)
+				job.Waited, job.Timeout = c.waited, 2*time.Second+c.waited
+				h.core.Submit(h.now, job)
+			}
+			h.step(0)
+			accepted := 100 - len(h.answers)
+			if together := float64(accepted*entries) / (workers * slotsPerWorker); accepted == 0 || together > c.maxShare {
+				t.Errorf("one of %d entries accepted %d tasks, together %.2f of the workers, want at most %.2f",
+					entries, accepted, together, c.maxShare)
+			}
+		})
+	}
+}
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -63,7 +63,8 @@
 // expectedWait returns how long the job's first tasks are expected to wait, and the reason if that is too long. During
 // bursts, a job that cannot end in time is refused at once, so that it does not delay jobs that can.
 func (d *Dispatcher) expectedWait(now time.Duration, j *job) (time.Duration, Cause) {
-	if j.isLate(now) && d.usedShare(j.Queue.Pool) > maxLateUsedShare {
+	ahead := d.unreported(j)
+	if j.isLate(now) && d.usedShare(j.Queue.Pool, ahead) > maxLateUsedShare {
 		return 0, Overloaded
 	}
 	allowed := j.allowedWait(now)
@@ -73,7 +74,7 @@
 		if len(step.After) > 0 || step.Count == 0 {
 			continue
 		}
-		wait, cause := d.stepWait(now, j, step)
+		wait, cause := d.stepWait(now, j, step, ahead)
 		if cause != 0 {
 			return 0, cause
 		}
@@ -85,8 +86,32 @@
 	return longest, 0
 }
 
+// unreported returns what accepted tasks need that neither a load report nor a pending offer counts: the tasks of this
+// entry that are not offered yet. For a job that waited for the startup of this process, it includes an estimate for the
+// other entries: after a loss of everything, each of them accepts at the same moment as much as this one.
+func (d *Dispatcher) unreported(j *job) work.Needs {
+	var waits work.Needs
+	for _, t := range d.waiting {
+		if t.job.Queue.Pool == j.Queue.Pool && t.state == waiting {
+			waits = waits.Plus(t.step.Needs)
+		}
+	}
+	if j.Waited == 0 {
+		return waits
+	}
+	own := waits
+	for _, w := range d.sortedWorkers {
+		for _, p := range w.pending {
+			if w.Pool == j.Queue.Pool {
+				own = own.Plus(p.needs)
+			}
+		}
+	}
+	return waits.Plus(own.Times(int64(d.entries - 1)))
+}
+
 // maxLateUsedShare is the used share of a pool above which jobs that are already late are refused: they would make new
-// jobs late, too. It is low because all entries that start at the same time accept that much each.
+// jobs late, too.
 const maxLateUsedShare = 0.15
 
 // isLate reports whether the job will be late even without any further wait. This happens when the system starts, after
@@ -95,9 +120,9 @@
 	return now+j.longestChain() > j.objective
 }
 
-// usedShare returns the part of a pool's capacity that is in use or committed.
-func (d *Dispatcher) usedShare(pool string) float64 {
-	var used, all work.Needs
+// usedShare returns the part of a pool's capacity that is in use or committed, or taken by unreported tasks.
+func (d *Dispatcher) usedShare(pool string, unreported work.Needs) float64 {
+	used, all := unreported, work.Needs{}
 	for _, w := range d.sortedWorkers {
 		if w.isUp && w.isAttached && w.load.Accepts && w.Pool == pool {
 			used, all = used.Plus(w.committed()), all.Plus(w.Capacity)
@@ -116,10 +141,11 @@
 	return allowed
 }
 
-// stepWait returns how long the last task of a step is expected to wait if the tasks are spread over the workers.
-func (d *Dispatcher) stepWait(now time.Duration, j *job, step *Step) (time.Duration, Cause) {
+// stepWait returns how long the last task of a step is expected to wait if the tasks are spread over the workers, after
+// those that need the resources ahead.
+func (d *Dispatcher) stepWait(now time.Duration, j *job, step *Step, ahead work.Needs) (time.Duration, Cause) {
 	shortest := time.Duration(-1)
-	left := step.Count
+	left := step.Count + d.equivalentTasks(ahead, j.Queue.Pool, step)
 	fastest := d.fastest(j.Queue.Pool, step)
 	for _, w := range d.sortedWorkers {
 		// Free capacity on a slowed worker is not counted: a task ends sooner if it waits for another worker.
@@ -142,6 +168,18 @@
 	return max(shortest, minimalWait) + rest, 0
 }
 
+// equivalentTasks returns how many tasks of a step take as large a share of the suitable workers as the given resources.
+func (d *Dispatcher) equivalentTasks(needs work.Needs, pool string, step *Step) int {
+	if needs == (work.Needs{}) {
+		return 0
+	}
+	capacity := d.suitableCapacity(pool, step)
+	if one := step.Needs.ShareOf(capacity); one > 0 {
+		return int(needs.ShareOf(capacity) / one)
+	}
+	return 0
+}
+
 // minUsefulSpeedRatio is the fraction of the fastest worker's speed below which a worker's capacity is not counted.
 const minUsefulSpeedRatio = 0.45
 
--- a/core/work/needs.go
+++ b/core/work/needs.go
@@ -25,6 +25,11 @@
 	}
 }
 
+// Times returns the sum of count equal needs.
+func (n Needs) Times(count int64) Needs {
+	return Needs{MilliCores: n.MilliCores * count, MemoryMB: n.MemoryMB * count, Accelerators: n.Accelerators * count}
+}
+
 // FitsIn reports whether the free amount covers every resource.
 func (n Needs) FitsIn(free Needs) bool {
 	return n.MilliCores <= free.MilliCores && n.MemoryMB <= free.MemoryMB && n.Accelerators <= free.Accelerators
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -159,15 +159,10 @@
 
 // registeredSidecars returns the number of sidecars in control's registry.
 func (g *Gateway) registeredSidecars() int64 {
-	var count int64
 	if view := g.follower.View(); view != nil {
-		for _, node := range view.Nodes {
-			if node.GetRole() == rpc.Role_ROLE_SIDECAR {
-				count++
-			}
-		}
+		return int64(countRole(view.Nodes, rpc.Role_ROLE_SIDECAR))
 	}
-	return count
+	return 0
 }
 
 // AwaitStartup blocks until startup is done or ctx ends, and returns how long it blocked.
--- a/node/gateway/sessions.go
+++ b/node/gateway/sessions.go
@@ -32,6 +32,8 @@
 		changed := m.gateway.follower.Changed()
 		if view := m.gateway.follower.View(); view != nil {
 			m.update(ctx, view.Nodes)
+			entries := countRole(view.Nodes, rpc.Role_ROLE_ENTRY)
+			m.gateway.put(func(time.Duration) { m.gateway.core.SetEntries(entries) })
 		}
 		select {
 		case <-changed:
@@ -40,6 +42,17 @@
 	}
 }
 
+// countRole returns the number of nodes with a role.
+func countRole(nodes map[string]*rpc.Node, role rpc.Role) int {
+	count := 0
+	for _, node := range nodes {
+		if node.GetRole() == role {
+			count++
+		}
+	}
+	return count
+}
+
 func (m *sessionManager) update(ctx context.Context, nodes map[string]*rpc.Node) {
 	for id, session := range m.session {
 		node := nodes[id]
