--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -17,6 +17,11 @@
 	// startMargin is how long an offer may wait at one worker beyond twice the expected wait. Then a new worker is
 	// chosen.
 	startMargin = 40 * time.Millisecond
+	// roomMargin is how long an offer may wait at a worker that was expected to have free capacity. Other entries may have
+	// used it since the worker's last load report.
+	roomMargin = 10 * time.Millisecond
+	// maxFullOffers is how many offers of a task in a row are repeated at once after a worker was full.
+	maxFullOffers = 4
 	// supersededRunStep is added to a task's run number when a worker rejects an offer because it knows a later run.
 	supersededRunStep = 16
 )
@@ -33,8 +38,10 @@
 	waiting       []*task
 	estimates     map[string]*estimate
 	random        *rand.Rand
-	detector      *health.OutlierDetector
-	effects       Effects
+	// entries is the number of entries that use the same workers, this one included.
+	entries  int
+	detector *health.OutlierDetector
+	effects  Effects
 	// records maps each end that waits to be recorded to the workers that reported it.
 	records       map[work.RunID][]string
 	recentlyEnded recentlyEnded
@@ -55,7 +62,7 @@
 // their tasks differently.
 func New(limits Limits, dataCentre string, seed uint64) *Dispatcher {
 	return &Dispatcher{
-		limits: limits, localDataCentre: dataCentre, random: rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // Not a secret.
+		limits: limits, localDataCentre: dataCentre, entries: 1, random: rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // Not a secret.
 		workers: map[string]*worker{}, jobs: map[string]*job{},
 		tasks: map[string]*task{}, records: map[work.RunID][]string{},
 		recentlyEnded: recentlyEnded{jobs: map[string]endedJob{}}, estimates: map[string]*estimate{},
@@ -76,6 +83,11 @@
 	return effects
 }
 
+// SetEntries sets the number of entries that use the same workers, this one included.
+func (d *Dispatcher) SetEntries(count int) {
+	d.entries = max(1, count)
+}
+
 // Jobs returns the number of jobs in progress.
 func (d *Dispatcher) Jobs() int {
 	return len(d.jobs)
@@ -300,6 +312,9 @@
 // startWithin returns how long an offer may wait at its worker.
 func (t *task) startWithin(now, expected time.Duration) time.Duration {
 	limit := startMargin + 2*expected
+	if expected == 0 {
+		limit = roomMargin
+	}
 	if t.job.deadline == 0 {
 		return limit
 	}
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -217,7 +217,7 @@
 func TestJob_NoWorkerAndTooLarge(t *testing.T) {
 	h := newHarness(t, 0)
 	h.submit("none", 1, 60*time.Millisecond)
-	if got := h.answers["none"]; got.Result != dispatch.Refused || got.Cause != dispatch.NoWorkers {
+	if got := h.answers["none"]; got.Result != dispatch.Refused || got.Cause != dispatch.NoWorkers || got.Trace.PredictedWait != 0 {
 		t.Errorf("answer %+v", got)
 	}
 	h = newHarness(t, 1)
@@ -323,3 +323,82 @@
 		}
 	}
 }
+
+// Load pattern: nearly full pool, where loads are some milliseconds old. A task that a full worker refuses is offered again
+// at once, by the load that came with the refusal, and after a few refusals in a row only after a delay.
+func TestLoad_TaskRefusedByAFullWorkerIsOfferedElsewhereAtOnce(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit("j", 1, 200*time.Millisecond)
+	refuse := func() {
+		for worker, offers := range h.offers {
+			if len(offers) == 0 {
+				continue
+			}
+			delete(h.offers, worker)
+			h.core.Take(h.now, worker, &work.ToEntry{
+				Load: &work.Load{
+					Accepts: true, Committed: work.Needs{MilliCores: 32000, MemoryMB: 64000}, WaitMS: [3]int64{50, 50, 50},
+					LastSequence: offers[0].Sequence,
+				},
+				Refused: []work.Refused{{RunID: offers[0].RunID, Reason: work.Full}},
+			})
+		}
+		h.step(0)
+	}
+	first := h.workersWithOffers()
+	refuse()
+	if second := h.workersWithOffers(); len(first) != 1 || len(second) != 1 || first[0] == second[0] {
+		t.Fatalf("offered to %v and after the refusal to %v, want another worker at once", first, second)
+	}
+	immediate := 1
+	for ; h.total() > 0 && immediate < 20; immediate++ {
+		refuse()
+	}
+	if immediate >= 20 {
+		t.Fatalf("offered at once after %d refusals in a row, want a delay after a few", immediate)
+	}
+	h.step(time.Second)
+	if h.total() != 1 {
+		t.Errorf("%d offers after a delay, want one", h.total())
+	}
+}
+
+func (h *harness) workersWithOffers() []string {
+	var workers []string
+	for worker, offers := range h.offers {
+		if len(offers) > 0 {
+			workers = append(workers, worker)
+		}
+	}
+	return workers
+}
+
+// Load pattern: after a loss of everything, all entries accept at the same moment what waited for them, before any load
+// report shows the others' tasks. Together they must not accept several times what the workers can run.
+func TestLoad_EntriesThatOpenTogetherShareTheWorkers(t *testing.T) {
+	const entries, workers, slotsPerWorker = 8, 10, 10
+	for name, c := range map[string]struct {
+		waited time.Duration
+		// maxShare is the largest share of the workers that all entries may take together.
+		maxShare float64
+	}{
+		"jobs in time": {time.Millisecond, 1.3},
+		"late jobs":    {2 * time.Second, 0.3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, workers)
+			h.core.SetEntries(entries)
+			for n := range 100 {
+				job := submission(fmt.Sprint("j", n), 1, 200*time.Millisecond)
+				job.Waited, job.Timeout = c.waited, 2*time.Second+c.waited
+				h.core.Submit(h.now, job)
+			}
+			h.step(0)
+			accepted := 100 - len(h.answers)
+			if together := float64(accepted*entries) / (workers * slotsPerWorker); accepted == 0 || together > c.maxShare {
+				t.Errorf("one of %d entries accepted %d tasks, together %.2f of the workers, want at most %.2f",
+					entries, accepted, together, c.maxShare)
+			}
+		})
+	}
+}
