Probe quiet sessions less often, and wake up for idle connections only when due

Cause: on large, 35 entries and 160 sidecars keep 5,600 sessions, each with a probe every 200 ms, loads up to 400 times a second from each sidecar, and a timer every 50 ms at the entry that looks for idle connections. Fewer loads to four entries (a test asks for 10 ms). Change: a session without runs is probed every 350 ms; with more than four entries a sidecar sends little more than 100 loads a second; the idle watch sleeps until the limit may be reached, which is 450 ms while the worker has tasks of the entry and 900 ms otherwise. TestRunner_SessionWithoutRunsIsProbedSeldom fails before.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -104,6 +104,17 @@
 	return count
 }
 
+// BusyWorkers returns the workers that have tasks of this entry.
+func (d *Dispatcher) BusyWorkers() map[string]bool {
+	busy := map[string]bool{}
+	for _, t := range d.tasks {
+		if t.state == offered || t.state == started {
+			busy[t.worker] = true
+		}
+	}
+	return busy
+}
+
 // Pending returns how many jobs of a queue have not begun, not counting stored jobs.
 func (d *Dispatcher) Pending(queue string) int {
 	count := 0
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -7,12 +7,14 @@
 )
 
 const (
-	// minLoadInterval is the least time between two loads sent to an entry without other messages.
-	// loadIntervalPerEntry is multiplied by the number of entries, so that a sidecar sends at most 400 such loads a second
-	// in all. The number of entries grows with that of workers, so the rate that one entry receives grows with the number
-	// of workers per entry and not with the number of workers.
+	// minLoadInterval is the least time between two loads sent to an entry without other messages, for up to fewEntries
+	// entries. Each further entry adds loadIntervalPerEntry, so that with many entries a sidecar sends little more than 100
+	// such loads a second in all. The number of entries grows with that of workers, so the rate that one entry receives grows
+	// with the number of workers per entry and not with the number of workers. An offer based on an old load that meets a
+	// full worker returns at once (see Full).
 	minLoadInterval      = 10 * time.Millisecond
-	loadIntervalPerEntry = 2500 * time.Microsecond
+	fewEntries           = 4
+	loadIntervalPerEntry = 10 * time.Millisecond
 	// minGrant is the least remaining time of a grant with which a task is started.
 	minGrant = 300 * time.Millisecond
 	// maxSilence is the longest silence of a worker that still gets new tasks.
@@ -41,6 +43,7 @@
 	if w := &r.worker; w.unansweredSince != 0 && now > w.unansweredSince+holdWait+suspectAfter {
 		r.suspect()
 	}
+	r.countRuns()
 	r.endGrants(now)
 	for _, run := range r.sorted() {
 		r.advanceRun(now, run)
@@ -85,6 +88,16 @@
 	r.reportOverdue(now, run)
 }
 
+// countRuns counts the runs of each session.
+func (r *Runner) countRuns() {
+	for _, s := range r.sessions {
+		s.runs = 0
+	}
+	for _, run := range r.runs {
+		run.offeredBy.runs++
+	}
+}
+
 // endGrants stops the tasks of entries that have stopped answering, and closes their sessions.
 func (r *Runner) endGrants(now time.Duration) {
 	for id, s := range r.sessionsInOrder() {
@@ -198,7 +211,7 @@
 // fillFrames adds probes, the worker's description and the load, and moves the frames to the effects.
 func (r *Runner) fillFrames(now time.Duration) {
 	var load *work.Load
-	period := max(minLoadInterval, time.Duration(len(r.sessions))*loadIntervalPerEntry)
+	period := minLoadInterval + time.Duration(max(0, len(r.sessions)-fewEntries))*loadIntervalPerEntry
 	for id, s := range r.sessionsInOrder() {
 		r.fillFrame(now, s)
 		if !isEmpty(&s.frame) || now >= s.loadSentAt+period || s.sentLoad.Accepts != r.mayStart(now) {
@@ -217,10 +230,14 @@
 }
 
 func (r *Runner) fillFrame(now time.Duration, s *session) {
-	if now >= s.nextProbe {
+	interval := r.limits.QuietProbe
+	if s.runs > 0 {
+		interval = r.limits.Probe
+	}
+	if s.probedAt == 0 || now >= s.probedAt+interval {
 		r.nextProbe++
 		s.probes[r.nextProbe] = now
-		s.frame.Probe, s.nextProbe = r.nextProbe, now+r.limits.Probe
+		s.frame.Probe, s.probedAt = r.nextProbe, now
 	}
 	if r.worker.known && !s.workerSent {
 		known := r.worker.Worker
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -71,8 +71,11 @@
 	// hasAnswered is true once the entry has answered a probe. Its tasks are not started before.
 	hasAnswered bool
 	// probes holds the sending times of unanswered probes by number.
-	probes    map[uint64]time.Duration
-	nextProbe time.Duration
+	probes map[uint64]time.Duration
+	// probedAt is when the last probe was sent; 0 for none.
+	probedAt time.Duration
+	// runs is the number of the entry's runs at the last Advance.
+	runs int
 	// lastOffer is the sequence of the last offer handled.
 	lastOffer uint64
 	// sentLoad is the load last sent, at loadSentAt.
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -574,3 +574,30 @@
 		t.Errorf("ended %+v, want the end", h.frame.Ended)
 	}
 }
+
+// Load pattern: hundreds of sessions, of which few have runs. A session without runs costs few probes, and its entry's next
+// task starts at once.
+func TestRunner_SessionWithoutRunsIsProbedSeldom(t *testing.T) {
+	h := newHarness(t)
+	probes, last := 0, h.frame.Probe
+	for span := time.Duration(0); span < 6*time.Second; span += 20 * time.Millisecond {
+		h.step(20 * time.Millisecond)
+		if h.frame.Probe != last {
+			probes, last = probes+1, h.frame.Probe
+			h.echo()
+		}
+		if h.hold != nil {
+			h.answerHold()
+		}
+	}
+	if probes > 18 {
+		t.Errorf("%d probes in 6 s, want at most three a second", probes)
+	}
+	h.run("a.0.0.0", 1000)
+	if h.frame.Probe == last {
+		h.step(200 * time.Millisecond)
+	}
+	if h.frame.Probe == last {
+		t.Error("a session with a run was not probed within 200 ms")
+	}
+}
--- a/core/runner/types.go
+++ b/core/runner/types.go
@@ -18,8 +18,11 @@
 	// StopAhead is how long before the end of a grant its tasks are stopped. The lease covers all running tasks and ends
 	// with the earliest grant, so without the stop the tasks of other entries would end too.
 	StopAhead time.Duration
-	// Probe is the interval between probes of a session.
+	// Probe is the interval between probes of a session with runs.
 	Probe time.Duration
+	// QuietProbe is the interval between probes of a session without runs. It leaves an entry that answered the last probe
+	// enough of its grant to start a task at once.
+	QuietProbe time.Duration
 }
 
 // DefaultLimits are for workers with a lease of one second.
@@ -28,6 +31,8 @@
 	Grant:     time.Second,
 	StopAhead: 200 * time.Millisecond,
 	Probe:     200 * time.Millisecond,
+
+	QuietProbe: 350 * time.Millisecond,
 }
 
 // Announcement is the worker's description of itself.
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -54,6 +54,8 @@
 	// callers, by job ID, and peers, by worker ID, are accessed only from the loop.
 	callers map[string][]chan dispatch.Answer
 	peers   map[string]*stream.Peer
+	// busy holds the workers that had tasks of this entry at the last call of markBusy.
+	busy map[string]bool
 
 	// jobsClient calls control about stored jobs. holder is the name under which this entry holds them.
 	jobsClient   *controlclient.Jobs
@@ -280,6 +282,7 @@
 func (g *Gateway) advance(now time.Duration) time.Duration {
 	g.core.Advance(now)
 	g.perform(g.core.Effects())
+	g.markBusy()
 	g.jobs.Store(int64(g.core.Jobs()))
 	g.workers.Store(int64(g.core.Workers()))
 	if g.core.Jobs() == 0 {
@@ -288,6 +291,31 @@
 	return busyTick
 }
 
+// busyWorkers returns the workers that have tasks of this entry.
+func (g *Gateway) busyWorkers() map[string]bool {
+	result := make(chan map[string]bool, 1)
+	if !g.put(func(time.Duration) { result <- g.core.BusyWorkers() }) {
+		return nil
+	}
+	select {
+	case busy := <-result:
+		return busy
+	case <-g.context.Done():
+		return nil
+	}
+}
+
+// markBusy tells the sessions which workers have tasks of this entry.
+func (g *Gateway) markBusy() {
+	busy := g.core.BusyWorkers()
+	for id, peer := range g.peers {
+		if isBusy := busy[id]; isBusy != g.busy[id] {
+			peer.SetBusy(isBusy)
+		}
+	}
+	g.busy = busy
+}
+
 // perform carries out the actions that the dispatcher has requested.
 func (g *Gateway) perform(effects dispatch.Effects) {
 	if len(effects.Records) > 0 {
--- a/node/gateway/sessions.go
+++ b/node/gateway/sessions.go
@@ -92,6 +92,7 @@
 	peer.Send(workwire.EncodeToSidecar(hello))
 	s.gateway.put(func(now time.Duration) {
 		s.gateway.peers[s.id] = peer
+		delete(s.gateway.busy, s.id)
 		s.gateway.core.Opened(now, s.id, s.dataCentre)
 	})
 }
--- a/node/stream/dial.go
+++ b/node/stream/dial.go
@@ -19,10 +19,11 @@
 	dialTimeout = 300 * time.Millisecond
 	// redialPause is the time between two attempts to connect.
 	redialPause = 100 * time.Millisecond
-	// idleLimit is how long a connection may deliver nothing before it is replaced. The other side sends several frames
-	// in that time even if it has no data.
-	idleLimit       = 450 * time.Millisecond
-	idleCheckPeriod = 50 * time.Millisecond
+	// busyIdleLimit is how long a connection may deliver nothing while the other side has work of this side, before it is
+	// replaced. The other side sends at least two frames in that time.
+	busyIdleLimit = 450 * time.Millisecond
+	// idleLimit is the same without work. The other side sends at least two frames in that time.
+	idleLimit = 900 * time.Millisecond
 )
 
 // Session states in the answer to a handshake.
@@ -101,21 +102,25 @@
 	events.Attached(peer, false)
 }
 
-// watchIdle closes the connection when it has delivered nothing for idleLimit, or when ctx ends.
+// watchIdle closes the connection when it has delivered nothing for too long, or when ctx ends. It wakes up only when the
+// limit may have been reached, since a process may watch hundreds of connections.
 func watchIdle(ctx context.Context, peer *Peer, conn net.Conn) {
-	ticker := time.NewTicker(idleCheckPeriod)
-	defer ticker.Stop()
+	timer := time.NewTimer(busyIdleLimit)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			_ = conn.Close()
 			return
-		case now := <-ticker.C:
-			if peer.idleTime(now) > idleLimit {
-				_ = conn.Close()
-				return
-			}
+		case <-timer.C:
+		case <-peer.becameBusy:
+		}
+		left := peer.idleLeft(time.Now())
+		if left <= 0 {
+			_ = conn.Close()
+			return
 		}
+		timer.Reset(left)
 	}
 }
 
--- a/node/stream/peer.go
+++ b/node/stream/peer.go
@@ -51,14 +51,18 @@
 	unacked    []outgoing
 	received   uint64
 	receivedAt time.Time
-	conn       net.Conn
+	// busySince is when the other side got work of this side; zero if it has none.
+	busySince time.Time
+	conn      net.Conn
 	// wakeWriter wakes the writer of the current connection when frames are queued; it has room for one signal.
 	wakeWriter chan struct{}
 	closed     bool
+	// becameBusy wakes the watcher of idle connections when busySince is set; it has room for one signal.
+	becameBusy chan struct{}
 }
 
 func newPeer(id identity, receive func([]byte)) *Peer {
-	return &Peer{id: id, receive: receive}
+	return &Peer{id: id, receive: receive, becameBusy: make(chan struct{}, 1)}
 }
 
 // Send queues a payload, which the caller must not modify afterwards. It never blocks, and does nothing once the session
@@ -79,6 +83,22 @@
 	p.signal()
 }
 
+// SetBusy says whether the other side has work of this side. A busy side sends frames all the time, so a connection that
+// delivers nothing is replaced sooner.
+func (p *Peer) SetBusy(isBusy bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !isBusy {
+		p.busySince = time.Time{}
+		return
+	}
+	p.busySince = time.Now()
+	select {
+	case p.becameBusy <- struct{}{}:
+	default:
+	}
+}
+
 // signal wakes the writer. The caller holds the mutex.
 func (p *Peer) signal() {
 	if p.wakeWriter == nil {
@@ -123,11 +143,19 @@
 	_ = conn.Close()
 }
 
-// idleTime returns the time since the last frame was received or, if later, since the connection was attached.
-func (p *Peer) idleTime(now time.Time) time.Duration {
+// idleLeft returns how much longer the connection may deliver nothing. The time counts from the last frame received, the
+// attachment of the connection, or the time when the other side became busy, whichever is the latest.
+func (p *Peer) idleLeft(now time.Time) time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return now.Sub(p.receivedAt)
+	if p.busySince.IsZero() {
+		return p.receivedAt.Add(idleLimit).Sub(now)
+	}
+	since := p.receivedAt
+	if p.busySince.After(since) {
+		since = p.busySince
+	}
+	return since.Add(busyIdleLimit).Sub(now)
 }
 
 // attach makes conn the session's connection. acknowledged is the number of the last frame that the other side received.
