Give each entry a part of the workers

Change: core/partition gives each entry a sample of the registered workers, 40 or eight times its equal share, with at least two of each pool and set of labels, which sidecars announce to control for it. A session is closed for a change of the part only if the entry has a quarter more than its part and no task there. Cost: a wide job or a small pool may meet a full part while other workers have room.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -172,6 +173,8 @@
 func (a *Agent) publishRecord(announcement *runner.Announcement) {
 	updated := proto.CloneOf(a.record.Load())
 	updated.Target.Record = workwire.EncodeAnnouncement(announcement)
+	// Entries choose their workers by pool and labels, before they have a session with the sidecar.
+	updated.Target.Pool, updated.Target.Rack = announcement.Pool, strings.Join(announcement.Labels, ",")
 	a.record.Store(updated)
 	a.follower.Announce()
 }
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"flamingohall.example/core/catalogue"
 	"flamingohall.example/core/dispatch"
 	"flamingohall.example/core/fault"
+	"flamingohall.example/core/partition"
 	"flamingohall.example/node/controlclient"
 	"flamingohall.example/node/duty"
 	"flamingohall.example/node/metrics"
@@ -155,14 +156,15 @@
 		if count > highest {
 			highest, grewAt = count, time.Now()
 		}
-		return count >= g.registeredSidecars() || time.Since(grewAt) > workerSettleTime
+		return count >= g.expectedSidecars() || time.Since(grewAt) > workerSettleTime
 	})
 }
 
-// registeredSidecars returns the number of sidecars in control's registry.
-func (g *Gateway) registeredSidecars() int64 {
+// expectedSidecars returns the number of sidecars in this entry's part of control's registry.
+func (g *Gateway) expectedSidecars() int64 {
 	if view := g.follower.View(); view != nil {
-		return int64(countRole(view.Nodes, rpc.Role_ROLE_SIDECAR))
+		sidecars, entries := countRole(view.Nodes, rpc.Role_ROLE_SIDECAR), countRole(view.Nodes, rpc.Role_ROLE_ENTRY)
+		return int64(partition.Size(sidecars, entries))
 	}
 	return 0
 }
--- a/node/gateway/sessions.go
+++ b/node/gateway/sessions.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
+	"flamingohall.example/core/partition"
 	"flamingohall.example/core/work"
 	"flamingohall.example/node/rpc"
 	"flamingohall.example/node/stream"
 	"flamingohall.example/node/workwire"
 )
 
-// sessionManager keeps one session with each sidecar in control's registry.
+// sessionManager keeps one session with each sidecar in this entry's part of control's registry.
 type sessionManager struct {
 	gateway *Gateway
 	// session holds the sessions by the node's ID.
@@ -61,11 +64,28 @@
 			delete(m.session, id)
 		}
 	}
+	chosen := m.choose(nodes)
+	for id := range chosen {
+		if m.session[id] == nil {
+			m.open(ctx, id, nodes[id])
+		}
+	}
+	for _, id := range partition.Surplus(slices.Collect(maps.Keys(m.session)), chosen, m.gateway.busyWorkers()) {
+		m.session[id].cancel()
+		delete(m.session, id)
+	}
+}
+
+// choose returns the sidecars of this entry's part.
+func (m *sessionManager) choose(nodes map[string]*rpc.Node) map[string]bool {
+	var workers []partition.Worker
 	for id, node := range nodes {
-		if node.GetRole() == rpc.Role_ROLE_SIDECAR && m.session[id] == nil {
-			m.open(ctx, id, node)
+		if node.GetRole() == rpc.Role_ROLE_SIDECAR {
+			target := node.GetTarget()
+			workers = append(workers, partition.Worker{ID: id, Kind: target.GetPool() + "/" + target.GetRack()})
 		}
 	}
+	return partition.Choose(m.gateway.options.ID, countRole(nodes, rpc.Role_ROLE_ENTRY), workers)
 }
 
 func (m *sessionManager) open(ctx context.Context, id string, node *rpc.Node) {
