--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"flamingohall.example/core/catalogue"
 	"flamingohall.example/core/dispatch"
 	"flamingohall.example/core/fault"
+	"flamingohall.example/core/partition"
 	"flamingohall.example/node/controlclient"
 	"flamingohall.example/node/duty"
 	"flamingohall.example/node/metrics"
@@ -54,6 +55,8 @@
 	// callers, by job ID, and peers, by worker ID, are accessed only from the loop.
 	callers map[string][]chan dispatch.Answer
 	peers   map[string]*stream.Peer
+	// busy holds the workers that had tasks of this entry at the last call of markBusy.
+	busy map[string]bool
 
 	// jobsClient calls control about stored jobs. holder is the name under which this entry holds them.
 	jobsClient   *controlclient.Jobs
@@ -153,14 +156,15 @@
 		if count > highest {
 			highest, grewAt = count, time.Now()
 		}
-		return count >= g.registeredSidecars() || time.Since(grewAt) > workerSettleTime
+		return count >= g.expectedSidecars() || time.Since(grewAt) > workerSettleTime
 	})
 }
 
-// registeredSidecars returns the number of sidecars in control's registry.
-func (g *Gateway) registeredSidecars() int64 {
+// expectedSidecars returns the number of sidecars in this entry's part of control's registry.
+func (g *Gateway) expectedSidecars() int64 {
 	if view := g.follower.View(); view != nil {
-		return int64(countRole(view.Nodes, rpc.Role_ROLE_SIDECAR))
+		sidecars, entries := countRole(view.Nodes, rpc.Role_ROLE_SIDECAR), countRole(view.Nodes, rpc.Role_ROLE_ENTRY)
+		return int64(partition.Size(sidecars, entries))
 	}
 	return 0
 }
@@ -280,6 +284,7 @@
 func (g *Gateway) advance(now time.Duration) time.Duration {
 	g.core.Advance(now)
 	g.perform(g.core.Effects())
+	g.markBusy()
 	g.jobs.Store(int64(g.core.Jobs()))
 	g.workers.Store(int64(g.core.Workers()))
 	if g.core.Jobs() == 0 {
@@ -288,6 +293,31 @@
 	return busyTick
 }
 
+// busyWorkers returns the workers that have tasks of this entry.
+func (g *Gateway) busyWorkers() map[string]bool {
+	result := make(chan map[string]bool, 1)
+	if !g.put(func(time.Duration) { result <- g.core.BusyWorkers() }) {
+		return nil
+	}
+	select {
+	case busy := <-result:
+		return busy
+	case <-g.context.Done():
+		return nil
+	}
+}
+
+// markBusy tells the sessions which workers have tasks of this entry.
+func (g *Gateway) markBusy() {
+	busy := g.core.BusyWorkers()
+	for id, peer := range g.peers {
+		if isBusy := busy[id]; isBusy != g.busy[id] {
+			peer.SetBusy(isBusy)
+		}
+	}
+	g.busy = busy
+}
+
 // perform carries out the actions that the dispatcher has requested.
 func (g *Gateway) perform(effects dispatch.Effects) {
 	if len(effects.Records) > 0 {
