Choose ports for the system tests that outgoing connections don't use

Its target had failed to listen: the port, free when it was chosen, was in use (logs of the run: bind: address already in use). The kernel gives ports from 32768 on to outgoing connections, and the harness chose from these. Ruled out: the killed leader, and the product; the target failed before any process was killed. Change: ports are drawn below that range. The test itself is unchanged.

--- a/tools/systemtest/harness_test.go
+++ b/tools/systemtest/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -241,17 +242,30 @@
 	c.apis = append(c.apis, "http://"+addresses[1])
 }
 
+// Ports of the processes. The kernel gives those from 32768 on to outgoing connections of any process, so that one chosen there
+// may be taken before the process listens.
+const (
+	firstPort = 12000
+	lastPort  = 31999
+	// maxPortTries bounds the search for a free port.
+	maxPortTries = 1000
+)
+
 // freeAddresses returns loopback addresses with ports that were free when it was called.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
 	addresses := make([]string, 0, count)
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for try := 0; len(addresses) < count; try++ {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort+1))
+		listener, err := net.Listen("tcp", address)
+		if err != nil && try < maxPortTries {
+			continue
+		}
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
