Log which tasks a worker ended under, and why and after what time a run was lost

Cause: event 3203 did not tell an ended worker from an expired lease, and nothing tied the runs together that one crash had ended, so the hypotheses of docs/incidents/deadly-tasks.md could not be told apart. Change: event 3209 (worker ended under runs) with the tasks, counter worker_ends, reason and ran_ms in event 3203. No decision changes.

--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -74,7 +74,7 @@
 func (r *Runner) loseStarted(now time.Duration) {
 	for _, run := range r.sorted() {
 		if run.usesCapacity() {
-			r.lose(now, run)
+			r.lose(now, run, "lease expired")
 		}
 	}
 }
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -165,7 +165,7 @@
 		}
 		run.missedReports++
 		if run.missedReports >= lostAfterReports {
-			r.lose(now, run)
+			r.lose(now, run, "not reported")
 		}
 	case stopped:
 		if report.Number < run.confirmingHold {
--- a/core/runner/types.go
+++ b/core/runner/types.go
@@ -169,6 +169,10 @@
 	Reason  string
 	// Age is the time since the worker last answered.
 	Age time.Duration
+	// Ran is the time since the start of a lost run; 0 if the worker did not confirm the start.
+	Ran time.Duration
+	// Tasks are those under which the worker ended.
+	Tasks []string
 }
 
 // NoteKind is the kind of a decision.
@@ -190,4 +194,6 @@
 	GrantEnded
 	// WorkerChanged means that the worker restarted, left or became available again.
 	WorkerChanged
+	// WorkerEnded means that the worker ended while it had runs, without having said that it leaves.
+	WorkerEnded
 )
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -127,7 +127,7 @@
 
 // reset starts a new incarnation of the worker. All runs of the previous one are lost.
 func (r *Runner) reset(now time.Duration, announced Announcement) {
-	r.loseAll(now)
+	r.loseAll(now, "worker restarted")
 	fence := r.worker.fence
 	if r.worker.known {
 		fence++
@@ -155,22 +155,34 @@
 		return
 	}
 	r.worker.gone = true
-	r.loseAll(now)
+	r.loseAll(now, "worker ended")
 	r.note(Note{Kind: WorkerChanged, Reason: r.describe()})
 }
 
-func (r *Runner) loseAll(now time.Duration) {
+// loseAll ends all runs of a worker that has ended or restarted.
+func (r *Runner) loseAll(now time.Duration, reason string) {
+	var tasks []string
 	for _, run := range r.sorted() {
-		r.lose(now, run)
+		if run.usesCapacity() {
+			tasks = append(tasks, run.Task)
+		}
+		r.lose(now, run, reason)
+	}
+	if len(tasks) > 0 && !r.worker.leaving {
+		r.note(Note{Kind: WorkerEnded, Reason: reason, Tasks: tasks})
 	}
 }
 
-func (r *Runner) lose(now time.Duration, run *taskRun) {
+func (r *Runner) lose(now time.Duration, run *taskRun, reason string) {
 	if run.state == queued {
 		r.refuseRun(run, work.Unavailable)
 		return
 	}
-	r.note(Note{Kind: RunLost, RunID: run.RunID, Session: run.session})
+	note := Note{Kind: RunLost, RunID: run.RunID, Session: run.session, Reason: reason}
+	if run.wasStarted {
+		note.Ran = now - run.startedAt
+	}
+	r.note(note)
 	r.end(now, run, work.Lost)
 }
 
--- a/node/agent/report.go
+++ b/node/agent/report.go
@@ -14,6 +14,8 @@
 	stops     atomic.Int64
 	holds     atomic.Int64
 	malformed atomic.Int64
+	// workerEnds counts how often the worker has ended under runs.
+	workerEnds atomic.Int64
 	// startTook and stopTook are the times that the worker took to answer a start and a stop.
 	startTook metrics.Histogram
 	stopTook  metrics.Histogram
@@ -26,6 +28,7 @@
 	}
 	role.Gauge("starts", func() any { return a.counters.starts.Load() })
 	role.Gauge("stops", func() any { return a.counters.stops.Load() })
+	role.Gauge("worker_ends", func() any { return a.counters.workerEnds.Load() })
 	role.Gauge("holds", func() any { return a.counters.holds.Load() })
 	role.Histogram("start_answer", &a.counters.startTook)
 	role.Histogram("stop_answer", &a.counters.stopTook)
@@ -42,7 +45,8 @@
 	case runner.RunUnknown:
 		events.RunUnknown.Log(logger, "task", note.Task, "run", note.Run, "age_ms", age)
 	case runner.RunLost:
-		events.RunLost.Log(logger, "task", note.Task, "run", note.Run, "entry", a.entryName(note.Session), "age_ms", age)
+		events.RunLost.Log(logger, "task", note.Task, "run", note.Run, "entry", a.entryName(note.Session),
+			"reason", note.Reason, "ran_ms", note.Ran.Milliseconds(), "age_ms", age)
 	case runner.RunStalled:
 		events.RunStalled.Log(logger, "task", note.Task, "run", note.Run, "entry", a.entryName(note.Session), "age_ms", age)
 	case runner.OfferRefused:
@@ -52,5 +56,8 @@
 		events.GrantEnded.Log(logger, "entry", note.Reason, "age_ms", age)
 	case runner.WorkerChanged:
 		events.WorkerChanged.Log(logger, "state", note.Reason, "age_ms", age)
+	case runner.WorkerEnded:
+		a.counters.workerEnds.Add(1)
+		events.WorkerEnded.Log(logger, "reason", note.Reason, "runs", len(note.Tasks), "tasks", note.Tasks, "age_ms", age)
 	}
 }
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -15,6 +15,8 @@
 	GrantEnded            = define(3206, Warn, "entry unreachable", "an entry does not answer probes; its tasks are stopped", "check the entry")
 	ConnectionNotAccepted = define(3208, Error, "connection not accepted", "the listener for entries failed to accept a connection; it tries again",
 		"check the limit of open files")
+	WorkerEnded = define(3209, Warn, "worker ended under runs", "the worker ended or restarted while it ran these tasks, without having said that it leaves",
+		"compare the tasks of these events: one that is named again and again ends its workers")
 	WorkerChanged = define(3207, Info, "worker changed", "the worker started, is leaving, ended or is reachable again", "none")
 )
 
