--- /dev/null
+++ b/core/dispatch/deadly_test.go
@@ -0,0 +1,169 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"flamingohall.example/core/dispatch"
+)
+
+// maxCrashes is how many workers may end under one task: after that it is not started again.
+const maxCrashes = 3
+
+// submitDeadly submits a job of one task that ends its workers.
+func (sim *simulation) submitDeadly(entry int, job string, timeout time.Duration) {
+	sim.deadly[job+".0.0.0"] = true
+	sim.submit(entry, job, 1, 100*time.Millisecond, timeout)
+}
+
+// TestDeadly_TaskEndsNoMoreThanThreeWorkers covers a task that crashes each worker that starts it: it was offered to one
+// worker after the other until its caller's deadline.
+func TestDeadly_TaskEndsNoMoreThanThreeWorkers(t *testing.T) {
+	sim := newSimulation(t, 1, defaultLimits, 2, 8)
+	sim.run(time.Second)
+	sim.submitDeadly(0, jobID(1), 10*time.Second)
+	sim.run(12 * time.Second)
+	sim.expectCrashes(t, 1, maxCrashes)
+	if answers := sim.answers[jobID(1)]; len(answers) != 1 || answers[0].Result != dispatch.JobFailed {
+		t.Errorf("answers %+v, want one that says failed", answers)
+	}
+}
+
+// expectCrashes checks how many workers have ended under each task.
+func (sim *simulation) expectCrashes(t *testing.T, atLeast, atMost int) {
+	t.Helper()
+	for task := range sim.deadly {
+		if count := sim.crashes[task]; count < atLeast || count > atMost {
+			t.Errorf("%d workers ended under task %s, want %d to %d", count, task, atLeast, atMost)
+		}
+	}
+}
+
+// TestDeadly_CountSurvivesTheDeathOfTheEntry covers a deadly job whose entry dies: its caller submits it again at another
+// entry, and then at a third one, which also start it as often as they know of no crash.
+func TestDeadly_CountSurvivesTheDeathOfTheEntry(t *testing.T) {
+	for seed := range uint64(20) {
+		sim := newSimulation(t, seed, defaultLimits, 3, 9)
+		sim.run(time.Second)
+		for entry := range 3 {
+			sim.submitDeadly(entry, jobID(1), 10*time.Second)
+			began := sim.crashes[jobID(1)+".0.0.0"]
+			sim.runUntil(200*time.Millisecond, func() bool { return sim.crashes[jobID(1)+".0.0.0"] > began })
+			sim.run(sim.now + 5*time.Millisecond)
+			if entry < 2 {
+				sim.endEntry(entry, time.Minute)
+			}
+			sim.run(sim.now + resendAfter)
+		}
+		sim.run(sim.now + 12*time.Second)
+		sim.expectCrashes(t, 1, maxCrashes)
+	}
+}
+
+// runUntil runs until the condition holds, for at most the given time.
+func (sim *simulation) runUntil(limit time.Duration, condition func() bool) {
+	for until := sim.now + limit; sim.now < until && !condition(); {
+		sim.run(sim.now + time.Millisecond)
+	}
+}
+
+// poisoned are the results of a pool under load in which some jobs of one queue have a deadly task.
+type poisoned struct {
+	tallies map[string]*tally
+	sim     *simulation
+}
+
+// simulatePoison runs the users' workload on eleven workers. From the second to the tenth second, a share of the jobs of one
+// queue have a deadly task. It counts the other jobs that arrive in this time.
+func simulatePoison(t *testing.T, seed uint64, queue string, share float64) poisoned {
+	t.Helper()
+	const entries, workers, load = 4, 11, 0.55
+	const begin, end = 2 * time.Second, 10 * time.Second
+	sim := newSimulation(t, seed, defaultLimits, entries, workers)
+	sim.run(time.Second)
+	var slotTime float64
+	for _, k := range mix {
+		slotTime += k.share * float64(k.tasks) * k.run.Seconds()
+	}
+	perSecond := load * 10 * workers / slotTime
+	tallies := map[string]*tally{}
+	for _, k := range mix {
+		tallies[k.queue] = &tally{}
+	}
+	kinds, objectives := map[string]string{}, map[string]time.Duration{}
+	number := 0
+	var arrive func()
+	arrive = func() {
+		number++
+		k, id := sim.drawKind(), jobID(number)
+		isDeadly := k.queue == queue && sim.arrivals.Float64() < share && sim.now >= begin && sim.now < end
+		if isDeadly {
+			sim.deadly[id+".0.0.0"] = true
+		}
+		if !isDeadly && sim.now >= begin && sim.now < end {
+			kinds[id] = k.queue
+			tallies[k.queue].jobs++
+		}
+		objectives[id] = sim.submitKind(sim.arrivals.IntN(entries), id, k)
+		sim.after(time.Duration(sim.arrivals.ExpFloat64()/perSecond*float64(time.Second)), arrive)
+	}
+	arrive()
+	sim.run(end + 6*time.Second)
+	for job, kind := range kinds {
+		for _, answer := range sim.answers[job] {
+			switch {
+			case answer.Result == dispatch.Refused:
+				tallies[kind].refused++
+			case answer.Result == dispatch.Completed && answer.Trace.Took <= objectives[job]:
+				tallies[kind].inTime++
+			}
+		}
+	}
+	return poisoned{tallies: tallies, sim: sim}
+}
+
+// Load pattern: a tenth of the jobs of one kind have a task that crashes each worker that starts it. Jobs of the other kinds
+// must be served all the while, no task may end more than three workers, and no job without such a task may fail.
+func TestDeadly_OtherKindsAreServedWhileDeadlyTasksKeepComing(t *testing.T) {
+	for _, queue := range []string{"short", "plain"} {
+		t.Run(queue, func(t *testing.T) {
+			result := simulatePoison(t, 5, queue, 0.1)
+			logTallies(t, result.tallies)
+			for other, counts := range result.tallies {
+				if other != queue && share(counts.inTime, counts.jobs) < 0.9 {
+					t.Errorf("%s: %.3f in time, want 0.9", other, share(counts.inTime, counts.jobs))
+				}
+			}
+			result.expectTruthful(t)
+		})
+	}
+}
+
+// expectTruthful checks that no task has ended too many workers and that no job without a deadly task has failed.
+func (p poisoned) expectTruthful(t *testing.T) {
+	t.Helper()
+	p.sim.expectCrashes(t, 0, maxCrashes)
+	deadlyJobs := map[string]bool{}
+	for task := range p.sim.deadly {
+		job, _, _ := strings.Cut(task, ".")
+		deadlyJobs[job] = true
+	}
+	for job, answers := range p.sim.answers {
+		for _, answer := range answers {
+			if answer.Result == dispatch.JobFailed && !deadlyJobs[job] {
+				t.Errorf("job %s without a deadly task failed", job)
+			}
+		}
+	}
+	t.Log(fmt.Sprint(len(deadlyJobs), " deadly jobs, ", p.sim.totalCrashes(), " crashes"))
+}
+
+func (sim *simulation) totalCrashes() int {
+	total := 0
+	for _, count := range sim.crashes {
+		total += count
+	}
+	return total
+}
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -40,6 +40,9 @@
 	// control stores jobs; nil in simulations without stored jobs.
 	control      *fakeControl
 	startedAgain []startedAgain
+	// deadly holds the tasks that end each worker that starts them; crashes counts the workers that ended under each task.
+	deadly  map[string]bool
+	crashes map[string]int
 }
 
 // limits are the durations that entries and sidecars must agree on. Some tests set them wrong to show that they are
@@ -112,7 +115,7 @@
 	sim := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)), answers: map[string][]dispatch.Answer{},
 		ranAt: map[string]time.Duration{}, limits: limits,
-		cuts: map[[2]int]time.Duration{},
+		cuts: map[[2]int]time.Duration{}, deadly: map[string]bool{}, crashes: map[string]int{},
 	}
 	for i := range workers {
 		fake := &fakeWorker{simulation: sim, index: i, up: true, rate: 0.98 + 0.02*sim.random.Float64(), runs: map[string]*fakeRun{}, confirmed: map[confirmedEnd]bool{}}
@@ -544,6 +547,7 @@
 	f.runs[order.Task] = active
 	incarnation := f.incarnation
 	f.watch(order.Task, active, incarnation)
+	f.simulation.crashSoon(f, order.Task)
 	return runner.Accepted
 }
 
@@ -650,4 +654,24 @@
 	})
 }
 
+// Times of a worker that a deadly task ends, as seen on the users' bench.
+const (
+	deadlyDelay   = 8 * time.Millisecond
+	deadlyRestart = 3200 * time.Millisecond
+)
+
+// crashSoon ends the worker if the task is deadly.
+func (sim *simulation) crashSoon(f *fakeWorker, task string) {
+	if !sim.deadly[task] {
+		return
+	}
+	incarnation := f.incarnation
+	sim.after(deadlyDelay, func() {
+		if f.incarnation == incarnation && f.up && f.runs[task] != nil {
+			sim.crashes[task]++
+			f.crash(deadlyRestart)
+		}
+	})
+}
+
 func jobID(n int) string { return fmt.Sprintf("%016x", n) }
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -20,6 +20,9 @@
 	frame   work.ToEntry
 	closed  []runner.Session
 	clockMS int64
+	// described and recorded are the descriptions sent to the entry, and the announcements to store, since newHarness.
+	described []work.Worker
+	recorded  []*runner.Announcement
 }
 
 const session runner.Session = 1
