Apply a worker's changed capacity within its incarnation

What callers saw: nothing on the users' sites, whose workers guard their capacity and reject what doesn't fit; a worker that doesn't guard it would be given more than it has. Cause: a sidecar took pool, capacity and labels from the first announcement of an incarnation only. Later ones changed the sequence and the leaving state, nothing else. Change: a description that differs is applied, sent to the entries and recorded for a successor of the sidecar; queued offers that no longer fit at all are refused. Running tasks, and those that are being stopped, keep their room, as before.

--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -443,6 +443,8 @@
 	// lapses counts how often the lease has lapsed; endedIn holds that count at the time of each end.
 	lapses  int
 	endedIn []int
+	// slots is set for a worker that does not guard its capacity, which changes: how many runs fit since which times.
+	slots []slotsSince
 	// confirmed holds the ends that may be forgotten: true if the lease has not lapsed since the end.
 	confirmed map[confirmedEnd]bool
 }
@@ -469,7 +471,7 @@
 func (f *fakeWorker) record() work.Worker {
 	return work.Worker{
 		Incarnation: fmt.Sprintf("w%d@%d", f.index, f.incarnation), Pool: "p",
-		Capacity: work.Needs{MilliCores: 32000, MemoryMB: 65536},
+		Capacity: work.Needs{MilliCores: f.milliCores(), MemoryMB: 65536},
 	}
 }
 
@@ -539,9 +541,10 @@
 	if float64(order.LeaseUntilMS) < f.clock() {
 		return runner.LeaseExpired
 	}
-	if len(f.runs) >= 10 {
+	if f.slots == nil && len(f.runs) >= 10 {
 		return runner.NoCapacity
 	}
+	f.checkSlots(order.RunID)
 	f.simulation.runStarted(f, order.RunID)
 	active := &fakeRun{run: order.Run, startAt: f.simulation.now, length: f.simulation.lengthOf(order.Spec)}
 	f.runs[order.Task] = active
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"flamingohall.example/core/work"
@@ -88,6 +89,9 @@
 	changed := isNew || w.leaving != announced.Leaving
 	if isNew {
 		r.reset(now, announced)
+	} else if !w.isDescribedBy(&announced.Worker) {
+		changed = true
+		r.describeAnew(announced.Worker)
 	}
 	w.sequence, w.leaving = announced.Sequence, announced.Leaving
 	if w.leaving {
@@ -101,6 +105,25 @@
 	}
 }
 
+// isDescribedBy reports whether a description of the same incarnation changes nothing.
+func (w *worker) isDescribedBy(described *work.Worker) bool {
+	return w.Pool == described.Pool && w.Capacity == described.Capacity && slices.Equal(w.Labels, described.Labels)
+}
+
+// describeAnew applies a change within an incarnation: a worker's capacity may shrink and grow while it runs tasks. Running
+// tasks keep their resources; nothing starts until they fit again. Queued offers that no longer fit at all are refused.
+func (r *Runner) describeAnew(described work.Worker) {
+	r.worker.Worker = described
+	for _, s := range r.sessions {
+		s.workerSent = false
+	}
+	for _, run := range r.sorted() {
+		if run.state == queued && !run.Needs.FitsIn(described.Capacity) {
+			r.refuseRun(run, work.TooLarge)
+		}
+	}
+}
+
 // Recover restores the worker's last announcement to a predecessor of this process. It has no effect once the worker has
 // announced itself, and the worker gets tasks only after it has answered a call that names its incarnation. Without it,
 // workers would be idle after a restart of many sidecars until their next announcements.
--- a/core/work/message.go
+++ b/core/work/message.go
@@ -77,7 +77,7 @@
 	RemainingMS int64 `cbor:"3,keyasint"`
 }
 
-// Worker is the part of a worker's state that is constant during one incarnation.
+// Worker describes a worker. Its capacity may change during one incarnation.
 type Worker struct {
 	// Incarnation changes whenever the worker restarts.
 	Incarnation string   `cbor:"1,keyasint"`
