Start nothing beside runs that the sidecar did not order

What callers saw: nothing on the users' sites (workers guard their capacity). A worker that doesn't would run the tasks of a restarted sidecar beside those of its predecessor. Cause: a run in the worker's report that this process did not order is stopped, but its resources, which are unknown here, did not count until it had ended.

--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -113,7 +113,8 @@
 // mayStart reports whether the worker gets new tasks.
 func (r *Runner) mayStart(now time.Duration) bool {
 	w := &r.worker
-	return w.accepts() && !r.draining && !r.leaseMustExpire() && now >= w.backoffUntil && w.silence < maxSilence
+	return w.accepts() && !r.draining && !r.leaseMustExpire() && now >= w.backoffUntil && w.silence < maxSilence &&
+		w.unorderedRuns == 0
 }
 
 // startQueued orders the queued runs that fit, those with the least slack first.
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -56,6 +56,9 @@
 	r.applyRunning(now, report)
 	switch {
 	case w.confirmPending:
+	case w.unorderedRuns > 0:
+		// No task starts before these runs have ended.
+		w.nextHold = now + confirmInterval
 	case len(r.unconfirmed) > 0:
 		// A Hold sent now would return at once, as the worker reports unconfirmed ends again.
 		w.nextHold = now + confirmInterval
@@ -113,6 +116,7 @@
 }
 
 func (r *Runner) applyRunning(now time.Duration, report *Report) {
+	r.worker.unorderedRuns = 0
 	reported := make(map[work.RunID]bool, len(report.Running))
 	for i := range report.Running {
 		reportedRun := &report.Running[i]
@@ -131,6 +135,7 @@
 func (r *Runner) applyProgress(now time.Duration, reported *ReportedRun) {
 	run := r.runs[reported.Task]
 	if run == nil || run.Run != reported.Run {
+		r.worker.unorderedRuns++
 		r.note(Note{Kind: RunUnknown, RunID: reported.RunID})
 		r.effects.Stops = append(r.effects.Stops, Stop{
 			Order: Order{Incarnation: r.worker.Incarnation, Fence: r.worker.fence}, RunID: reported.RunID,
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -65,6 +65,8 @@
 	failedHolds int
 	// backoffUntil is when an unhealthy worker gets new tasks again.
 	backoffUntil time.Duration
+	// unorderedRuns is the number of runs in the last report that this process did not order. Their resources are unknown.
+	unorderedRuns int
 	// heardAt is when the worker last answered; silence is the time since then at the last Advance.
 	heardAt time.Duration
 	silence time.Duration
