Answer jobs of a contained queue once they can't be served in time

Cause: nothing compared the time at which a worker may be back with the deadline, and a task held back was compared only when its run was lost, not when a later crash moved the end of the wait. Change: the shortest time that a crashed worker was away is remembered; a job that waits is given up once no worker of its queue can be back before its deadline, or its suspect can't be tried before. Refusals carry the expected return. Members of a containment are chosen anew before each crash is judged; two crashes in a row were judged without members. Evidence: TestDeadly_CallerIsAnsweredOnceNoWorkerCanBeBackInTime failed before (no answer; retry after 2 s instead of 3 s).

--- a/core/crash/containment.go
+++ b/core/crash/containment.go
@@ -20,11 +20,15 @@
 	// demand is the decaying amount of work submitted to each queue, at demandAt.
 	demand   map[string]float64
 	demandAt time.Duration
-	// crashed are recent crashes of the pool's workers.
-	crashed []ended
-	// members caches the members of each containment for the workers in known; nil if they have to be chosen anew.
+	// crashed are recent crashes of the pool's workers. downtime is the shortest time after which one of them was back, 0 if that
+	// is not known.
+	crashed  []ended
+	downtime time.Duration
+	// members caches the members of each containment, chosen from the workers in known. isStale is true if they have to be chosen
+	// anew.
 	members map[string]map[string]bool
 	known   []string
+	isStale bool
 }
 
 // containment is the state of a contained queue.
@@ -50,6 +54,8 @@
 	worker string
 	at     time.Duration
 	runs   []work.CrashedRun
+	// hasReturned is true once the worker was back.
+	hasReturned bool
 }
 
 // leadUp is how long before the beginning of a containment the crashes count that led to it.
@@ -58,6 +64,7 @@
 // disturb notes the end or the return of a worker, and reports whether it is a member of a containment.
 func (p *pool) disturb(now time.Duration, worker string) bool {
 	isMember := false
+	p.chooseMembers()
 	for queue, members := range p.members {
 		if c := p.contained[queue]; c != nil && members[worker] {
 			c.disturbedAt, isMember = now, true
@@ -66,6 +73,29 @@
 	return isMember
 }
 
+// returned notes that a worker is back.
+func (p *pool) returned(now time.Duration, worker string) {
+	for i := range p.crashed {
+		if e := &p.crashed[i]; e.worker == worker && !e.hasReturned {
+			e.hasReturned = true
+			if down := now - e.at; p.downtime == 0 || down < p.downtime {
+				p.downtime = down
+			}
+		}
+	}
+}
+
+// nextReturn returns when the first of the workers that have ended and are not back may be expected, 0 if that is not known.
+func (p *pool) nextReturn(workers map[string]bool) time.Duration {
+	var next time.Duration
+	for i := range p.crashed {
+		if e := &p.crashed[i]; workers[e.worker] && !e.hasReturned && p.downtime > 0 && (next == 0 || e.at+p.downtime < next) {
+			next = e.at + p.downtime
+		}
+	}
+	return next
+}
+
 // suspects returns the tasks of contained queues that have probably ended a worker: tasks of one queue that end their workers
 // fail at about the same point of their work, while those beside them are of any age. If nothing of another job was at the
 // worker, its tasks are suspects at any age.
@@ -95,6 +125,7 @@
 	}
 	share := p.share(queue)
 	p.contained[queue] = &containment{since: now, disturbedAt: now, period: period, share: share, ranMS: found.ranMS}
+	p.isStale = true
 	return Change{Pool: p.name, Queue: queue, IsContained: true, Share: share, Task: found.task}
 }
 
@@ -103,7 +134,7 @@
 	for _, queue := range slices.Sorted(maps.Keys(p.contained)) {
 		if c := p.contained[queue]; now >= c.disturbedAt+c.period {
 			delete(p.contained, queue)
-			p.released[queue], p.members = release{at: now, period: c.period}, nil
+			p.released[queue], p.isStale = release{at: now, period: c.period}, true
 			changes = append(changes, Change{Pool: p.name, Queue: queue})
 		}
 	}
@@ -170,19 +201,26 @@
 }
 
 func (p *pool) allowance(queue string, workers []string) Allowance {
-	if p.members == nil || !slices.Equal(p.known, workers) {
-		p.known = slices.Clone(workers)
-		p.members = map[string]map[string]bool{}
-		for name := range p.contained {
-			p.members[name] = p.choose(name)
-		}
+	if !slices.Equal(p.known, workers) {
+		p.known, p.isStale = slices.Clone(workers), true
 	}
+	p.chooseMembers()
 	if members, isContained := p.members[queue]; isContained {
 		return Allowance{only: members}
 	}
 	return Allowance{except: p.members}
 }
 
+func (p *pool) chooseMembers() {
+	if !p.isStale {
+		return
+	}
+	p.members, p.isStale = map[string]map[string]bool{}, false
+	for name := range p.contained {
+		p.members[name] = p.choose(name)
+	}
+}
+
 // choose returns the members of a containment: first the workers that the queue has ended already, so that it does not end
 // others as well while they are down.
 func (p *pool) choose(queue string) map[string]bool {
--- a/core/crash/monitor.go
+++ b/core/crash/monitor.go
@@ -102,7 +102,7 @@
 	p := m.pool(poolName)
 	isMember := p.disturb(now, worker)
 	p.crashed = append(p.crashed, ended{worker: worker, at: now, runs: c.Runs})
-	p.members = nil
+	p.isStale = true
 	var changes []Change
 	suspects := p.suspects(c)
 	if len(suspects) == 0 && !isMember {
@@ -124,10 +124,22 @@
 // Returned notes that a worker is back after a crash.
 func (m *Monitor) Returned(now time.Duration, poolName, worker string) {
 	if p := m.pools[poolName]; p != nil {
+		p.returned(now, worker)
 		p.disturb(now, worker)
 	}
 }
 
+// NextReturn returns when the first of a contained queue's workers may be expected back that have ended, by how long others
+// were away; 0 if that is not known.
+func (m *Monitor) NextReturn(poolName, queue string) time.Duration {
+	p := m.pools[poolName]
+	if p == nil {
+		return 0
+	}
+	p.chooseMembers()
+	return p.nextReturn(p.members[queue])
+}
+
 // forget removes what is older than the retention, and the oldest tasks beyond the limit.
 func (m *Monitor) forget(now time.Duration) {
 	maps.DeleteFunc(m.counted, func(_ string, at time.Duration) bool { return now-at > m.limits.Retention })
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -110,6 +110,37 @@
 	return j.deadline != 0 && d.crashes.CalmAt(j.Queue.Pool, j.Queue.Name)+j.longestChain() > j.deadline
 }
 
+// endHopeless answers the jobs of contained queues that can't end before their deadlines: because a task is held back until
+// then, or because all workers of the queue are down and none is expected back in time.
+func (d *Dispatcher) endHopeless(now time.Duration) {
+	for _, j := range d.sortedJobs() {
+		if j.deadline == 0 || !d.crashes.IsContained(j.Queue.Pool, j.Queue.Name) || !j.isWaiting() {
+			continue
+		}
+		if d.isHopelessUntilCalm(j) && slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state == waiting && d.isHeldBack(now, t) }) {
+			d.abandon(now, j, GivenUp, WorkersCrashed)
+			continue
+		}
+		next := d.crashes.NextReturn(j.Queue.Pool, j.Queue.Name)
+		if next > 0 && max(now, next)+j.longestChain() > j.deadline && !d.hasWorker(&j.Queue) {
+			d.abandon(now, j, GivenUp, Contained)
+		}
+	}
+}
+
+// isWaiting reports whether a task of the job waits for a worker.
+func (j *job) isWaiting() bool {
+	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state == waiting })
+}
+
+// hasWorker reports whether any worker that a queue may use accepts tasks.
+func (d *Dispatcher) hasWorker(queue *Queue) bool {
+	allowance := d.allowance(queue)
+	return slices.ContainsFunc(d.sortedWorkers, func(w *worker) bool {
+		return w.Pool == queue.Pool && w.isUp && w.isAttached && w.load.Accepts && allowance.Allows(w.id)
+	})
+}
+
 // answerAfterCrashes returns the answer to a job that was submitted before, perhaps at another entry, and that workers have
 // ended under since; nil if it is tried.
 func (d *Dispatcher) answerAfterCrashes(now time.Duration, j *job) *Answer {
--- a/core/dispatch/deadly_test.go
+++ b/core/dispatch/deadly_test.go
@@ -281,3 +281,52 @@
 		t.Errorf("answer %+v after %d offers, want it failed without any", got, h.total())
 	}
 }
+
+// TestDeadly_CallerIsAnsweredOnceNoWorkerCanBeBackInTime covers a job of a contained queue whose workers go down for longer
+// than its caller waits: it was held until its deadline.
+func TestDeadly_CallerIsAnsweredOnceNoWorkerCanBeBackInTime(t *testing.T) {
+	const downtime = 3 * time.Second
+	h := newHarness(t, 2)
+	for n, worker := range []string{"s0", "s1"} {
+		h.crash(worker, n, work.CrashedRun{Task: "deadly.0.0.0", Queue: "q", Crashes: uint32(n + 1), WasStarted: true, RanMS: 8, ExpectedMS: 100})
+	}
+	h.down("s0", "s1")
+	h.submit("contained", 1, 100*time.Millisecond)
+	if got := h.answers["contained"]; got.Cause != dispatch.Contained {
+		t.Fatalf("answer %+v, want a refusal because the queue is contained", got)
+	}
+	h.step(downtime)
+	h.back("s0", "s1")
+	h.submit("j", 1, 100*time.Millisecond)
+	worker, offer := h.lastOffer("j.0.0.0")
+	h.crash("s0", 2, work.CrashedRun{Task: "deadly2.0.0.0", Queue: "q", Crashes: 1, WasStarted: true, RanMS: 8})
+	h.crash("s1", 3, work.CrashedRun{Task: "deadly3.0.0.0", Queue: "q", Crashes: 1, WasStarted: true, RanMS: 8},
+		work.CrashedRun{Task: "j.0.0.0", Queue: "q", Crashes: 1, WasStarted: true, RanMS: 70})
+	h.down("s0", "s1")
+	h.ended(worker, offer.RunID, work.Lost)
+	if got := h.answers["j"]; got.Result != dispatch.GivenUp || got.Cause != dispatch.Contained {
+		t.Errorf("answer %+v, want the job given up at once", got)
+	}
+	h.submit("late", 1, 100*time.Millisecond)
+	if got := h.answers["late"]; got.Result != dispatch.Refused || got.RetryAfter != downtime {
+		t.Errorf("answer %+v, want a refusal until a worker may be back after %v", got, downtime)
+	}
+}
+
+func (h *harness) down(workers ...string) {
+	for _, worker := range workers {
+		h.core.Take(h.now, worker, &work.ToEntry{Load: &work.Load{LastSequence: 1 << 30}})
+	}
+	h.step(0)
+}
+
+// back lets workers return from a crash.
+func (h *harness) back(workers ...string) {
+	for _, worker := range workers {
+		h.core.Take(h.now, worker, &work.ToEntry{
+			Worker: &work.Worker{Incarnation: worker + "'", Pool: "p", Capacity: work.Needs{MilliCores: 32000, MemoryMB: 64000}},
+			Load:   &work.Load{Accepts: true, LastSequence: 1 << 30},
+		})
+	}
+	h.step(0)
+}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -254,6 +254,7 @@
 	d.containmentChanged(d.crashes.Advance(now))
 	d.checkJobLease(now)
 	d.endExpired(now)
+	d.endHopeless(now)
 	d.offerWaiting(now)
 }
 
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -48,7 +48,7 @@
 	if cause != 0 {
 		refusal := &Answer{Result: Refused, Cause: cause, RetryAfter: max(minRetryAfter, wait)}
 		if cause == Contained {
-			refusal.RetryAfter = max(minRetryAfter, d.crashes.CalmAt(j.Queue.Pool, j.Queue.Name)-now)
+			refusal.RetryAfter = max(minRetryAfter, d.crashes.NextReturn(j.Queue.Pool, j.Queue.Name)-now)
 		}
 		if d.ranBefore(j) {
 			refusal.Result = GivenUp
