--- /dev/null
+++ b/core/crash/crash_test.go
@@ -0,0 +1,129 @@
+package crash
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"flamingohall.example/core/work"
+)
+
+func run(queue, task string, ranMS, expectedMS int64) work.CrashedRun {
+	return work.CrashedRun{Task: task, Queue: queue, WasStarted: true, RanMS: ranMS, ExpectedMS: expectedMS}
+}
+
+// crashes reports the ends of workers w0, w1, ... in turn.
+type crashes struct {
+	monitor *Monitor
+	now     time.Duration
+	count   int
+	changes []Change
+}
+
+func newCrashes() *crashes {
+	c := &crashes{monitor: NewMonitor(DefaultLimits), now: time.Minute}
+	c.monitor.Demanded(c.now, "p", "short", 1)
+	c.monitor.Demanded(c.now, "p", "plain", 3)
+	return c
+}
+
+func (c *crashes) end(after time.Duration, runs ...work.CrashedRun) []Change {
+	c.now += after
+	worker := fmt.Sprint("w", c.count)
+	c.count++
+	changes := c.monitor.Observe(c.now, "p", worker, &work.Crash{Incarnation: fmt.Sprint(worker, "@", c.now), Runs: runs})
+	c.changes = append(c.changes, changes...)
+	return changes
+}
+
+var eightWorkers = []string{"w0", "w1", "w2", "w3", "w4", "w5", "w6", "w7"}
+
+func (c *crashes) members(queue string) []string {
+	allowance := c.monitor.Allowed("p", queue, eightWorkers)
+	return slices.DeleteFunc(slices.Clone(eightWorkers), func(w string) bool { return !allowance.Allows(w) })
+}
+
+// Load pattern: a task ends one worker after the other. Its queue is contained, to its share of the pool and to workers that it
+// has ended already; the other queue keeps the rest.
+func TestContainment_QueueOfARepeatedTaskKeepsItsShare(t *testing.T) {
+	c := newCrashes()
+	c.end(0, run("short", "deadly.0.0.0", 8, 60), run("plain", "a.0.0.0", 120, 200), run("short", "b.0.0.0", 40, 60))
+	c.end(10*time.Millisecond, run("short", "deadly.0.0.0", 9, 60), run("plain", "a.0.0.0", 10, 200), run("plain", "c.0.0.0", 70, 200))
+	if len(c.changes) != 1 || c.changes[0].Queue != "short" || c.changes[0].Task != "deadly.0.0.0" {
+		t.Fatalf("changes %+v, want the queue short contained", c.changes)
+	}
+	if got := c.members("short"); !slices.Equal(got, []string{"w0", "w1"}) {
+		t.Errorf("short may use %v, want the two workers that it has ended: a quarter of eight", got)
+	}
+	if got := c.members("plain"); len(got) != 6 || slices.Contains(got, "w0") {
+		t.Errorf("plain may use %v, want the other six", got)
+	}
+	if history := c.monitor.Task("b.0.0.0"); history.IsSuspect || history.IsGivenUp() {
+		t.Errorf("a task beside the crash: %+v", history)
+	}
+}
+
+// Load pattern: two workers end by themselves within a second, with a task that was moved from one to the other.
+func TestContainment_NoQueueIsContainedForTasksOfDifferentAges(t *testing.T) {
+	c := newCrashes()
+	c.end(0, run("short", "s.0.0.0", 50, 60), run("plain", "a.0.0.0", 180, 200))
+	c.end(time.Second, run("short", "t.0.0.0", 20, 60), run("plain", "a.0.0.0", 30, 200))
+	if len(c.changes) != 0 {
+		t.Errorf("changes %+v, want none", c.changes)
+	}
+}
+
+func TestContainment_EndsAfterACalmTimeAndLastsLongerTheNextTime(t *testing.T) {
+	c := newCrashes()
+	for round, want := range []time.Duration{DefaultLimits.Containment, 2 * DefaultLimits.Containment} {
+		for n := range 2 {
+			c.end(10*time.Millisecond, run("short", fmt.Sprint("deadly", round, ".0.0.0"), 8, 60), run("plain", fmt.Sprint(n, round, ".0.0.0"), 150, 200))
+		}
+		c.now += want - time.Millisecond
+		if changes := c.monitor.Advance(c.now); len(changes) != 0 {
+			t.Errorf("round %d: %+v before %v", round, changes, want)
+		}
+		c.now += time.Millisecond
+		if changes := c.monitor.Advance(c.now); len(changes) != 1 || changes[0].IsContained {
+			t.Errorf("round %d: changes %+v, want the queue released after %v", round, changes, want)
+		}
+	}
+}
+
+func TestMonitor_CrashIsCountedOnce(t *testing.T) {
+	m := NewMonitor(DefaultLimits)
+	for range 3 {
+		m.Observe(time.Minute, "p", "w", &work.Crash{Incarnation: "w@1", Runs: []work.CrashedRun{run("q", "a.0.0.0", 8, 60)}})
+	}
+	if got := m.Task("a.0.0.0"); got.Crashes != 1 || got.IsGivenUp() {
+		t.Errorf("history %+v, want one crash", got)
+	}
+}
+
+func TestMonitor_OnlyATaskThatWasAloneIsGivenUp(t *testing.T) {
+	c := newCrashes()
+	for range 4 {
+		c.end(time.Second, run("plain", "beside.0.0.0", 100, 200), run("short", "other.0.0.0", 30, 60))
+	}
+	if got := c.monitor.Task("beside.0.0.0"); got.Crashes != 4 || got.IsGivenUp() || !got.MustRunAlone() {
+		t.Errorf("history %+v, want it tried alone", got)
+	}
+	c.end(time.Second, run("plain", "beside.0.0.0", 100, 200), run("plain", "beside.0.0.1", 100, 200))
+	if got := c.monitor.Task("beside.0.0.0"); !got.IsGivenUp() {
+		t.Errorf("history %+v, want it given up after a crash under its job alone", got)
+	}
+}
+
+func TestMonitor_RemembersABoundedNumberOfTasks(t *testing.T) {
+	limits := DefaultLimits
+	limits.Tasks = 10
+	m := NewMonitor(limits)
+	for n := range 100 {
+		now := time.Minute + time.Duration(n)*time.Second
+		m.Observe(now, "p", "w", &work.Crash{Incarnation: fmt.Sprint("w@", n), Runs: []work.CrashedRun{run("q", fmt.Sprint(n, ".0.0.0"), 8, 60)}})
+	}
+	if len(m.tasks) > limits.Tasks+1 || m.Task("99.0.0.0").Crashes != 1 {
+		t.Errorf("%d tasks are remembered, want at most %d and the latest", len(m.tasks), limits.Tasks+1)
+	}
+}
--- a/core/jobstore/table_test.go
+++ b/core/jobstore/table_test.go
@@ -59,6 +59,24 @@
 	}
 }
 
+// TestTable_CrashesCountOnceForEachRunAndEndNoJob covers a version of control that ignores crashes: its replicas must agree with
+// the others on the state of each job.
+func TestTable_CrashesCountOnceForEachRunAndEndNoJob(t *testing.T) {
+	table := NewTable(DefaultLimits)
+	table.Store(store("j", "a"), 1)
+	for _, run := range []uint32{1, 1, 2, 3, 3} {
+		if answer := table.RecordCrash(Crash{Task: "j.0.0.0", Run: run}); answer.State != Open {
+			t.Fatalf("answer %+v", answer)
+		}
+	}
+	if got := table.Find("j").Progress(0, 0); got.Crashes != 3 || got.Failures != 0 {
+		t.Errorf("progress %+v, want three crashes", got)
+	}
+	if got := table.Find("j").Progress(0, 1); got.Crashes != 0 {
+		t.Errorf("progress of another task %+v", got)
+	}
+}
+
 func TestTable_SameIDIsTheSameJob(t *testing.T) {
 	table := NewTable(DefaultLimits)
 	table.Store(store("j", "a"), 1)
