Judge crashes that a session is told of later by their age

What callers saw: nothing yet; found by reading. An entry that starts after such crashes is told of all of them by the sidecars at once and took them for crashes of that moment, so it could contain a queue in which nothing was wrong any more. Change: a crash carries its age; one from the past counts under its tasks and decides nothing else. Evidence: TestMonitor_PastCrashesContainNoQueue failed before.

--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -127,3 +127,18 @@
 		t.Errorf("%d tasks are remembered, want at most %d and the latest", len(m.tasks), limits.Tasks+1)
 	}
 }
+
+// TestMonitor_PastCrashesContainNoQueue covers an entry that starts some time after such crashes: the sidecars tell it of all of
+// them at once.
+func TestMonitor_PastCrashesContainNoQueue(t *testing.T) {
+	m := NewMonitor(DefaultLimits)
+	for n := range 3 {
+		past := &work.Crash{Incarnation: fmt.Sprint("w@", n), AgeMS: 30_000, Runs: []work.CrashedRun{run("q", "a.0.0.0", 8, 200)}}
+		if changes := m.Observe(time.Minute, "p", fmt.Sprint("w", n), past); len(changes) != 0 {
+			t.Errorf("changes %+v, want none", changes)
+		}
+	}
+	if got := m.Task("a.0.0.0"); got.Crashes != 3 || !got.IsGivenUp() {
+		t.Errorf("history %+v, want the crashes counted", got)
+	}
+}
--- a/core/crash/monitor.go
+++ b/core/crash/monitor.go
@@ -100,6 +100,11 @@
 	m.forget(now)
 	m.counted[c.Incarnation] = now
 	p := m.pool(poolName)
+	if c.AgeMS > 0 {
+		// The report reaches a session that opened after the crash. It tells nothing about what happens now.
+		m.count(now-milliseconds(c.AgeMS), c, nil)
+		return nil
+	}
 	isMember := p.disturb(now, worker)
 	p.crashed = append(p.crashed, ended{worker: worker, at: now, runs: c.Runs})
 	p.isStale = true
@@ -111,14 +116,23 @@
 			suspects = p.suspects(c)
 		}
 	}
+	m.count(now, c, suspects)
+	return changes
+}
+
+// count adds a crash to the histories of its tasks.
+func (m *Monitor) count(at time.Duration, c *work.Crash, suspects map[string]bool) {
 	wasAlone := c.IsOfOneJob()
 	for i := range c.Runs {
 		run := &c.Runs[i]
 		m.tasks[run.Task] = History{
-			Crashes: max(m.tasks[run.Task].Crashes+1, int(run.Crashes)), WasAlone: wasAlone, IsSuspect: suspects[run.Task], at: now,
+			Crashes: max(m.tasks[run.Task].Crashes+1, int(run.Crashes)), WasAlone: wasAlone, IsSuspect: suspects[run.Task], at: at,
 		}
 	}
-	return changes
+}
+
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(ms) * time.Millisecond
 }
 
 // Returned notes that a worker is back after a crash.
--- a/core/runner/crash.go
+++ b/core/runner/crash.go
@@ -64,8 +64,10 @@
 // sendRecentCrashes informs a new session, whose entry may have restarted.
 func (r *Runner) sendRecentCrashes(now time.Duration, s *session) {
 	for i := range r.crashes {
-		if now-r.crashes[i].at < crashRetention {
-			s.frame.Crashes = append(s.frame.Crashes, r.crashes[i].Crash)
+		if age := now - r.crashes[i].at; age < crashRetention {
+			past := r.crashes[i].Crash
+			past.AgeMS = age.Milliseconds()
+			s.frame.Crashes = append(s.frame.Crashes, past)
 		}
 	}
 }
--- a/core/work/message.go
+++ b/core/work/message.go
@@ -85,6 +85,8 @@
 	// Incarnation of the worker that ended.
 	Incarnation string       `cbor:"1,keyasint"`
 	Runs        []CrashedRun `cbor:"2,keyasint"`
+	// AgeMS is how long ago the worker ended.
+	AgeMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // CrashedRun is a run under which a worker ended.
