Keep two workers' turns for tasks that must run alone

In a busy pool a task that was beside two crashes was held until its caller's deadline: 5 of 8 such tasks, with up to 760 offers each. Cause: a worker is hardly ever idle, sidecars refused the offer as one that can't start in time, and the entry asked the next worker. Change: such tasks go to two workers, the same ones for all entries, and may wait there for two seconds; the worker starts nothing that comes after them, so it becomes idle. Evidence: TestDeadly_TaskThatMustRunAloneIsServedInABusyPool failed before (5 of 8 given up) and passes.

--- a/core/crash/containment.go
+++ b/core/crash/containment.go
@@ -239,7 +239,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(rank(queue, a), rank(queue, b)), cmp.Compare(a, b))
+		return CompareRank(queue, a, b)
 	})
 	members := map[string]bool{}
 	for _, worker := range ranked[:p.size(queue, len(ranked))] {
@@ -248,11 +248,15 @@
 	return members
 }
 
-// rank orders the workers differently for each queue, and equally at all entries.
-func rank(queue, worker string) uint64 {
+// CompareRank orders workers differently for each queue or other key, and equally at all entries.
+func CompareRank(key, a, b string) int {
+	return cmp.Or(cmp.Compare(rank(key, a), rank(key, b)), cmp.Compare(a, b))
+}
+
+func rank(key, worker string) uint64 {
 	sum := fnv.New64a()
 	// Writing to a hash never fails.
-	_, _ = sum.Write([]byte(queue))
+	_, _ = sum.Write([]byte(key))
 	_, _ = sum.Write([]byte{0})
 	_, _ = sum.Write([]byte(worker))
 	return sum.Sum64()
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -183,27 +183,39 @@
 	return wait
 }
 
+const (
+	// trialWorkers is how many workers run tasks that must run alone. Such a task takes a whole worker, for which the worker has to
+	// become idle first; on more of them, the tasks of one crash would take the pool from all others.
+	trialWorkers = 2
+	// maxTrialWait is how long such a task may wait at its worker.
+	maxTrialWait = 2 * time.Second
+)
+
 // chooseExclusive returns the worker of the candidates that a task is to share with its own job only: the one that has tasks
-// of the job already, as long as they fit, or else the one that is expected to be free first.
+// of the job already, as long as they fit, or else the trial worker that is expected to be free first. All entries that know
+// the same workers use the same trial workers.
 func (d *Dispatcher) chooseExclusive(now time.Duration, t *task) choice {
 	var best choice
-	for _, w := range d.candidates {
+	for n, w := range d.rankedCandidates(t.job.Queue.Pool) {
 		own := t.job.needsAt(w.id)
-		candidate := choice{worker: w, wait: w.exclusiveWait(now, t.rank(now))}
-		candidate.cost = candidate.wait
-		if own != (work.Needs{}) {
-			if !own.Plus(t.step.Needs).FitsIn(w.Capacity) {
-				continue
-			}
-			candidate.wait, candidate.cost = 0, -1
+		if own != (work.Needs{}) && own.Plus(t.step.Needs).FitsIn(w.Capacity) {
+			return choice{worker: w}
 		}
-		if best.worker == nil || candidate.cost < best.cost {
-			best = candidate
+		wait := w.exclusiveWait(now, t.rank(now))
+		if n < trialWorkers && own == (work.Needs{}) && (best.worker == nil || wait < best.wait) {
+			best = choice{worker: w, wait: wait, cost: wait}
 		}
 	}
 	return best
 }
 
+// rankedCandidates returns the candidates in the order in which they are used for tasks that must run alone.
+func (d *Dispatcher) rankedCandidates(pool string) []*worker {
+	ranked := slices.Clone(d.candidates)
+	slices.SortFunc(ranked, func(a, b *worker) int { return crash.CompareRank(pool, a.id, b.id) })
+	return ranked
+}
+
 // needsAt returns the total needs of the job's tasks at a worker.
 func (j *job) needsAt(worker string) work.Needs {
 	var total work.Needs
--- a/core/dispatch/deadly_test.go
+++ b/core/dispatch/deadly_test.go
@@ -330,3 +330,38 @@
 	}
 	h.step(0)
 }
+
+// Load pattern: a busy pool, and tasks that were beside two crashes. They are tried alone, which takes a worker for each, and must
+// still end before their callers' deadlines.
+func TestDeadly_TaskThatMustRunAloneIsServedInABusyPool(t *testing.T) {
+	sim := newSimulation(t, 3, defaultLimits, 4, 11)
+	sim.run(time.Second)
+	number := 1000
+	var arrive func()
+	arrive = func() {
+		number++
+		sim.submitKind(sim.arrivals.IntN(4), jobID(number), sim.drawKind())
+		sim.after(time.Duration(sim.arrivals.ExpFloat64()*float64(7*time.Millisecond)), arrive)
+	}
+	arrive()
+	sim.run(3 * time.Second)
+	const tasks = 8
+	for n := range tasks {
+		job, entry := jobID(n), n%len(sim.entries)
+		for crash := range 2 {
+			sim.entries[entry].core.Take(sim.now, name(crash), &work.ToEntry{Crashes: []work.Crash{{
+				Incarnation: fmt.Sprint(job, crash), AgeMS: 1, Runs: []work.CrashedRun{
+					{Task: job + ".0.0.0", Queue: "q", Crashes: uint32(crash + 1), WasStarted: true, RanMS: 30},
+					{Task: "other.0.0.0", Queue: "r", Crashes: 1, WasStarted: true, RanMS: 50},
+				},
+			}}})
+		}
+		sim.submit(entry, job, 1, 100*time.Millisecond, 6*time.Second)
+	}
+	sim.run(10 * time.Second)
+	for n := range tasks {
+		if answers := sim.answers[jobID(n)]; len(answers) != 1 || answers[0].Result != dispatch.Completed {
+			t.Errorf("job %d: answers %+v, want it completed", n, answers)
+		}
+	}
+}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -328,16 +328,19 @@
 	w.pending = append(w.pending, pending)
 	w.frame.Offers = append(w.frame.Offers, work.Offer{
 		RunID: t.id(), Sequence: w.sequence, Spec: t.job.Spec, Needs: t.step.Needs, ExpectedMS: expected.Milliseconds(),
-		StartWithinMS: t.startWithin(now, chosen.wait).Milliseconds(), SlackMS: t.rank(now).Milliseconds(), Checkpoint: t.checkpoint,
+		StartWithinMS: t.startWithin(now, chosen.wait, isExclusive).Milliseconds(), SlackMS: t.rank(now).Milliseconds(), Checkpoint: t.checkpoint,
 		IsStored: t.job.IsStored, Queue: t.job.Queue.Name, Crashes: uint32(d.crashes.Task(t.name).Crashes), IsExclusive: isExclusive,
 	})
 	return true
 }
 
 // startWithin returns how long an offer may wait at its worker.
-func (t *task) startWithin(now, expected time.Duration) time.Duration {
+func (t *task) startWithin(now, expected time.Duration, isExclusive bool) time.Duration {
 	limit := startMargin + 2*expected
-	if expected == 0 {
+	switch {
+	case isExclusive:
+		limit = maxTrialWait
+	case expected == 0:
 		limit = roomMargin
 	}
 	if t.job.deadline == 0 {
