Give no port to two processes of the system tests

The kept logs show that control-2 could not listen: 127.0.0.1:18474 was in use (event 1005). The harness chooses free ports in several calls; until a process listens its port is still free, and a later call could choose it again, which is likely for one of the some 25 ports of a cluster now and then. Ruled out: the product; the failed process had not done anything yet. Change: ports that were given out are not given out again.

--- a/tools/systemtest/harness_test.go
+++ b/tools/systemtest/harness_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -251,12 +252,19 @@
 	maxPortTries = 1000
 )
 
-// freeAddresses returns loopback addresses with ports that were free when it was called.
+// given holds the ports given out so far: until its process listens, a port is still free and could be given out again.
+var given sync.Map
+
+// freeAddresses returns loopback addresses with ports that were free when it was called and were not given out before.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
 	addresses := make([]string, 0, count)
 	for try := 0; len(addresses) < count; try++ {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort+1))
+		port := firstPort + rand.IntN(lastPort-firstPort+1)
+		if _, isGiven := given.LoadOrStore(port, true); isGiven && try < maxPortTries {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp", address)
 		if err != nil && try < maxPortTries {
 			continue
