Pass the switches and weights of all decisions in from above

Cause: the limits and weights of admission, order, placement, estimates and the handling of faulty workers were constants in six files, so that what a mechanism is worth could only be measured by editing them.

No default changes a decision.

--- a/core/crash/monitor.go
+++ b/core/crash/monitor.go
@@ -21,6 +21,8 @@
 	// Calm is how long after such an event the queue's suspects wait: they would probably end another of the few workers that
 	// are left to the jobs of the queue.
 	Calm time.Duration
+	// Contains says whether queues are contained at all.
+	Contains bool
 	// DemandPeriod is the averaging time of the queues' shares of a pool.
 	DemandPeriod time.Duration
 }
@@ -29,7 +31,7 @@
 var DefaultLimits = Limits{
 	Retention: 2 * time.Minute, Tasks: 10_000,
 	Containment: 5 * time.Second, MaxContainment: time.Minute, Calm: 2 * time.Second,
-	DemandPeriod: 10 * time.Second,
+	Contains: true, DemandPeriod: 10 * time.Second,
 }
 
 // History is what is known of the crashes under a task.
@@ -120,7 +122,7 @@
 	p.isStale = true
 	var changes []Change
 	suspects := p.suspects(c)
-	if !isMember || len(suspects) == 0 {
+	if m.limits.Contains && (!isMember || len(suspects) == 0) {
 		if found, isFound := p.findOther(now, len(suspects) > 0); isFound {
 			changes = append(changes, p.contain(now, m.limits, found))
 			suspects = p.suspects(c)
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -230,7 +230,7 @@
 		if own != (work.Needs{}) && own.Plus(t.step.Needs).FitsIn(w.Capacity) {
 			return choice{worker: w}
 		}
-		wait := w.exclusiveWait(now, t.rank(now))
+		wait := w.exclusiveWait(now, d.rank(now, t))
 		if n < trialWorkers && own == (work.Needs{}) && (best.worker == nil || wait < best.wait) {
 			best = choice{worker: w, wait: wait, cost: wait}
 		}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -70,12 +70,14 @@
 // New returns a dispatcher without workers, for an entry in the given data centre. Entries with different seeds spread
 // their tasks differently.
 func New(limits Limits, dataCentre string, seed uint64) *Dispatcher {
+	crashLimits := crash.DefaultLimits
+	crashLimits.Contains = limits.Policy.Faults.Containment
 	return &Dispatcher{
 		limits: limits, localDataCentre: dataCentre, entries: 1, random: rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // Not a secret.
 		workers: map[string]*worker{}, drained: map[string]bool{}, jobs: map[string]*job{}, pools: map[string]*sharedPool{},
 		tasks: map[string]*task{}, records: map[work.RunID][]string{},
 		recentlyEnded: recentlyEnded{jobs: map[string]endedJob{}}, estimates: map[string]*estimate{},
-		detector: health.NewOutlierDetector(), crashes: crash.NewMonitor(crash.DefaultLimits), epoch: time.Unix(0, 0),
+		detector: health.NewOutlierDetector(), crashes: crash.NewMonitor(crashLimits), epoch: time.Unix(0, 0),
 	}
 }
 
@@ -338,11 +340,11 @@
 	w.pending = append(w.pending, pending)
 	w.frame.Offers = append(w.frame.Offers, work.Offer{
 		RunID: t.id(), Sequence: w.sequence, Spec: t.job.Spec, Needs: t.step.Needs, ExpectedMS: expected.Milliseconds(),
-		StartWithinMS: t.startWithin(now, chosen.wait, isExclusive).Milliseconds(), SlackMS: t.rank(now).Milliseconds(), Checkpoint: t.checkpoint,
+		StartWithinMS: t.startWithin(now, chosen.wait, isExclusive).Milliseconds(), SlackMS: d.rank(now, t).Milliseconds(), Checkpoint: t.checkpoint,
 		IsStored: t.job.IsStored, Queue: t.job.Queue.Name, Crashes: uint32(d.crashes.Task(t.name).Crashes), IsExclusive: isExclusive,
 		MayReserve: t.job.Queue.MayReserve,
 	})
-	if d.shares(&t.job.Queue) {
+	if d.limits.Policy.Order.LateYields && d.shares(&t.job.Queue) {
 		last := &w.frame.Offers[len(w.frame.Offers)-1]
 		last.YieldsWhenLate, last.SpareMS = true, d.spare(now, t, w).Milliseconds()
 	}
@@ -364,17 +366,15 @@
 	return min(limit, t.job.deadline-now)
 }
 
-// priorityStep is how much slack each level of priority below the first adds to a task.
-const priorityStep = 80 * time.Millisecond
-
 // rank returns the slack by which the task is ordered in queues, including its priority. Under overload, ordering by
 // slack alone makes short urgent jobs wait for longer ones that arrived before them.
-func (t *task) rank(now time.Duration) time.Duration {
-	return t.slack(now) + t.job.Queue.rankOffset()
+func (d *Dispatcher) rank(now time.Duration, t *task) time.Duration {
+	return t.slack(now) + d.rankOffset(&t.job.Queue)
 }
 
-func (q *Queue) rankOffset() time.Duration {
-	return time.Duration(q.Priority) * priorityStep
+// rankOffset returns how much slack the priority of a queue adds to its tasks.
+func (d *Dispatcher) rankOffset(queue *Queue) time.Duration {
+	return time.Duration(queue.Priority) * d.limits.Policy.Order.PriorityStep()
 }
 
 // slack returns how long the task's start may be delayed from now for its job to end in time.
--- a/core/dispatch/ended.go
+++ b/core/dispatch/ended.go
@@ -73,6 +73,9 @@
 	case work.Stopped, work.Lost:
 		return
 	}
+	if !d.limits.Policy.Faults.Ejection {
+		return
+	}
 	isBad := ended.Outcome != work.Done
 	if change, changed := d.detector.Observe(d.epoch.Add(now), w.Pool, w.id, t.job.Queue.Name, isBad); changed {
 		d.healthChanged(change)
--- a/core/dispatch/estimate.go
+++ b/core/dispatch/estimate.go
@@ -11,8 +11,6 @@
 	// minSpeed and maxSpeed bound the speed ratio that a single run contributes.
 	minSpeed = 0.25
 	maxSpeed = 2.0
-	// declaredWeight is the weight of a job's declared run time against the mean of its queue.
-	declaredWeight = 0.5
 )
 
 // estimate is the run time estimate of a queue: the moving average of the logarithm of run times, in milliseconds at
@@ -25,7 +23,7 @@
 // estimate sets the expected run times of a job's steps. Declared times are rough, and so is the queue's mean; the
 // geometric mean of both has a smaller error than either.
 func (d *Dispatcher) estimate(j *job) {
-	known := d.estimates[j.Queue.Name]
+	known, declaredWeight := d.estimates[j.Queue.Name], d.limits.Policy.Estimates.DeclaredWeight
 	for i := range j.steps {
 		declared := j.Steps[i].Expected
 		switch {
@@ -46,7 +44,7 @@
 		return
 	}
 	expected := t.job.stepOf(t).expected
-	if expected > 0 && w.load.SpeedPercent == 0 {
+	if d.limits.Policy.Estimates.LearnSpeeds && expected > 0 && w.load.SpeedPercent == 0 {
 		ratio := min(maxSpeed, max(minSpeed, float64(expected)/float64(took)))
 		w.speed = math.Exp((1-learnWeight)*math.Log(w.speed) + learnWeight*math.Log(ratio))
 	}
--- a/core/dispatch/move.go
+++ b/core/dispatch/move.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// maxMoves limits how often one task is moved off a slow worker.
-	maxMoves = 2
 	// moveGain is the minimum ratio of the remaining run time here to the expected time elsewhere at which a run is
 	// moved: the work done so far is lost, and the estimate for the other worker may be wrong.
 	moveGain = 1.6
@@ -21,7 +19,7 @@
 // and would take as long on any other.
 func (d *Dispatcher) overdueRun(now time.Duration, w *worker, report work.Overdue) {
 	t := d.taskAt(w.id, report.RunID)
-	if t == nil || t.state != started || t.moves >= maxMoves || w.load.RunTimePercent < slowRunTimePercent {
+	if t == nil || t.state != started || t.moves >= d.limits.Policy.Faults.MaxMoves || w.load.RunTimePercent < slowRunTimePercent {
 		return
 	}
 	remaining := time.Duration(report.RemainingMS) * time.Millisecond
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -14,15 +14,6 @@
 	// and predicted waits tend to be too short.
 	waitWeight = 3
 	waitCost   = 40 * time.Millisecond
-	// sampledWorkers is how many workers are compared for a task: with more, entries make the same choice and fill the
-	// same worker; with fewer, free capacity is missed. TestPool covers the value.
-	sampledWorkers = 4
-	// sampledFreeWorkers is the same if free capacity is known, in a pool whose queues share its capacity.
-	sampledFreeWorkers = 3
-	// lateCost is added, in a pool whose queues share its capacity, on a worker on which the task is expected to end after its
-	// job's objective. A long task then waits for a fast worker rather than start on a slow one; it is
-	// less than what retries and deadlines cost, so that a slow worker still counts as better than none.
-	lateCost = 200 * time.Millisecond
 	// avoidCost is added on the worker in task.avoid.
 	avoidCost = 2 * time.Second
 )
@@ -57,14 +48,15 @@
 	if isExclusive {
 		return d.chooseExclusive(now, t)
 	}
-	count := sampledWorkers
+	placement := &d.limits.Policy.Placement
+	count := placement.SampledWorkers
 	if t.step.DataRack != "" {
 		// Few workers are near the data; a sample would miss them.
 		count = len(d.candidates)
 	}
-	if d.shares(&t.job.Queue) && t.step.DataRack == "" {
+	if placement.FreeFirst && d.shares(&t.job.Queue) && t.step.DataRack == "" {
 		if n := d.freeFirst(now, t); n > 0 {
-			d.candidates, count = d.candidates[:n], min(count, sampledFreeWorkers)
+			d.candidates, count = d.candidates[:n], min(count, placement.SampledFreeWorkers)
 		}
 	}
 	return d.bestCandidate(now, t, count)
@@ -81,7 +73,7 @@
 }
 
 func (d *Dispatcher) evaluate(now time.Duration, t *task, w *worker, expected time.Duration) choice {
-	wait := w.expectedWait(now, t.step.Needs, t.rank(now))
+	wait := w.expectedWait(now, t.step.Needs, d.rank(now, t))
 	runTime := d.expectedRunTime(t, w, expected)
 	cost := waitWeight*wait + runTime + time.Duration(float64(occupancyCost)*min(1, w.committed().ShareOf(w.Capacity)))
 	if wait > 0 {
@@ -91,7 +83,8 @@
 		cost += otherDataCentreCost
 	}
 	if d.shares(&t.job.Queue) && now+wait+runTime > t.job.objective {
-		cost += lateCost
+		// A long task waits for a fast worker rather than start on a slow one.
+		cost += d.limits.Policy.Placement.LateCost()
 	}
 	if t.avoid == w.id {
 		cost += avoidCost
--- a/core/dispatch/sharing.go
+++ b/core/dispatch/sharing.go
@@ -34,10 +34,6 @@
 	shedQuietPeriod = time.Second
 	// sharingRetention is how long a pool counts as shared after its last job of a queue that shares it.
 	sharingRetention = 5 * time.Second
-	// minSharingEntries is the least number of entries for which queues share the capacity of their pool. With fewer, each entry offers a
-	// large part of the pool's work itself and gets loads at the shortest interval of the sidecars (fewEntries in core/runner), so that its own
-	// forecast holds.
-	minSharingEntries = 5
 	// maxFreeShare is the largest share of a pool's places for a job's tasks that may be free when a job is refused for the backlog. Loads are
 	// some tens of milliseconds old, and in this time about as many places are taken and given back.
 	maxFreeShare = 0.1
@@ -45,7 +41,14 @@
 
 // shares reports whether a queue shares the capacity of its pool.
 func (d *Dispatcher) shares(queue *Queue) bool {
-	return queue.IsShared && d.entries >= minSharingEntries
+	return queue.IsShared && d.hasSharing()
+}
+
+// hasSharing reports whether there are enough entries for sharing. With fewer, each entry offers a large part of the pool's work itself and
+// gets loads at the shortest interval of the sidecars (fewEntries in core/runner), so that its own forecast holds.
+func (d *Dispatcher) hasSharing() bool {
+	least := d.limits.Policy.Sharing.MinEntries
+	return least > 0 && d.entries >= least
 }
 
 // shared returns the state of a pool for a job of a queue that shares it, and creates it with the first one; nil if the queue doesn't
@@ -74,7 +77,7 @@
 // shared are forgotten; then loads contain no backlogs and speeds any more.
 func (d *Dispatcher) reportBacklogs(now time.Duration) {
 	maps.DeleteFunc(d.pools, func(_ string, p *sharedPool) bool {
-		return !p.isShedding && (d.entries < minSharingEntries || now-p.usedAt > sharingRetention)
+		return !p.isShedding && (!d.hasSharing() || now-p.usedAt > sharingRetention)
 	})
 	for name, p := range d.pools {
 		d.updateBacklog(now, name, p)
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -7,15 +7,8 @@
 	"flamingohall.example/core/work"
 )
 
-const (
-	// minRetryAfter is the minimum delay before a refused caller may try again.
-	minRetryAfter = time.Second
-	// maxWaitShare is the part of a job's slack that it may be expected to spend waiting; minAllowedWait is allowed in
-	// any case. Predictions are rough, and a longer queue does not raise throughput: it only makes all jobs late.
-	// TestPool covers both values.
-	maxWaitShare   = 0.12
-	minAllowedWait = 20 * time.Millisecond
-)
+// minRetryAfter is the minimum delay before a refused caller may try again.
+const minRetryAfter = time.Second
 
 // Submit takes a job, or answers at once with the reason why it is refused. If the job is already in progress, the call
 // adds a caller to it.
@@ -83,10 +76,10 @@
 // bursts, a job that cannot end in time is refused at once, so that it does not delay jobs that can.
 func (d *Dispatcher) expectedWait(now time.Duration, j *job) (time.Duration, Cause) {
 	ahead := d.unreported(j)
-	if j.isLate(now) && d.usedShare(j.Queue.Pool, ahead) > maxLateUsedShare {
+	if j.isLate(now) && d.usedShare(j.Queue.Pool, ahead) > d.limits.Policy.Admission.MaxLateUsedShare {
 		return 0, Overloaded
 	}
-	allowed := j.allowedWait(now)
+	allowed := d.allowedWait(now, j)
 	var longest time.Duration
 	for i := range j.Steps {
 		step := &j.Steps[i]
@@ -115,7 +108,7 @@
 			waits = waits.Plus(t.step.Needs)
 		}
 	}
-	if j.Waited == 0 {
+	if j.Waited == 0 || !d.limits.Policy.Admission.CountOtherEntries {
 		return waits
 	}
 	own := waits
@@ -129,10 +122,6 @@
 	return waits.Plus(own.Times(int64(d.entries - 1)))
 }
 
-// maxLateUsedShare is the used share of a pool above which jobs that are already late are refused: they would make new
-// jobs late, too.
-const maxLateUsedShare = 0.15
-
 // isLate reports whether the job will be late even without any further wait. This happens when the system starts, after
 // callers have already waited at the entries.
 func (j *job) isLate(now time.Duration) bool {
@@ -150,10 +139,12 @@
 	return used.ShareOf(all)
 }
 
-// allowedWait returns how long the job's tasks may wait.
-func (j *job) allowedWait(now time.Duration) time.Duration {
+// allowedWait returns how long the job's tasks may wait. Predictions are rough, and a longer queue does not raise throughput: it
+// only makes all jobs late.
+func (d *Dispatcher) allowedWait(now time.Duration, j *job) time.Duration {
+	admission := &d.limits.Policy.Admission
 	chain := j.longestChain()
-	allowed := max(minAllowedWait, time.Duration(maxWaitShare*float64(j.span()-chain))) - j.Waited
+	allowed := max(admission.MinAllowedWait(), time.Duration(admission.MaxWaitShare*float64(j.span()-chain))) - j.Waited
 	if j.deadline != 0 {
 		allowed = min(allowed, j.deadline-now-chain)
 	}
@@ -169,11 +160,11 @@
 	fastest := d.fastest(&j.Queue, step)
 	for _, w := range d.sortedWorkers {
 		// Free capacity on a slowed worker is not counted: a task ends sooner if it waits for another worker.
-		if !w.suits(j.Queue.Pool, step) || w.ejected || w.currentSpeed() < minUsefulSpeedRatio*fastest || !allowance.Allows(w.id) {
+		if !w.suits(j.Queue.Pool, step) || w.ejected || w.currentSpeed() < d.limits.Policy.Placement.MinUsefulSpeedRatio*fastest || !allowance.Allows(w.id) {
 			continue
 		}
 		left -= w.fittingTasks(step.Needs, left)
-		if wait := w.expectedWait(now, step.Needs, j.objective-now-j.stepExpected(step)+j.Queue.rankOffset()); shortest < 0 || wait < shortest {
+		if wait := w.expectedWait(now, step.Needs, j.objective-now-j.stepExpected(step)+d.rankOffset(&j.Queue)); shortest < 0 || wait < shortest {
 			shortest = wait
 		}
 	}
@@ -200,9 +191,6 @@
 	return 0
 }
 
-// minUsefulSpeedRatio is the fraction of the fastest worker's speed below which a worker's capacity is not counted.
-const minUsefulSpeedRatio = 0.45
-
 // fastest returns the highest speed of the workers that suit a step.
 func (d *Dispatcher) fastest(queue *Queue, step *Step) float64 {
 	best := 0.0
@@ -248,7 +236,7 @@
 	fastest := d.fastest(queue, step)
 	allowance := d.allowance(queue)
 	for _, w := range d.sortedWorkers {
-		if w.suits(queue.Pool, step) && !w.ejected && w.currentSpeed() >= minUsefulSpeedRatio*fastest && allowance.Allows(w.id) {
+		if w.suits(queue.Pool, step) && !w.ejected && w.currentSpeed() >= d.limits.Policy.Placement.MinUsefulSpeedRatio*fastest && allowance.Allows(w.id) {
 			total = total.Plus(w.Capacity)
 		}
 	}
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"flamingohall.example/core/policy"
 	"flamingohall.example/core/work"
 )
 
@@ -14,13 +15,15 @@
 	JobLease time.Duration
 	// RemoteDataFactor is how many times as long a task runs away from the rack of its data.
 	RemoteDataFactor float64
+	// Policy holds the switches and weights of the decisions.
+	Policy policy.Policy
 }
 
 // DefaultLimits agree with runner.DefaultLimits: Grant covers the sidecar's grant, the rate error of a slow worker
 // clock, and the time that a stop takes. Control reassigns jobs only after both the job lease and the grant have expired
 // (see holderTimeout in node/control); the job lease outlasts a usual election
 // there, but not one that is delayed by slow disks.
-var DefaultLimits = Limits{Grant: 1100 * time.Millisecond, JobLease: 2 * time.Second, RemoteDataFactor: 1.5}
+var DefaultLimits = Limits{Grant: 1100 * time.Millisecond, JobLease: 2 * time.Second, RemoteDataFactor: 1.5, Policy: policy.Default()}
 
 // Submission is one job as its caller sent it.
 type Submission struct {
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -35,7 +35,7 @@
 func (r *Runner) Advance(now time.Duration) {
 	r.advancedAt = now
 	r.worker.silence = now - r.worker.heardAt
-	if w := &r.worker; w.holdPending && now > w.holdSentAt+holdRepeatAfter {
+	if w := &r.worker; r.limits.Policy.Faults.RepeatHold && w.holdPending && now > w.holdSentAt+holdRepeatAfter {
 		w.holdPending, w.nextHold = false, now
 	}
 	if r.anyStartOverdue(now) {
@@ -306,7 +306,10 @@
 	}
 	load.RunTimePercent = r.runTimePercent(now)
 	if backlog, isReported := r.backlog(now); isReported {
-		load.SpeedPercent, load.Backlog = r.speed.percent(), backlog
+		load.Backlog = backlog
+		if r.limits.Policy.Estimates.MeasureSpeeds {
+			load.SpeedPercent = r.speed.percent()
+		}
 	}
 	r.addCold(now, &load)
 	return load
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -274,7 +274,7 @@
 			}
 			return -1
 		}
-		if first, second := a.latestStart(), b.latestStart(); first != second {
+		if first, second := r.startOrder(a), r.startOrder(b); first != second {
 			return int(first - second)
 		}
 		if a.Task < b.Task {
@@ -285,6 +285,14 @@
 	return all
 }
 
+// startOrder returns the time by which waiting runs are ordered.
+func (r *Runner) startOrder(run *taskRun) time.Duration {
+	if !r.limits.Policy.Order.BySlack {
+		return run.arrivedAt
+	}
+	return run.latestStart()
+}
+
 // latestStart returns the latest start with which the run still ends in time.
 func (r *taskRun) latestStart() time.Duration {
 	return r.arrivedAt + time.Duration(r.SlackMS)*time.Millisecond
--- a/core/runner/types.go
+++ b/core/runner/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"flamingohall.example/core/policy"
 	"flamingohall.example/core/work"
 )
 
@@ -23,6 +24,8 @@
 	// QuietProbe is the interval between probes of a session without runs. It leaves an entry that answered the last probe
 	// enough of its grant to start a task at once.
 	QuietProbe time.Duration
+	// Policy holds the switches and weights of the decisions.
+	Policy policy.Policy
 }
 
 // DefaultLimits are for workers with a lease of one second.
@@ -33,6 +36,7 @@
 	Probe:     200 * time.Millisecond,
 
 	QuietProbe: 350 * time.Millisecond,
+	Policy:     policy.Default(),
 }
 
 // Announcement is the worker's description of itself.
--- a/node/daemon/main.go
+++ b/node/daemon/main.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 
@@ -10,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"flamingohall.example/core/fault"
+	"flamingohall.example/core/policy"
 	"flamingohall.example/node/events"
 	"flamingohall.example/node/settings"
 )
@@ -27,6 +29,7 @@
 type commandLine struct {
 	Run      runCommand       `cmd:"" help:"Run the roles that FILE names until SIGTERM or SIGINT."`
 	Platform platformCommand  `cmd:"" help:"Run the roles that the platform's settings file asks for until SIGTERM."`
+	Policy   policyCommand    `cmd:"" help:"Print the default policy: the switches and weights of all decisions."`
 	Check    checkCommand     `cmd:"" help:"Check FILE and report all its faults with line and remedy."`
 	Events   eventsCommand    `cmd:"" help:"Print the catalogue of log events as Markdown."`
 	Version  kong.VersionFlag `help:"Print the version."`
@@ -36,7 +39,11 @@
 	File string `arg:"" help:"Settings file: JSON with comments." type:"path"`
 }
 
-type platformCommand struct{}
+type platformCommand struct {
+	Policy string `help:"Policy file, JSON with comments: what differs from the defaults that the command policy prints." type:"path"`
+}
+
+type policyCommand struct{}
 
 type checkCommand struct {
 	File string `arg:"" help:"Settings file: JSON with comments." type:"path"`
@@ -94,6 +101,13 @@
 	return err
 }
 
+// Run prints the default policy.
+func (c *policyCommand) Run(out io.Writer) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(policy.Default())
+}
+
 // Run prints the event catalogue.
 func (c *eventsCommand) Run(out io.Writer) error {
 	return events.WriteMarkdown(out)
--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-logr/logr"
 
+	"flamingohall.example/core/fault"
+	"flamingohall.example/core/policy"
 	"flamingohall.example/node/events"
 	"flamingohall.example/node/settings"
 	"flamingohall.example/platform"
@@ -55,12 +57,29 @@
 // growthVariable is the variable of the Go runtime with which an operator overrides smallHeapGrowthPercent.
 const growthVariable = "GOGC"
 
+// readPolicy returns the policy of the file that the command line names, or the default.
+func (c *platformCommand) readPolicy() (policy.Policy, error) {
+	if c.Policy == "" {
+		return policy.Default(), nil
+	}
+	file, err := os.Open(c.Policy)
+	if err != nil {
+		return policy.Policy{}, fault.New(fault.NotFound, "name a policy file that exists", "%v", err)
+	}
+	defer func() { _ = file.Close() }()
+	return policy.Read(file)
+}
+
 // Run runs the roles that the platform's settings ask for.
 func (c *platformCommand) Run() error {
 	loaded, err := platform.LoadSettings()
 	if err != nil {
 		return err
 	}
+	decisions, err := c.readPolicy()
+	if err != nil {
+		return err
+	}
 	if os.Getenv(growthVariable) == "" {
 		debug.SetGCPercent(heapGrowthPercent(loaded.ServesCallers()))
 	}
@@ -72,7 +91,7 @@
 	return runProcess(logger, func() (*process, error) {
 		return newProcessOf(file, logger, func() ([]namedRole, error) {
 			var roles []namedRole
-			built, err := platform.Roles(loaded, file, logger)
+			built, err := platform.Roles(loaded, decisions, file, logger)
 			for _, r := range built {
 				roles = append(roles, namedRole{name: r.Name, role: r.Duty})
 			}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"flamingohall.example/core/dispatch"
 	"flamingohall.example/core/fault"
 	"flamingohall.example/core/partition"
+	"flamingohall.example/core/policy"
 	"flamingohall.example/node/controlclient"
 	"flamingohall.example/node/duty"
 	"flamingohall.example/node/metrics"
@@ -32,7 +33,7 @@
 	idleTick = 100 * time.Millisecond
 )
 
-// Options configure an entry. All fields but RemoteDataFactor are required.
+// Options configure an entry. All fields but RemoteDataFactor and Policy are required.
 type Options struct {
 	ID         string
 	DataCentre string
@@ -45,8 +46,10 @@
 	// RemoteDataFactor is how many times as long a task takes away from the rack of its data. Below 1, it is that of
 	// dispatch.DefaultLimits.
 	RemoteDataFactor float64
-	Logger           logr.Logger
-	Metrics          *metrics.Role
+	// Policy configures the decisions; the zero value is replaced by policy.Default.
+	Policy  policy.Policy
+	Logger  logr.Logger
+	Metrics *metrics.Role
 }
 
 // Gateway is the entry role of a process.
@@ -105,6 +108,9 @@
 // limits returns the dispatcher's limits.
 func (o *Options) limits() dispatch.Limits {
 	limits := dispatch.DefaultLimits
+	if o.Policy != (policy.Policy{}) {
+		limits.Policy = o.Policy
+	}
 	if o.RemoteDataFactor >= 1 {
 		limits.RemoteDataFactor = o.RemoteDataFactor
 	}
