Serve the callers of an outage late with capacity that nobody else needs

Cause: after a loss of power the callers of the outage are submitted together when an entry has started.

Change: a job that can't be in time because its caller waited for the start is late work (core/dispatch/late.go). It is accepted if it can end before its caller leaves within a quarter of the pool, is offered while the pool is used up to 0.75, relatively least late first, and is answered as soon as it would hardly end any more. It replaces the limit of 0.15 of the pool for late jobs.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -265,6 +265,7 @@
 	d.checkJobLease(now)
 	d.endExpired(now)
 	d.endHopeless(now)
+	d.endHopelessLate(now)
 	d.offerWaiting(now)
 	d.reportBacklogs(now)
 	d.noteSheddingEnds(now)
@@ -291,7 +292,7 @@
 // offerWaiting offers the waiting tasks, in the order of their jobs' objectives.
 func (d *Dispatcher) offerWaiting(now time.Duration) {
 	d.waiting = slices.DeleteFunc(d.waiting, func(t *task) bool { return !t.needsOffer() || d.jobs[t.job.ID] != t.job })
-	slices.SortStableFunc(d.waiting, func(a, b *task) int { return cmp.Compare(a.job.objective, b.job.objective) })
+	slices.SortStableFunc(d.waiting, func(a, b *task) int { return compareWaiting(now, a, b) })
 	d.waiting = slices.DeleteFunc(d.waiting, func(t *task) bool {
 		if t.state == uncertain && now >= t.runEndsBy {
 			d.resolveUncertain(t)
@@ -318,9 +319,12 @@
 // offer sends a task to the best worker and reports whether there was one.
 func (d *Dispatcher) offer(now time.Duration, t *task) bool {
 	isExclusive := d.isExclusive(t)
+	if t.job.isLateWork && !d.mayOfferLate(t.job.Queue.Pool) {
+		return false
+	}
 	chosen := d.choose(now, t, isExclusive)
 	w := chosen.worker
-	if w == nil {
+	if w == nil || t.job.isLateWork && chosen.wait > 0 {
 		return false
 	}
 	progress := t.job.stepOf(t)
@@ -344,7 +348,7 @@
 		IsStored: t.job.IsStored, Queue: t.job.Queue.Name, Crashes: uint32(d.crashes.Task(t.name).Crashes), IsExclusive: isExclusive,
 		MayReserve: t.job.Queue.MayReserve,
 	})
-	if d.limits.Policy.Order.LateYields && d.shares(&t.job.Queue) {
+	if d.limits.Policy.Order.LateYields && (t.job.isLateWork || d.shares(&t.job.Queue)) {
 		last := &w.frame.Offers[len(w.frame.Offers)-1]
 		last.YieldsWhenLate, last.SpareMS = true, d.spare(now, t, w).Milliseconds()
 	}
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -71,7 +71,9 @@
 	steps     []stepProgress
 	// waiters counts the callers that wait for the answer.
 	waiters int
-	trace   Trace
+	// isLateWork means that the job can't end in time and uses only capacity that no other job needs.
+	isLateWork bool
+	trace      Trace
 }
 
 // stepProgress tracks the tasks of a step.
--- a/core/dispatch/sharing.go
+++ b/core/dispatch/sharing.go
@@ -104,7 +104,7 @@
 	}
 	var waits work.Needs
 	for _, t := range d.tasks {
-		if (t.state == waiting || t.state == offered) && t.job.Queue.Pool == pool && !d.crashes.IsContained(pool, t.job.Queue.Name) {
+		if (t.state == waiting || t.state == offered) && !t.job.isLateWork && t.job.Queue.Pool == pool && !d.crashes.IsContained(pool, t.job.Queue.Name) {
 			waits = waits.Plus(t.step.Needs)
 		}
 	}
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -38,8 +38,12 @@
 		return j, answer
 	}
 	wait, cause := d.expectedWait(now, j)
+	if cause == Overloaded && d.admitLate(now, j) {
+		wait, cause = 0, 0
+		j.delayLateWork(now)
+	}
 	j.trace.PredictedWait = wait
-	if cause == 0 || cause == Overloaded {
+	if !j.isLateWork && (cause == 0 || cause == Overloaded) {
 		if answer := d.shed(now, j); answer != nil {
 			return j, answer
 		}
@@ -76,7 +80,7 @@
 // bursts, a job that cannot end in time is refused at once, so that it does not delay jobs that can.
 func (d *Dispatcher) expectedWait(now time.Duration, j *job) (time.Duration, Cause) {
 	ahead := d.unreported(j)
-	if j.isLate(now) && d.usedShare(j.Queue.Pool, ahead) > d.limits.Policy.Admission.MaxLateUsedShare {
+	if j.isLate(now) {
 		return 0, Overloaded
 	}
 	allowed := d.allowedWait(now, j)
@@ -104,22 +108,28 @@
 func (d *Dispatcher) unreported(j *job) work.Needs {
 	var waits work.Needs
 	for _, t := range d.waiting {
-		if t.job.Queue.Pool == j.Queue.Pool && t.state == waiting {
+		if t.job.Queue.Pool == j.Queue.Pool && t.state == waiting && !t.job.isLateWork {
 			waits = waits.Plus(t.step.Needs)
 		}
 	}
 	if j.Waited == 0 || !d.limits.Policy.Admission.CountOtherEntries {
 		return waits
 	}
-	own := waits
+	own := waits.Plus(d.pendingNeeds(j.Queue.Pool))
+	return waits.Plus(own.Times(int64(d.entries - 1)))
+}
+
+// pendingNeeds returns what the offers of this entry need that no load report of a pool's workers counts yet.
+func (d *Dispatcher) pendingNeeds(pool string) work.Needs {
+	var needs work.Needs
 	for _, w := range d.sortedWorkers {
 		for _, p := range w.pending {
-			if w.Pool == j.Queue.Pool {
-				own = own.Plus(p.needs)
+			if w.Pool == pool {
+				needs = needs.Plus(p.needs)
 			}
 		}
 	}
-	return waits.Plus(own.Times(int64(d.entries - 1)))
+	return needs
 }
 
 // isLate reports whether the job will be late even without any further wait. This happens when the system starts, after
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -18,6 +18,7 @@
 // the test that replays it.
 type Policy struct {
 	Admission Admission `json:"admission"`
+	Late      Late      `json:"late"`
 	Order     Order     `json:"order"`
 	Placement Placement `json:"placement"`
 	Estimates Estimates `json:"estimates"`
@@ -31,14 +32,20 @@
 	// case, in milliseconds. Load: a crest above the capacity (TestPool_OverloadedWorkersServeMostInTime).
 	MaxWaitShare     float64 `json:"max_wait_share"`
 	MinAllowedWaitMS int64   `json:"min_allowed_wait_ms"`
-	// MaxLateUsedShare is the used share of a pool above which jobs that are already late are refused. Load: the start of the
-	// system while callers wait (TestLoad_LateJobsLeaveRoomForNewOnes).
-	MaxLateUsedShare float64 `json:"max_late_used_share"`
 	// CountOtherEntries adds an estimate of what other entries accept at the same moment. Load: all entries start
 	// together after a loss of power (TestLoad_EntriesThatOpenTogetherShareTheWorkers).
 	CountOtherEntries bool `json:"count_other_entries"`
 }
 
+// Late decides about late work: jobs that can't end in time when they are submitted. Load: the callers of an outage return
+// together (TestLate_CallersOfAnOutageAreServedBesideNewOnes).
+type Late struct {
+	// MaxUsedShare is the used share of a pool up to which late work is offered.
+	MaxUsedShare float64 `json:"max_used_share"`
+	// DrainShare is the share of a pool that late work is assumed to get when it is accepted; 0 refuses all late work.
+	DrainShare float64 `json:"drain_share"`
+}
+
 // Order decides which waiting task starts first.
 type Order struct {
 	// BySlack starts the task with the least slack first, instead of the one that arrived first. Load: short jobs behind long
@@ -103,7 +110,8 @@
 // Default returns the policy of the product.
 func Default() Policy {
 	return Policy{
-		Admission: Admission{MaxWaitShare: 0.12, MinAllowedWaitMS: 20, MaxLateUsedShare: 0.15, CountOtherEntries: true},
+		Admission: Admission{MaxWaitShare: 0.12, MinAllowedWaitMS: 20, CountOtherEntries: true},
+		Late:      Late{MaxUsedShare: 0.75, DrainShare: 0.25},
 		Order:     Order{BySlack: true, PriorityStepMS: 80, LateYields: true},
 		Placement: Placement{SampledWorkers: 4, FreeFirst: true, SampledFreeWorkers: 3, LateCostMS: 200, MinUsefulSpeedRatio: 0.45},
 		Estimates: Estimates{DeclaredWeight: 0.5, LearnSpeeds: true, MeasureSpeeds: true},
@@ -135,12 +143,12 @@
 }
 
 func (p *Policy) problem() string {
-	a, pl := &p.Admission, &p.Placement
+	a, l, pl := &p.Admission, &p.Late, &p.Placement
 	switch {
 	case a.MaxWaitShare < 0 || a.MaxWaitShare > 1:
 		return "admission.max_wait_share is not between 0 and 1"
-	case a.MaxLateUsedShare < 0 || a.MaxLateUsedShare > 1:
-		return "admission.max_late_used_share is not between 0 and 1"
+	case l.DrainShare < 0 || l.DrainShare > 1 || l.MaxUsedShare < 0 || l.MaxUsedShare > 1:
+		return "a share of late is not between 0 and 1"
 	case a.MinAllowedWaitMS < 0 || p.Order.PriorityStepMS < 0 || pl.LateCostMS < 0:
 		return "a duration is negative"
 	case pl.SampledWorkers < 1 || pl.SampledFreeWorkers < 1:
