Report which jobs of a period were not served in time, and why

Cause: after a bad hour the logs told how each job ended, but not where the time of a late one went, what was free when one was refused, or whether the workers could have done better at all.

Change: flamingohall report losses reads the logs of all processes (tools/losses), names one first cause for each job, and compares with a plan that knows everything (core/bound).

--- a/core/bound/bound.go
+++ b/core/bound/bound.go
@@ -25,12 +25,13 @@
 	From, Until time.Duration
 }
 
-// Job is a recorded job. Its tasks may run at the same time.
+// Job is a recorded job of Count tasks that are alike and may run at the same time.
 type Job struct {
 	ID string
 	// Arrived is when the job arrived, EndBy when it had to end to be in time.
 	Arrived, EndBy time.Duration
-	Tasks          []Task
+	Task           Task
+	Count          int
 }
 
 // Task is one task of a job.
@@ -66,7 +67,8 @@
 // planJob plans all tasks of a job, or none if it can't end in time.
 func planJob(calendars []calendar, job *Job) bool {
 	var planned []*calendar
-	for _, task := range job.Tasks {
+	task := job.Task
+	for range job.Count {
 		best, start := -1, time.Duration(0)
 		var end time.Duration
 		for i := range calendars {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -332,6 +332,9 @@
 	w.sequence++
 	t.run++
 	t.state, t.worker, t.offeredAt, t.loadAge = offered, w.id, now, now-w.loadAt
+	if t.firstOfferedAt == 0 {
+		t.firstOfferedAt = now
+	}
 	t.job.trace.Offers++
 	if progress.perWorker == nil {
 		progress.perWorker = map[string]int{}
--- a/core/dispatch/ended.go
+++ b/core/dispatch/ended.go
@@ -28,6 +28,7 @@
 	if ended.Outcome == work.Done {
 		t.state = finished
 		progress.left--
+		j.trace.Slowest = t.stages(now)
 		d.waiting = append(d.waiting, j.unblock()...)
 		d.finishIfDone(now, j)
 		return
@@ -56,6 +57,14 @@
 	d.requeue(t, now)
 }
 
+// stages returns where a task that ends now has spent its time.
+func (t *task) stages(now time.Duration) Stages {
+	return Stages{
+		Offered: t.firstOfferedAt - t.job.arrivedAt, Reoffered: t.offeredAt - t.firstOfferedAt,
+		Queued: t.startedAt - t.offeredAt, Run: now - t.startedAt,
+	}
+}
+
 // requeue makes a task wait for a worker again.
 func (d *Dispatcher) requeue(t *task, at time.Duration) {
 	t.state, t.retryAt = waiting, at
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -38,6 +38,8 @@
 	// worker is the worker that has the task, or had it last.
 	worker    string
 	offeredAt time.Duration
+	// firstOfferedAt is when the task was first offered; 0 before.
+	firstOfferedAt time.Duration
 	// loadAge is the age of the worker's load report when the offer was made.
 	loadAge   time.Duration
 	startedAt time.Duration
--- a/core/dispatch/scarcity_test.go
+++ b/core/dispatch/scarcity_test.go
@@ -197,11 +197,7 @@
 }
 
 func (sim *simulation) boundJob(id string, objective time.Duration) bound.Job {
-	tasks := make([]bound.Task, sim.lastTasks)
-	for i := range tasks {
-		tasks[i] = sim.lastTask
-	}
-	return bound.Job{ID: id, Arrived: sim.now, EndBy: sim.now + objective, Tasks: tasks}
+	return bound.Job{ID: id, Arrived: sim.now, EndBy: sim.now + objective, Task: sim.lastTask, Count: sim.lastTasks}
 }
 
 func (sim *simulation) boundWorkers() []bound.Worker {
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -49,6 +49,7 @@
 		}
 	}
 	if cause != 0 {
+		j.trace.FreeMilliCores, j.trace.PoolMilliCores = d.freeCapacity(j.Queue.Pool)
 		refusal := &Answer{Result: Refused, Cause: cause, RetryAfter: max(minRetryAfter, wait)}
 		if cause == Contained {
 			refusal.RetryAfter = max(minRetryAfter, d.crashes.NextReturn(j.Queue.Pool, j.Queue.Name)-now)
@@ -298,10 +299,25 @@
 	}
 }
 
+// freeCapacity returns the free and the whole capacity of a pool in thousandths of a core, as this entry knows it.
+func (d *Dispatcher) freeCapacity(pool string) (free, all int64) {
+	for _, w := range d.sortedWorkers {
+		if w.isUp && w.isAttached && w.load.Accepts && w.Pool == pool {
+			free += max(0, w.Capacity.MilliCores-w.committed().MilliCores)
+			all += w.Capacity.MilliCores
+		}
+	}
+	return free, all
+}
+
 // fill adds the job's own data to an answer.
 func (j *job) fill(now time.Duration, answer Answer) Answer {
 	answer.Job, answer.Request, answer.Queue, answer.IsStored, answer.Trace = j.ID, j.Request, j.Queue.Name, j.IsStored, j.trace
 	answer.Trace.Took, answer.Trace.Objective = now-j.arrivedAt, j.objective-j.arrivedAt
+	answer.Trace.Expected, answer.Trace.Target, answer.Trace.Held = j.longestChain(), j.Queue.Target, j.Waited
+	if len(j.Steps) > 0 {
+		answer.Trace.MilliCores = j.Steps[0].Needs.MilliCores
+	}
 	return answer
 }
 
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -190,6 +190,24 @@
 	PredictedWait time.Duration
 	// Worker is the one whose run ended last or failed.
 	Worker string
+	// Expected is the longest chain of expected run times, Target the part of the objective that doesn't depend on it, and
+	// MilliCores what one task of the first step needs.
+	Expected   time.Duration
+	Target     time.Duration
+	MilliCores int64
+	// Held is how long the job waited for the start of the entry.
+	Held time.Duration
+	// Slowest says where the task that ended last spent its time.
+	Slowest Stages
+	// FreeMilliCores and PoolMilliCores are the free and the whole capacity of the pool when the job was refused, as this entry knew it.
+	FreeMilliCores, PoolMilliCores int64
+}
+
+// Stages are the times that a task spent in each stage.
+type Stages struct {
+	// Offered is the time from the job's arrival, or the end of the last unsuccessful run, to the first offer; Reoffered from
+	// the first to the last offer; Queued from there to the start; Run to the end.
+	Offered, Reoffered, Queued, Run time.Duration
 }
 
 // Effects are the actions that the dispatcher wants performed.
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -333,6 +333,9 @@
 
 func (r *Runner) note(n Note) {
 	n.Age = r.worker.silence
+	if n.Kind == WorkerChanged {
+		n.MilliCores = r.worker.Capacity.MilliCores
+	}
 	r.effects.Notes = append(r.effects.Notes, n)
 }
 
--- a/core/runner/types.go
+++ b/core/runner/types.go
@@ -183,6 +183,8 @@
 	Ran time.Duration
 	// Waited is how long a reservation was held; of one that is made, when its task is expected to start.
 	Waited time.Duration
+	// MilliCores is the capacity of the worker, for WorkerChanged.
+	MilliCores int64
 	// Tasks are those under which the worker ended.
 	Tasks []string
 }
--- a/node/agent/report.go
+++ b/node/agent/report.go
@@ -70,7 +70,7 @@
 	case runner.GrantEnded:
 		events.GrantEnded.Log(logger, "entry", note.Reason, "age_ms", age)
 	case runner.WorkerChanged:
-		events.WorkerChanged.Log(logger, "state", note.Reason, "age_ms", age)
+		events.WorkerChanged.Log(logger, "state", note.Reason, "millicores", note.MilliCores, "age_ms", age)
 	case runner.WorkerEnded:
 		a.counters.workerEnds.Add(1)
 		events.WorkerEnded.Log(logger, "reason", note.Reason, "runs", len(note.Tasks), "tasks", note.Tasks, "age_ms", age)
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -110,7 +110,10 @@
 		"cause", answer.Cause.String(), "tasks", trace.Tasks, "offers", trace.Offers, "failures", trace.Failures,
 		"waited_ms", trace.Waited.Milliseconds(), "took_ms", trace.Took.Milliseconds(),
 		"objective_ms", trace.Objective.Milliseconds(), "predicted_wait_ms", trace.PredictedWait.Milliseconds(),
-		"worker", trace.Worker)
+		"worker", trace.Worker, "held_ms", trace.Held.Milliseconds(), "expected_ms", trace.Expected.Milliseconds(), "target_ms", trace.Target.Milliseconds(), "millicores", trace.MilliCores,
+		"offered_ms", trace.Slowest.Offered.Milliseconds(), "reoffered_ms", trace.Slowest.Reoffered.Milliseconds(),
+		"queued_ms", trace.Slowest.Queued.Milliseconds(), "run_ms", trace.Slowest.Run.Milliseconds(),
+		"free_millicores", trace.FreeMilliCores, "pool_millicores", trace.PoolMilliCores)
 }
 
 // log logs a decision of the dispatcher.
--- a/tools/cli/report.go
+++ b/tools/cli/report.go
@@ -11,8 +11,9 @@
 )
 
 type reportCommand struct {
-	Burn  burnCommand  `cmd:"" help:"Service-level burn of each catalogue entry and owner."`
-	Waste wasteCommand `cmd:"" help:"Wasted messages by kind and the cost of control, as counted by the processes."`
+	Burn   burnCommand   `cmd:"" help:"Service-level burn of each catalogue entry and owner."`
+	Losses lossesCommand `cmd:"" help:"Which jobs of a period were not served in time, and why, from the logs of all processes."`
+	Waste  wasteCommand  `cmd:"" help:"Wasted messages by kind and the cost of control, as counted by the processes."`
 }
 
 type burnCommand struct {
