--- a/core/dispatch/late_test.go
+++ b/core/dispatch/late_test.go
@@ -34,12 +34,12 @@
 			if got := share(with.returned.other, with.returned.jobs); got > 0.03 {
 				t.Errorf("%.3f of the callers of the outage are given up after a part has run, want at most 0.03", got)
 			}
-			var new, newWithout scarceTally
+			var fresh, freshWithout scarceTally
 			for i := range with.windows {
-				new.earned, new.worth = new.earned+with.windows[i].earned, new.worth+with.windows[i].worth
-				newWithout.earned, newWithout.worth = newWithout.earned+without.windows[i].earned, newWithout.worth+without.windows[i].worth
+				fresh.earned, fresh.worth = fresh.earned+with.windows[i].earned, fresh.worth+with.windows[i].worth
+				freshWithout.earned, freshWithout.worth = freshWithout.earned+without.windows[i].earned, freshWithout.worth+without.windows[i].worth
 			}
-			if loss := newWithout.earned/newWithout.worth - new.earned/new.worth; loss > 0.02 {
+			if loss := freshWithout.earned/freshWithout.worth - fresh.earned/fresh.worth; loss > 0.02 {
 				t.Errorf("new callers lose %.3f of what they get if the others are refused, want at most 0.02", loss)
 			}
 		})
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -48,18 +48,23 @@
 	if isExclusive {
 		return d.chooseExclusive(now, t)
 	}
+	return d.bestCandidate(now, t, d.narrow(now, t))
+}
+
+// narrow returns how many of the candidates are compared for a task, and drops those without free capacity if the others come first.
+func (d *Dispatcher) narrow(now time.Duration, t *task) int {
 	placement := &d.limits.Policy.Placement
-	count := placement.SampledWorkers
 	if t.step.DataRack != "" {
 		// Few workers are near the data; a sample would miss them.
-		count = len(d.candidates)
+		return len(d.candidates)
 	}
-	if placement.FreeFirst && d.shares(&t.job.Queue) && t.step.DataRack == "" {
+	if placement.FreeFirst && d.shares(&t.job.Queue) {
 		if n := d.freeFirst(now, t); n > 0 {
-			d.candidates, count = d.candidates[:n], min(count, placement.SampledFreeWorkers)
+			d.candidates = d.candidates[:n]
+			return min(placement.SampledWorkers, placement.SampledFreeWorkers)
 		}
 	}
-	return d.bestCandidate(now, t, count)
+	return placement.SampledWorkers
 }
 
 // sample returns the given number of candidates at random.
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"time"
 
@@ -143,22 +144,35 @@
 }
 
 func (p *Policy) problem() string {
-	a, l, pl := &p.Admission, &p.Late, &p.Placement
-	switch {
-	case a.MaxWaitShare < 0 || a.MaxWaitShare > 1:
-		return "admission.max_wait_share is not between 0 and 1"
-	case l.DrainShare < 0 || l.DrainShare > 1 || l.MaxUsedShare < 0 || l.MaxUsedShare > 1:
-		return "a share of late is not between 0 and 1"
-	case a.MinAllowedWaitMS < 0 || p.Order.PriorityStepMS < 0 || pl.LateCostMS < 0:
-		return "a duration is negative"
-	case pl.SampledWorkers < 1 || pl.SampledFreeWorkers < 1:
-		return "placement needs at least one sampled worker"
-	case pl.MinUsefulSpeedRatio < 0 || pl.MinUsefulSpeedRatio > 1:
-		return "placement.min_useful_speed_ratio is not between 0 and 1"
-	case p.Estimates.DeclaredWeight < 0 || p.Estimates.DeclaredWeight > 1:
-		return "estimates.declared_weight is not between 0 and 1"
-	case p.Faults.MaxMoves < 0 || p.Sharing.MinEntries < 0:
-		return "a count is negative"
+	for _, share := range []struct {
+		name  string
+		value float64
+	}{
+		{"admission.max_wait_share", p.Admission.MaxWaitShare},
+		{"late.max_used_share", p.Late.MaxUsedShare},
+		{"late.drain_share", p.Late.DrainShare},
+		{"placement.min_useful_speed_ratio", p.Placement.MinUsefulSpeedRatio},
+		{"estimates.declared_weight", p.Estimates.DeclaredWeight},
+	} {
+		if share.value < 0 || share.value > 1 {
+			return share.name + " is not between 0 and 1"
+		}
+	}
+	for _, number := range []struct {
+		name         string
+		value, least int64
+	}{
+		{"admission.min_allowed_wait_ms", p.Admission.MinAllowedWaitMS, 0},
+		{"order.priority_step_ms", p.Order.PriorityStepMS, 0},
+		{"placement.late_cost_ms", p.Placement.LateCostMS, 0},
+		{"placement.sampled_workers", int64(p.Placement.SampledWorkers), 1},
+		{"placement.sampled_free_workers", int64(p.Placement.SampledFreeWorkers), 1},
+		{"faults.max_moves", int64(p.Faults.MaxMoves), 0},
+		{"sharing.min_entries", int64(p.Sharing.MinEntries), 0},
+	} {
+		if number.value < number.least {
+			return fmt.Sprintf("%s is below %d", number.name, number.least)
+		}
 	}
 	return ""
 }
--- a/node/daemon/main.go
+++ b/node/daemon/main.go
@@ -40,7 +40,7 @@
 }
 
 type platformCommand struct {
-	Policy string `help:"Policy file, JSON with comments: what differs from the defaults that the command policy prints." type:"path"`
+	Policy string `help:"What differs from the policy that the command policy prints: a file of JSON with comments, or the JSON itself."`
 }
 
 type policyCommand struct{}
--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"github.com/go-logr/logr"
@@ -57,10 +58,13 @@
 // growthVariable is the variable of the Go runtime with which an operator overrides smallHeapGrowthPercent.
 const growthVariable = "GOGC"
 
-// readPolicy returns the policy of the file that the command line names, or the default.
+// readPolicy returns the policy that the command line contains or names, or the default.
 func (c *platformCommand) readPolicy() (policy.Policy, error) {
-	if c.Policy == "" {
+	switch {
+	case c.Policy == "":
 		return policy.Default(), nil
+	case strings.HasPrefix(c.Policy, "{"):
+		return policy.Read(strings.NewReader(c.Policy))
 	}
 	file, err := os.Open(c.Policy)
 	if err != nil {
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -29,7 +29,9 @@
   folder=$scratch/$variant
   git clone -q "$root" "$folder"
   if [ "$variant" != default ]; then
-    sed -i "s|^run = \"target/flamingohalld platform\"|run = \"target/flamingohalld platform --policy deploy/ablation/$variant.jsonc\"|" "$folder/deploy/system.toml"
+    # The processes see none of the files here, so that the policy is an argument, without comments and spaces.
+    policy=$(grep -v '^//' "deploy/ablation/$variant.jsonc" | tr -d ' \n')
+    sed -i "s|^run = \"target/flamingohalld platform\"|run = 'target/flamingohalld platform --policy $policy'|" "$folder/deploy/system.toml"
   fi
   (cd "$folder" && "$bench" build >/dev/null)
   for day in $days; do for seed in $seeds; do echo "$folder $variant $day $seed"; done; done |
--- a/tools/cli/losses.go
+++ b/tools/cli/losses.go
@@ -72,7 +72,7 @@
 		table := newTable(out, part.name+"\tASKED\tIN TIME\tPLANNED\tLATE\tREFUSED\tGIVEN UP\tFAILED\tUTIL")
 		for i := range part.tallies {
 			t := &part.tallies[i]
-			table.row("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f", t.Name, t.Asked, t.InTime, t.Planned, t.Late, t.Refused, t.GivenUp, t.Failed, t.Utilization)
+			table.row("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f", t.Name, t.Asked, t.InTime, t.Planned, t.Late, t.Refused, t.GivenUp, t.Failed, t.Utilisation)
 		}
 		if err := table.flush(); err != nil {
 			return err
--- a/tools/losses/losses_test.go
+++ b/tools/losses/losses_test.go
@@ -50,8 +50,10 @@
 		"slow worker":     {`"result":"completed","took_ms":400,"queued_ms":20,"run_ms":370,"worker":"w1"`, "late: ran on a slow worker"},
 		"full":            {`"result":"refused","cause":"overloaded","predicted_wait_ms":40,"free_millicores":500`, "refused: predicted wait, no capacity free"},
 		"pieces":          {`"result":"refused","cause":"overloaded","predicted_wait_ms":40,"free_millicores":5000`, "refused: predicted wait, while enough capacity was free in pieces"},
-		"refused at start": {`"result":"refused","cause":"overloaded","took_ms":400,"held_ms":400`,
-			"refused: held for the start of the entry"},
+		"refused at start": {
+			`"result":"refused","cause":"overloaded","took_ms":400,"held_ms":400`,
+			"refused: held for the start of the entry",
+		},
 		"no workers": {`"result":"refused","cause":"no workers"`, "refused: no workers"},
 		"untried":    {`"result":"given up","cause":"deadline passed","offers":0,"took_ms":900`, "given up: never offered"},
 		"expired":    {`"result":"given up","cause":"deadline passed","offers":3,"took_ms":900`, "given up: deadline passed"},
@@ -87,8 +89,8 @@
 	if len(report.Workers) != 1 || report.Workers[0].Asked != 2 || len(report.Entries) != 1 || len(report.Queues) != 1 {
 		t.Errorf("workers %+v, entries %+v, queues %+v", report.Workers, report.Entries, report.Queues)
 	}
-	if got := report.Windows[0].Utilization; got < 0.01 || got > 0.02 {
-		t.Errorf("utilization %.4f, want 0.2 of about 16 core-seconds", got)
+	if got := report.Windows[0].Utilisation; got < 0.01 || got > 0.02 {
+		t.Errorf("utilisation %.4f, want 0.2 of about 16 core-seconds", got)
 	}
 	if len(report.Gaps) != 1 || !strings.Contains(report.Gaps[0], "1 lines could not be read") {
 		t.Errorf("gaps %q", report.Gaps)
@@ -137,12 +139,18 @@
 	}{
 		"cut line":      {[]string{whole, whole[:40]}, "1 lines could not be read"},
 		"dropped lines": {[]string{whole, `{"level":"warn","message":"log lines dropped","lines":3}`}, "left out lines under load 1 times"},
-		"older build": {[]string{whole, fmt.Sprintf(`{"event":2301,"job":"k","queue":"q","node":"e2","time":%q,"result":"completed","took_ms":900,"objective_ms":200}`, at(2000))},
-			"1 jobs were logged by a build that doesn't write their stages"},
-		"two builds": {[]string{whole, fmt.Sprintf(`{"event":1001,"version":"v1","node":"a","time":%q}`, at(0)),
-			fmt.Sprintf(`{"event":1001,"version":"v2","node":"b","time":%q}`, at(0))}, "2 versions"},
-		"clocks that differ": {[]string{whole, fmt.Sprintf(`{"event":3205,"task":"t","run":1,"node":"w1","time":%q}`, at(0)),
-			fmt.Sprintf(`{"event":2302,"task":"t","run":1,"node":"e1","time":%q}`, at(2400))}, "the clock of w1 differs by about 2.4s"},
+		"older build": {
+			[]string{whole, fmt.Sprintf(`{"event":2301,"job":"k","queue":"q","node":"e2","time":%q,"result":"completed","took_ms":900,"objective_ms":200}`, at(2000))},
+			"1 jobs were logged by a build that doesn't write their stages",
+		},
+		"two builds": {[]string{
+			whole, fmt.Sprintf(`{"event":1001,"version":"v1","node":"a","time":%q}`, at(0)),
+			fmt.Sprintf(`{"event":1001,"version":"v2","node":"b","time":%q}`, at(0)),
+		}, "2 versions"},
+		"clocks that differ": {[]string{
+			whole, fmt.Sprintf(`{"event":3205,"task":"t","run":1,"node":"w1","time":%q}`, at(0)),
+			fmt.Sprintf(`{"event":2302,"task":"t","run":1,"node":"e1","time":%q}`, at(2400)),
+		}, "the clock of w1 differs by about 2.4s"},
 	} {
 		report := read(t, c.lines...)
 		if !strings.Contains(strings.Join(report.Gaps, "\n"), c.gap) {
--- a/tools/losses/report.go
+++ b/tools/losses/report.go
@@ -27,7 +27,7 @@
 	Causes []Cause `json:"causes"`
 	// Gaps says what the logs don't tell.
 	Gaps []string `json:"gaps"`
-	// HasPlan is false if the logs don't tell the capacity of any worker; then Planned and Utilization are 0 everywhere.
+	// HasPlan is false if the logs don't tell the capacity of any worker; then Planned and Utilisation are 0 everywhere.
 	HasPlan bool `json:"has_plan"`
 }
 
@@ -42,9 +42,9 @@
 	Failed  int    `json:"failed"`
 	// Planned is the number of jobs that the plan serves in time.
 	Planned int `json:"planned"`
-	// CoreSeconds is the work of the completed jobs, and Utilization its part of what the workers could do; for windows only.
+	// CoreSeconds is the work of the completed jobs, and Utilisation its part of what the workers could do; for windows only.
 	CoreSeconds float64 `json:"core_seconds"`
-	Utilization float64 `json:"utilization"`
+	Utilisation float64 `json:"utilisation"`
 }
 
 // Cause is a reason why jobs were not served in time.
@@ -89,22 +89,33 @@
 		report.Gaps = append(report.Gaps, "there is no plan to compare with: the logs of the sidecars from their start on are needed, by a build that writes the stages of jobs")
 	}
 
-	windows, queues, entries, atWorkers := tallies{}, tallies{}, tallies{}, tallies{}
+	report.count(l.jobs, planned, window)
+	for i := range report.Windows {
+		w := &report.Windows[i]
+		at, _ := time.Parse(windowLayout, w.Name)
+		begin := at.Sub(report.From)
+		if could := capacityIn(workers, begin, begin+window); could > 0 {
+			w.Utilisation = w.CoreSeconds / could
+		}
+	}
+	return report
+}
+
+// count fills the tallies and causes from the jobs, given which of them the plan serves.
+func (r *Report) count(jobs []job, planned map[string]bool, window time.Duration) {
+	windows, queues, entries, workers := tallies{}, tallies{}, tallies{}, tallies{}
 	causes, totalWork := map[string]*Cause{}, 0.0
-	for i := range l.jobs {
-		j := &l.jobs[i]
+	for i := range jobs {
+		j := &jobs[i]
 		if j.outcome == Left {
 			continue
 		}
-		isPlanned := planned[j.id]
-		counted := []*Tally{
-			&report.All, windows.of(windowName(report.From, j.arrived, window)), queues.of(j.queue), entries.of(j.node),
-		}
+		counted := []*Tally{&r.All, windows.of(windowName(r.From, j.arrived, window)), queues.of(j.queue), entries.of(j.node)}
 		if j.worker != "" {
-			counted = append(counted, atWorkers.of(j.worker))
+			counted = append(counted, workers.of(j.worker))
 		}
 		for _, t := range counted {
-			t.add(j, isPlanned)
+			t.add(j, planned[j.id])
 		}
 		totalWork += j.coreSeconds()
 		if j.cause != "" {
@@ -115,26 +126,17 @@
 			causes[j.cause].CoreSeconds += j.coreSeconds()
 		}
 	}
-	report.All.Name = "all"
-	report.Windows, report.Queues, report.Entries, report.Workers = windows.sorted(), queues.sorted(), entries.sorted(), atWorkers.sorted()
-	for i := range report.Windows {
-		w := &report.Windows[i]
-		at, _ := time.Parse(windowLayout, w.Name)
-		begin := at.Sub(report.From)
-		if could := capacityIn(workers, begin, begin+window); could > 0 {
-			w.Utilization = w.CoreSeconds / could
-		}
-	}
+	r.All.Name = "all"
+	r.Windows, r.Queues, r.Entries, r.Workers = windows.sorted(), queues.sorted(), entries.sorted(), workers.sorted()
 	for _, c := range causes {
 		if totalWork > 0 {
 			c.Share = c.CoreSeconds / totalWork
 		}
-		report.Causes = append(report.Causes, *c)
+		r.Causes = append(r.Causes, *c)
 	}
-	slices.SortFunc(report.Causes, func(a, b Cause) int {
+	slices.SortFunc(r.Causes, func(a, b Cause) int {
 		return cmp.Or(cmp.Compare(b.CoreSeconds, a.CoreSeconds), cmp.Compare(b.Jobs, a.Jobs), cmp.Compare(a.Name, b.Name))
 	})
-	return report
 }
 
 const windowLayout = "2006-01-02T15:04:05.000Z07:00"
--- a/tools/page/losses.go
+++ b/tools/page/losses.go
@@ -41,14 +41,14 @@
 }
 
 func tallySection(heading string, tallies []losses.Tally) section {
-	table := section{Heading: heading, Head: []string{"", "Asked", "In time", "Planned", "Late", "Refused", "Given up", "Failed", "Utilization"}}
+	table := section{Heading: heading, Head: []string{"", "Asked", "In time", "Planned", "Late", "Refused", "Given up", "Failed", "Utilisation"}}
 	for i := range tallies {
 		t := &tallies[i]
 		row := []string{t.Name}
 		for _, count := range []int{t.Asked, t.InTime, t.Planned, t.Late, t.Refused, t.GivenUp, t.Failed} {
 			row = append(row, fmt.Sprint(count))
 		}
-		table.Rows = append(table.Rows, append(row, fmt.Sprintf("%.2f", t.Utilization)))
+		table.Rows = append(table.Rows, append(row, fmt.Sprintf("%.2f", t.Utilisation)))
 	}
 	return table
 }
