--- a/tools/losses/losses_test.go
+++ b/tools/losses/losses_test.go
@@ -200,3 +200,14 @@
 	runtime.ReadMemStats(&memory)
 	b.ReportMetric(float64(memory.Sys)/(1<<20), "MB")
 }
+
+// A job counts as late by its measured run time, also if its entry expected a longer run and allowed it more time.
+func TestRead_ObjectiveFollowsTheMeasuredRunTime(t *testing.T) {
+	report := read(t,
+		ended("usual", 1000, `"result":"completed","took_ms":110,"run_ms":100,"worker":"w1"`),
+		ended("short", 2000, `"result":"completed","took_ms":150,"queued_ms":100,"run_ms":50`),
+	)
+	if report.All.Late != 1 || len(report.Causes) != 1 || report.Causes[0].Name != "late: waited at the worker" {
+		t.Errorf("all %+v, causes %+v, want the short job late: 150 ms instead of 100", report.All, report.Causes)
+	}
+}
--- a/tools/losses/record.go
+++ b/tools/losses/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"encoding/json"
 	"time"
 )
@@ -120,9 +119,7 @@
 		ended.expected = milliseconds(*r.ExpectedMS)
 	}
 	ended.outcome, ended.cause = r.verdict()
-	if ended.outcome == Late {
-		ended.lateCause = ended.cause
-	}
+	ended.lateCause = "late: " + r.lateCause()
 	return ended
 }
 
@@ -136,7 +133,7 @@
 	j.objective = j.target + time.Duration(float64(j.objective-j.target)*scale)
 	j.outcome, j.cause = InTime, ""
 	if j.took > j.objective {
-		j.outcome, j.cause = Late, cmp.Or(j.lateCause, "late: the run was shorter than expected")
+		j.outcome, j.cause = Late, j.lateCause
 	}
 }
 
