Sum up late work in whole numbers

The sum passes over a map, and one of floating-point numbers depends on the order, so that the same inputs could lead to different decisions.

--- a/core/dispatch/late.go
+++ b/core/dispatch/late.go
@@ -33,7 +33,7 @@
 		return false
 	}
 	share := d.limits.Policy.Late.DrainShare * float64(capacity)
-	drained := now + time.Duration(float64(entries)*ahead/share*float64(time.Second))
+	drained := now + time.Duration(float64(entries)*float64(ahead)/share*float64(time.Millisecond))
 	j.isLateWork = drained+j.lateRunTime() <= j.deadline
 	return j.isLateWork
 }
@@ -49,12 +49,12 @@
 	}
 }
 
-// work returns the work of the job's first steps, in thousandths of a core times seconds.
-func (j *job) work() float64 {
-	var total float64
+// work returns the work of the job, in thousandths of a core times milliseconds.
+func (j *job) work() int64 {
+	var total int64
 	for i := range j.Steps {
 		step := &j.Steps[i]
-		total += float64(step.Count) * float64(step.Needs.MilliCores) * j.steps[i].expected.Seconds()
+		total += int64(step.Count) * step.Needs.MilliCores * j.steps[i].expected.Milliseconds()
 	}
 	return total
 }
@@ -63,12 +63,12 @@
 	return time.Duration(lateRunMargin * float64(j.longestChain()))
 }
 
-// lateWork returns the accepted late work of a pool that hasn't started yet, in thousandths of a core times seconds.
-func (d *Dispatcher) lateWork(pool string) float64 {
-	var total float64
+// lateWork returns the accepted late work of a pool that hasn't started yet, in thousandths of a core times milliseconds.
+func (d *Dispatcher) lateWork(pool string) int64 {
+	var total int64
 	for _, t := range d.tasks {
 		if t.job.isLateWork && (t.state == waiting || t.state == offered) && t.job.Queue.Pool == pool {
-			total += float64(t.step.Needs.MilliCores) * t.job.stepOf(t).expected.Seconds()
+			total += t.step.Needs.MilliCores * t.job.stepOf(t).expected.Milliseconds()
 		}
 	}
 	return total
