--- a/tools/cli/explain.go
+++ b/tools/cli/explain.go
@@ -23,18 +23,11 @@
 
 // Run reads the logs and prints the timeline of the request.
 func (c *explainCommand) Run(globals *Globals, out io.Writer) error {
-	logs := []io.Reader{os.Stdin}
-	if len(c.Logs) > 0 {
-		logs = nil
-	}
-	for _, path := range c.Logs {
-		file, err := os.Open(path) //nolint:gosec // The user names the file.
-		if err != nil {
-			return fault.New(fault.Malformed, "name log files that exist", "%v", err)
-		}
-		defer func() { _ = file.Close() }()
-		logs = append(logs, file)
+	logs, closeLogs, err := openLogs(c.Logs)
+	if err != nil {
+		return err
 	}
+	defer closeLogs()
 	timeline, err := explain.Read(c.Request, logs...)
 	if err != nil {
 		return err
@@ -45,6 +38,28 @@
 	return printTimeline(out, timeline)
 }
 
+// openLogs opens log files, or standard input if there are none, and returns the function that closes them.
+func openLogs(paths []string) (logs []io.Reader, closeLogs func(), err error) {
+	if len(paths) == 0 {
+		return []io.Reader{os.Stdin}, func() {}, nil
+	}
+	var files []*os.File
+	closeLogs = func() {
+		for _, file := range files {
+			_ = file.Close()
+		}
+	}
+	for _, path := range paths {
+		file, err := os.Open(path) //nolint:gosec // The user names the file.
+		if err != nil {
+			closeLogs()
+			return nil, nil, fault.New(fault.Malformed, "name log files that exist", "%v", err)
+		}
+		files, logs = append(files, file), append(logs, file)
+	}
+	return logs, closeLogs, nil
+}
+
 func printTimeline(out io.Writer, timeline *explain.Timeline) error {
 	first := timeline.Entries[0].At
 	_, _ = fmt.Fprintf(out, "request %s, jobs %v, from %s\n", timeline.Request, timeline.Jobs, first.Format("2006-01-02 15:04:05.000"))
--- a/tools/cli/losses.go
+++ b/tools/cli/losses.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"time"
 
-	"flamingohall.example/core/fault"
 	"flamingohall.example/tools/losses"
 	"flamingohall.example/tools/page"
 )
@@ -27,18 +25,11 @@
 
 // Run reads the logs and prints the report.
 func (c *lossesCommand) Run(globals *Globals, out io.Writer) error {
-	logs := []io.Reader{os.Stdin}
-	if len(c.Logs) > 0 {
-		logs = nil
-	}
-	for _, path := range c.Logs {
-		file, err := os.Open(path) //nolint:gosec // The user names the file.
-		if err != nil {
-			return fault.New(fault.Malformed, "name log files that exist", "%v", err)
-		}
-		defer func() { _ = file.Close() }()
-		logs = append(logs, file)
+	logs, closeLogs, err := openLogs(c.Logs)
+	if err != nil {
+		return err
 	}
+	defer closeLogs()
 	report, err := losses.Read(c.Window, logs...)
 	if err != nil {
 		return err
