--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -38,8 +38,10 @@
 	sortedWorkers []*worker
 	jobs          map[string]*job
 	// jobsByID holds the same jobs, ordered by ID: several passes over all jobs in each Advance need a fixed order.
-	jobsByID  []*job
-	tasks     map[string]*task
+	jobsByID []*job
+	tasks    map[string]*task
+	// lateJobs is the number of jobs in progress that are late work.
+	lateJobs  int
 	waiting   []*task
 	estimates map[string]*estimate
 	random    *rand.Rand
--- a/core/dispatch/late.go
+++ b/core/dispatch/late.go
@@ -101,6 +101,9 @@
 
 // endHopelessLate answers the late work that would hardly end before its callers leave, even if it started now.
 func (d *Dispatcher) endHopelessLate(now time.Duration) {
+	if d.lateJobs == 0 {
+		return
+	}
 	for _, j := range d.sortedJobs() {
 		if j.isLateWork && !j.wasOffered() && j.deadline != 0 && now+j.lateRunTime() > j.deadline {
 			d.abandon(now, j, GivenUp, DeadlinePassed)
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -64,6 +64,9 @@
 
 func (d *Dispatcher) add(j *job) {
 	d.jobs[j.ID] = j
+	if j.isLateWork {
+		d.lateJobs++
+	}
 	position, _ := slices.BinarySearchFunc(d.jobsByID, j.ID, compareJobID)
 	d.jobsByID = slices.Insert(d.jobsByID, position, j)
 	for _, t := range j.tasks {
@@ -336,6 +339,9 @@
 		return
 	}
 	delete(d.jobs, j.ID)
+	if j.isLateWork {
+		d.lateJobs--
+	}
 	if position, isFound := slices.BinarySearchFunc(d.jobsByID, j.ID, compareJobID); isFound {
 		d.jobsByID = slices.Delete(d.jobsByID, position, position+1)
 	}
