Switch late work off by default

Change: while late.drain_share is 0, a job that can only be late is accepted as before, while at most 0.15 of the pool is used, and TestLoad_ are again as they were.

--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -84,7 +84,8 @@
 // bursts, a job that cannot end in time is refused at once, so that it does not delay jobs that can.
 func (d *Dispatcher) expectedWait(now time.Duration, j *job) (time.Duration, Cause) {
 	ahead := d.unreported(j)
-	if j.isLate(now) {
+	late := &d.limits.Policy.Late
+	if j.isLate(now) && (late.DrainShare > 0 || d.usedShare(j.Queue.Pool, ahead) > late.MaxLateUsedShare) {
 		return 0, Overloaded
 	}
 	allowed := d.allowedWait(now, j)
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -43,8 +43,11 @@
 type Late struct {
 	// MaxUsedShare is the used share of a pool up to which late work is offered.
 	MaxUsedShare float64 `json:"max_used_share"`
-	// DrainShare is the share of a pool that late work is assumed to get when it is accepted; 0 refuses all late work.
+	// DrainShare is the share of a pool that late work is assumed to get when it is accepted; 0 switches late work off.
 	DrainShare float64 `json:"drain_share"`
+	// MaxLateUsedShare is the used share of a pool up to which late jobs are accepted like others while late work is off
+	// (TestLoad_LateJobsLeaveRoomForNewOnes).
+	MaxLateUsedShare float64 `json:"max_late_used_share"`
 }
 
 // Order decides which waiting task starts first.
@@ -112,7 +115,7 @@
 func Default() Policy {
 	return Policy{
 		Admission: Admission{MaxWaitShare: 0.12, MinAllowedWaitMS: 20, CountOtherEntries: true},
-		Late:      Late{MaxUsedShare: 0.75, DrainShare: 0.25},
+		Late:      Late{MaxUsedShare: 0.75, MaxLateUsedShare: 0.15},
 		Order:     Order{BySlack: true, PriorityStepMS: 80, LateYields: true},
 		Placement: Placement{SampledWorkers: 4, FreeFirst: true, SampledFreeWorkers: 3, LateCostMS: 200, MinUsefulSpeedRatio: 0.45},
 		Estimates: Estimates{DeclaredWeight: 0.5, LearnSpeeds: true, MeasureSpeeds: true},
@@ -151,6 +154,7 @@
 		{"admission.max_wait_share", p.Admission.MaxWaitShare},
 		{"late.max_used_share", p.Late.MaxUsedShare},
 		{"late.drain_share", p.Late.DrainShare},
+		{"late.max_late_used_share", p.Late.MaxLateUsedShare},
 		{"placement.min_useful_speed_ratio", p.Placement.MinUsefulSpeedRatio},
 		{"estimates.declared_weight", p.Estimates.DeclaredWeight},
 	} {
