Publish the storage error of a replica in its metrics

For the incident of full disks: logs and metrics could not tell a replica that has ended because of its disk from one that merely has no majority, other than by one log line long ago. The gauge replica_storage_error holds the error, and is empty while there is none. No logic changes. node/replica builds and vets; no other run.

--- a/node/replica/status.go
+++ b/node/replica/status.go
@@ -52,6 +52,12 @@
 	gauge("replica_commit_index", func(s Status) any { return s.CommitIndex })
 	gauge("replica_applied_index", func(s Status) any { return s.AppliedIndex })
 	gauge("replica_members", func(s Status) any { return len(s.Members) })
+	g.options.Metrics.Gauge("replica_storage_error", func() any {
+		if failure := g.failure.Load(); failure != nil {
+			return failure.Message
+		}
+		return ""
+	})
 	gauge("replica_staleness_ms", func(s Status) any { return time.Since(s.ConfirmedAt).Milliseconds() })
 }
 
