Add a failing test of disks that are full in turn

What callers saw: the configuration could not be read back, and changes were not acknowledged, long after every disk had space again.

The test fills the disk of one control VM of three, makes a change meanwhile, frees the disk, and does the same to another VM.

--- a/node/replica/cluster_test.go
+++ b/node/replica/cluster_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -264,6 +265,40 @@
 	return nil
 }
 
+// followerBut returns the follower other than n.
+func (c *cluster) followerBut(n *node) *node {
+	c.t.Helper()
+	leader := c.leader()
+	for _, other := range c.nodes {
+		if other != leader && other != n {
+			return other
+		}
+	}
+	c.t.Fatal("no other follower")
+	return nil
+}
+
+// otherLeaderAfterProposal proposes the command, through the other VMs, until it is applied while the victim's disk takes
+// no writes. A proposal without a known outcome is made again unless the state holds it.
+func (c *cluster) otherLeaderAfterProposal(victim *node, command string) {
+	c.t.Helper()
+	// This write makes the victim notice its full disk, if it leads.
+	_, _, _ = victim.group.Propose(testContext(c.t), []byte(command))
+	for ctx := testContext(c.t); ctx.Err() == nil; time.Sleep(50 * time.Millisecond) {
+		for _, n := range c.nodes {
+			if n == victim {
+				continue
+			}
+			if _, err := n.group.Confirm(ctx); err == nil && slices.Contains(n.machine.list(), command) {
+				return
+			}
+			_, _, _ = n.group.Propose(ctx, []byte(command))
+			break
+		}
+	}
+	c.t.Fatalf("%q is not applied while the disk of %s is full", command, victim.id)
+}
+
 // propose proposes the command and fails the test unless it is applied.
 func (n *node) propose(command string) {
 	n.cluster.t.Helper()
@@ -287,6 +322,23 @@
 	}
 }
 
+// wantCommands is like wantList, but accepts that a command whose outcome was unknown is applied more than once.
+func (n *node) wantCommands(want ...string) {
+	n.cluster.t.Helper()
+	if _, err := n.group.Confirm(testContext(n.cluster.t)); err != nil {
+		n.cluster.t.Fatalf("confirm at %s: %v", n.id, err)
+	}
+	var got []string
+	for _, command := range n.machine.list() {
+		if !slices.Contains(got, command) {
+			got = append(got, command)
+		}
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		n.cluster.t.Fatalf("%s holds %v, want %v", n.id, got, want)
+	}
+}
+
 // waitVoters waits until the group has that many members and all of them are voters.
 func waitVoters(t *testing.T, c *cluster, count int) {
 	t.Helper()
--- a/node/replica/failure_test.go
+++ b/node/replica/failure_test.go
@@ -85,6 +85,40 @@
 	}
 }
 
+// TestGroup_DisksFullInTurnDoNotEndTheGroup guards against replicas that stay out of the group after their disks have space
+// again. With the second such replica of three, the group would have no majority for good.
+func TestGroup_DisksFullInTurnDoNotEndTheGroup(t *testing.T) {
+	for name, victims := range map[string]func(*cluster) [2]*node{
+		"the leaders": func(c *cluster) [2]*node { return [2]*node{c.leader(), nil} },
+		"followers":   func(c *cluster) [2]*node { f := c.follower(); return [2]*node{f, c.followerBut(f)} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 3)
+				c.start()
+				c.leader().propose("before")
+				want := []string{"before"}
+				for i, victim := range victims(c) {
+					if victim == nil {
+						victim = c.leader()
+					}
+					victim.files.isFull.Store(true)
+					command := fmt.Sprintf("while disk %d is full", i)
+					c.otherLeaderAfterProposal(victim, command)
+					want = append(want, command)
+					time.Sleep(4 * time.Second)
+					victim.files.isFull.Store(false)
+					time.Sleep(4 * time.Second)
+				}
+				c.leader().propose("after")
+				for _, n := range c.nodes {
+					n.wantCommands(append(want, "after")...)
+				}
+			})
+		})
+	}
+}
+
 // TestGroup_NoSecondGroup checks that an initial member that lost its disk does not create a second group while the
 // other members are down.
 func TestGroup_NoSecondGroup(t *testing.T) {
