Give a submission that arrives again the answer of the first, at every entry

What callers saw: a request that arrived once more after its answer (a copy, or a caller who had not got the answer) ran a second time.

Cause: an entry forgot a job whose caller waits when it had answered it, and no other entry ever knew of it.

Why this works: entries remember final answers for 30 s, by a hash of the job's ID that can't be forged, and tell each other in batches. A restarted entry asks one of the others for all that it remembers. A job in progress at one entry is stopped when another has answered it. Nothing waits for these messages. Left: a copy within the period after the answer at another entry (250 ms with up to ten entries).

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -56,6 +56,7 @@
 	// records maps each end that waits to be recorded to the workers that reported it.
 	records       map[work.RunID][]string
 	recentlyEnded recentlyEnded
+	answered      answeredJobs
 	// progressRequestNumber is the number of the last ProgressRequest.
 	progressRequestNumber uint64
 	// jobLeaseUntil is when the job lease expires; holdsJobLease is false while stored jobs are stopped.
@@ -80,7 +81,7 @@
 		limits: limits, localDataCentre: dataCentre, entries: 1, random: rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // Not a secret.
 		workers: map[string]*worker{}, drained: map[string]bool{}, jobs: map[string]*job{}, pools: map[string]*sharedPool{},
 		tasks: map[string]*task{}, noLateOffers: map[string]bool{}, records: map[work.RunID][]string{},
-		recentlyEnded: recentlyEnded{jobs: map[string]endedJob{}}, estimates: map[string]*estimate{},
+		recentlyEnded: recentlyEnded{jobs: map[string]endedJob{}}, answered: newAnsweredJobs(), estimates: map[string]*estimate{},
 		detector: health.NewOutlierDetector(), crashes: crash.NewMonitor(crashLimits), epoch: time.Unix(0, 0),
 	}
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -64,6 +64,7 @@
 // job is one submission in progress.
 type job struct {
 	Submission
+	key       uint64
 	arrivedAt time.Duration
 	// deadline is when the caller stops waiting; 0 for never.
 	deadline time.Duration
@@ -87,7 +88,7 @@
 
 // newJob returns a job whose first steps are ready.
 func newJob(now time.Duration, s Submission) *job {
-	j := &job{Submission: s, arrivedAt: now - s.Waited, waiters: 1}
+	j := &job{Submission: s, key: JobKey(s.ID), arrivedAt: now - s.Waited, waiters: 1}
 	if s.Timeout > 0 {
 		j.deadline = j.arrivedAt + s.Timeout
 	}
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -18,6 +18,7 @@
 	stops            map[string][]work.RunID
 	answers          map[string]dispatch.Answer
 	progressRequests []dispatch.ProgressRequest
+	shared           []dispatch.AnsweredJob
 }
 
 // newHarness returns a dispatcher with idle workers of 32 cores.
@@ -53,6 +54,7 @@
 		h.stops[frame.Worker] = append(h.stops[frame.Worker], frame.Stops...)
 	}
 	h.progressRequests = append(h.progressRequests, effects.ProgressRequests...)
+	h.shared = append(h.shared, effects.Answered...)
 	for _, answer := range effects.Answers {
 		h.answers[answer.Job] = answer
 	}
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -11,7 +11,7 @@
 const minRetryAfter = time.Second
 
 // Submit takes a job, or answers at once with the reason why it is refused. If the job is already in progress, the call
-// adds a caller to it.
+// adds a caller to it. If an entry has answered it before, the answer is the same.
 func (d *Dispatcher) Submit(now time.Duration, s Submission) {
 	if known := d.jobs[s.ID]; known != nil {
 		known.waiters++
@@ -20,6 +20,10 @@
 		}
 		return
 	}
+	if answered, isKnown := d.answered.find(now, JobKey(s.ID)); isKnown {
+		d.answer(now, newJob(now, s), Answer{Result: answered.result(), Cause: AnsweredBefore})
+		return
+	}
 	if j, refusal := d.admit(now, s); refusal != nil {
 		d.answer(now, j, *refusal)
 	} else {
@@ -300,6 +304,8 @@
 	d.forget(j)
 	if j.IsStored {
 		d.recentlyEnded.add(now, j, endStates[answer.Result])
+	} else {
+		d.remember(now, j, answer)
 	}
 }
 
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -146,6 +146,8 @@
 	// Contained means that the job's queue may use few workers, because some of its tasks end their workers, and that none of
 	// these can serve the job in time.
 	Contained
+	// AnsweredBefore means that an entry has answered the job before, and that this submission of it ran nothing that counts.
+	AnsweredBefore
 )
 
 // String returns the cause's name in logs.
@@ -153,6 +155,7 @@
 	names := [...]string{
 		"none", "no workers", "overloaded", "too large", "deadline passed", "task failed", "caller gone", "stopping",
 		"requested", "control away", "workers crashed under a task", "queue contained after crashes",
+		"answered before",
 	}
 	if int(c) < len(names) {
 		return names[c]
@@ -219,6 +222,8 @@
 	// ProgressRequests are jobs whose recorded progress is needed. The caller passes it to ProgressReported.
 	ProgressRequests []ProgressRequest
 	Notes            []Note
+	// Answered are the answers of this entry that the other entries have to know, so that none runs these jobs again.
+	Answered []AnsweredJob
 }
 
 // ProgressRequest asks what control has recorded of a stored job, at the time of the request or later.
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -57,5 +57,9 @@
 	SheddingBegan = define(2324, Warn, "jobs refused for scarce capacity", "accepted work waits so long that the most urgent jobs would be late; part of the jobs of all queues is refused",
 		"add workers if this happens often; compare the queues' counts of refused jobs")
 	SheddingEnded    = define(2325, Info, "no more jobs refused for scarce capacity", "for a while, no job was refused because of the pool's backlog", "none")
+	AnswersNotShared = define(2326, Warn, "answers not shared with an entry",
+		"another entry can't be reached; a caller who repeats an answered request there may have it run again",
+		"none if that entry is being restarted; else check the network between the entries")
+	AnswersShared    = define(2327, Info, "answers shared again", "the other entry can be reached again, and has got the answers since then", "none")
 	WorkerReadmitted = define(2308, Info, "worker readmitted", "the worker passed its probation", "none")
 )
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -1,5 +1,6 @@
 // Package gateway is the runtime of an entry: it runs the event loop around dispatch.Dispatcher, keeps the sessions with
-// sidecars, and calls control about stored jobs. Jobs that are not stored are kept in memory while their callers wait.
+// sidecars, and calls control about stored jobs. Jobs that are not stored are kept in memory while their callers wait; their
+// answers are remembered for a while, and shared with the other entries.
 package gateway
 
 import (
@@ -69,6 +70,7 @@
 	holder       atomic.Pointer[string]
 	leaseRenewer *leaseRenewer
 	recorder     *recorder
+	answers      *answerSharer
 
 	counters counters
 	jobs     atomic.Int64
@@ -101,6 +103,7 @@
 		MaxBackoff: controlclient.ShortMaxBackoff, DialTimeout: controlclient.ShortDialTimeout,
 	})
 	g.jobsClient, g.leaseRenewer, g.recorder = g.follower.Jobs(), newLeaseRenewer(g), newRecorder(g)
+	g.answers = &answerSharer{gateway: g}
 	g.publishGauges()
 	return g
 }
@@ -117,8 +120,10 @@
 	return limits
 }
 
-// Register adds no handlers: callers use separate listeners.
-func (g *Gateway) Register(*http.ServeMux) {}
+// Register adds the service that other entries call. Callers use separate listeners.
+func (g *Gateway) Register(mux *http.ServeMux) {
+	mux.Handle(rpc.AnswersPathPrefix, rpc.NewAnswersServer(g.answers))
+}
 
 // Start starts the background loops, which run until ctx ends or Stop is called.
 func (g *Gateway) Start(ctx context.Context) error {
@@ -128,6 +133,7 @@
 	g.duties.Go(g.awaitWorkers)
 	g.duties.Go(func() { g.leaseRenewer.run(g.context) })
 	g.duties.Go(func() { g.recorder.run(g.context) })
+	g.duties.Go(func() { g.answers.run(g.context) })
 	g.duties.Go(func() {
 		(&sessionManager{gateway: g, session: map[string]*sidecarSession{}, drained: map[string]bool{}}).run(g.context)
 	})
@@ -344,6 +350,9 @@
 	if len(effects.Records) > 0 {
 		g.recorder.add(effects.Records)
 	}
+	if len(effects.Answered) > 0 {
+		g.answers.add(effects.Answered)
+	}
 	for _, query := range effects.ProgressRequests {
 		g.duties.Go(func() { g.query(query) })
 	}
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -30,13 +30,22 @@
 	waited   metrics.Histogram
 	expected metrics.Histogram
 	// storeTook is the time until a job was stored, recordTook the time until a batch of ends was recorded.
-	storeTook      metrics.Histogram
-	recordTook     metrics.Histogram
+	storeTook  metrics.Histogram
+	recordTook metrics.Histogram
+	// answeredBefore counts submissions that got the answer of an earlier one, answersShared and answersLearned the answers
+	// sent to and received from other entries.
+	answeredBefore atomic.Int64
+	answersShared  atomic.Int64
+	answersLearned atomic.Int64
 	renewalsFailed atomic.Int64
 	recordsFailed  atomic.Int64
 }
 
 func (c *counters) recordAnswer(answer *dispatch.Answer) {
+	if answer.Cause == dispatch.AnsweredBefore {
+		c.answeredBefore.Add(1)
+		return
+	}
 	c.offers.Add(int64(answer.Trace.Offers))
 	c.expected.Observe(answer.Trace.PredictedWait)
 	switch answer.Result {
@@ -60,7 +69,7 @@
 
 // countByQueue counts an answer for its queue, so that operators can compare how the queues are served.
 func (g *Gateway) countByQueue(answer *dispatch.Answer) {
-	if g.options.Metrics == nil {
+	if g.options.Metrics == nil || answer.Cause == dispatch.AnsweredBefore {
 		return
 	}
 	name := "other"
@@ -86,6 +95,7 @@
 		"jobs_in_time": &g.counters.inTime, "offers": &g.counters.offers, "malformed_frames": &g.counters.malformed,
 		"tasks_given_up": &g.counters.tasksGivenUp, "containments": &g.counters.containments,
 		"jobs": &g.jobs, "keeps_failed": &g.counters.renewalsFailed, "records_failed": &g.counters.recordsFailed,
+		"jobs_answered_before": &g.counters.answeredBefore, "answers_shared": &g.counters.answersShared, "answers_learned": &g.counters.answersLearned,
 	} {
 		role.Gauge(name, func() any { return counter.Load() })
 	}
