Record ends and ask for progress again after control rejected a call

A stored job would never end.

Cause: a failure that passes was kept for good. (1) If control rejects one call of Record (Overloaded while its queue of steps is full, as during an outage of its disk), the recorder dropped the batch and relied on the sidecars to report the ends again. They do, but the dispatcher still counted these ends as being recorded, so that no report led to another record until the entry was restarted. (2) The dispatcher requests the progress of a task whose run must have ended once. A rejected query was given up, so that the task stayed uncertain, and its job open, for good.

Change: the dispatcher forgets the request when the record was rejected (RecordRejected); the query is repeated every 500 ms until it is answered. Events 2326 and 2327 name both.

After it, node/gateway -race and core/dispatch -short pass. Recording an end again is idempotent by task and run, and the sidecar decides whether a confirmation is too late to count, as before.

Not covered: crash counts (RunCrash) of a rejected batch are still dropped; the entry keeps its own count.

--- a/core/dispatch/stored.go
+++ b/core/dispatch/stored.go
@@ -122,6 +122,11 @@
 	d.applyStoredState(now, job, state)
 }
 
+// RecordRejected handles that control did not record an end: the next report of the end requests the record again.
+func (d *Dispatcher) RecordRejected(runID work.RunID) {
+	delete(d.records, runID)
+}
+
 // applyStoredState ends a stored job that has ended according to control.
 func (d *Dispatcher) applyStoredState(now time.Duration, id string, state StoredState) {
 	j := d.jobs[id]
--- a/core/dispatch/stored_test.go
+++ b/core/dispatch/stored_test.go
@@ -236,3 +236,22 @@
 		t.Error("refused though control is available again")
 	}
 }
+
+// TestStored_EndWhoseRecordWasRejectedIsRecordedAgain guards against ends that were never recorded after control had rejected one call.
+func TestStored_EndWhoseRecordWasRejectedIsRecordedAgain(t *testing.T) {
+	h := newStoredHarness(t, 1)
+	h.accept("j", 1)
+	id := h.offers["s0"][0].RunID
+	records := func() int {
+		h.core.Take(h.now, "s0", &work.ToEntry{Ended: []work.Ended{{RunID: id, Outcome: work.Done, RanMS: 50, AwaitsConfirmation: true}}})
+		h.core.Advance(h.now)
+		return len(h.core.Effects().Records)
+	}
+	if first, repeated := records(), records(); first != 1 || repeated != 0 {
+		t.Fatalf("%d records, then %d; want 1 while its answer is awaited", first, repeated)
+	}
+	h.core.RecordRejected(id)
+	if got := records(); got != 1 {
+		t.Errorf("%d records after the rejection, want 1", got)
+	}
+}
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -56,6 +56,10 @@
 	DrainsChanged = define(2323, Info, "drained workers changed", "operators drained workers, evacuated data centres, or ended that; drained workers get no new tasks", "none")
 	SheddingBegan = define(2324, Warn, "jobs refused for scarce capacity", "accepted work waits so long that the most urgent jobs would be late; part of the jobs of all queues is refused",
 		"add workers if this happens often; compare the queues' counts of refused jobs")
-	SheddingEnded    = define(2325, Info, "no more jobs refused for scarce capacity", "for a while, no job was refused because of the pool's backlog", "none")
+	SheddingEnded  = define(2325, Info, "no more jobs refused for scarce capacity", "for a while, no job was refused because of the pool's backlog", "none")
+	RecordRejected = define(2326, Warn, "record of ends rejected", "control rejected the call; the ends are recorded when the workers report them again",
+		"check the load of the control VMs if this continues")
+	ProgressUnknown = define(2327, Warn, "progress of a job unknown", "control rejected the query; its tasks wait, and the query is repeated",
+		"check the load of the control VMs if this continues")
 	WorkerReadmitted = define(2308, Info, "worker readmitted", "the worker passed its probation", "none")
 )
--- a/node/gateway/recorder.go
+++ b/node/gateway/recorder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"flamingohall.example/core/dispatch"
+	"flamingohall.example/node/events"
 	"flamingohall.example/node/rpc"
 )
 
@@ -78,8 +79,8 @@
 		return err
 	})
 	if err != nil || len(response.GetEnds()) != len(ends) {
-		// The process is stopping, or control has rejected the call or not answered for each end. The sidecars will report
-		// these ends again.
+		// The process is stopping, or control has rejected the call or not answered for each end.
+		r.reject(ctx, ends, err)
 		r.gateway.counters.recordsFailed.Add(int64(len(batch)))
 		return
 	}
@@ -91,6 +92,18 @@
 	})
 }
 
+// reject has the ends recorded when the sidecars report them again, as they do until an end is confirmed.
+func (r *recorder) reject(ctx context.Context, ends []dispatch.Record, err error) {
+	r.gateway.put(func(time.Duration) {
+		for i := range ends {
+			r.gateway.core.RecordRejected(ends[i].RunID)
+		}
+	})
+	if ctx.Err() == nil {
+		events.RecordRejected.LogError(r.gateway.options.Logger, err, "ends", len(ends))
+	}
+}
+
 // storedState converts a job state reported by control.
 func storedState(state rpc.JobState) dispatch.StoredState {
 	switch state {
--- a/node/gateway/stored.go
+++ b/node/gateway/stored.go
@@ -208,16 +208,30 @@
 	return storedState(response.GetState()), err
 }
 
-// query asks control for the recorded progress of a job, and retries until it is known.
+// queryRetryDelay is the time between two queries of a job's progress if control rejects the call.
+const queryRetryDelay = 500 * time.Millisecond
+
+// query asks control for the recorded progress of a job, and retries until it is known: the dispatcher requests it once.
 func (g *Gateway) query(query dispatch.ProgressRequest) {
 	var response *rpc.FindResponse
-	err := g.jobsClient.Retry(g.context, func(ctx context.Context, jobs rpc.Jobs) (err error) {
+	find := func(ctx context.Context, jobs rpc.Jobs) (err error) {
 		response, err = jobs.Find(ctx, &rpc.FindRequest{JobId: query.Job, Confirmed: true})
 		return err
-	})
-	if err != nil {
-		// The process is stopping or control has rejected the call. The lease renewer's next check covers the job.
-		return
+	}
+	for {
+		err := g.jobsClient.Retry(g.context, find)
+		if err == nil {
+			break
+		}
+		if g.context.Err() != nil {
+			return
+		}
+		events.ProgressUnknown.LogError(g.options.Logger, err, "job", query.Job)
+		select {
+		case <-time.After(queryRetryDelay):
+		case <-g.context.Done():
+			return
+		}
 	}
 	g.put(func(now time.Duration) {
 		g.core.ProgressReported(now, query, storedState(response.GetState()), taskProgress(response.GetProgress()))
