Let a follower leave a silent control VM while its node announces changes

A sidecar would not get drains, nor an entry the configuration, from a control VM that accepts connections and stays silent (paused, cut off, or with a blocked disk).

Cause: an announcement interrupts the poll, and the next one got the whole time for an answer again, from the same VM. Each interruption also counted as an answer: it reset the backoff and logged "control reachable".

Change: the wait for an answer counts from the first poll that the VM in use has not answered.

After, node/controlclient passes with -race.

--- a/node/controlclient/follower.go
+++ b/node/controlclient/follower.go
@@ -89,6 +89,8 @@
 	lastSent        *rpc.Node
 	// granted is how long control VMs hold a poll while nothing changes, 0 before the first answer.
 	granted time.Duration
+	// silentSince is when the first poll was sent that the control VM in use has not answered; zero if there is none.
+	silentSince time.Time
 
 	// mutex guards the fields below.
 	mutex   sync.Mutex
@@ -194,12 +196,18 @@
 		if time.Now().After(leaveAt) {
 			f.pool.pickRandom()
 			leaveAt = time.Now().Add(randomStay())
+			f.silentSince = time.Time{}
 		}
 		server := f.pool.current()
-		err := f.poll(ctx, server)
+		isAnswered, err := f.poll(ctx, server)
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil && !isAnswered {
+			// The next poll carries the new record without delay.
+			continue
+		}
+		f.silentSince = time.Time{}
 		if err == nil {
 			f.logRecovery(server)
 			backoff.reset()
@@ -216,25 +224,28 @@
 	return minStay + rand.N(maxStay-minStay) //nolint:gosec // Not a secret.
 }
 
-// poll sends one Sync and applies its answer. An announcement interrupts it.
-func (f *Follower) poll(ctx context.Context, server *server) error {
+// poll sends one Sync and applies its answer. An announcement interrupts it; then it is neither answered nor an error.
+func (f *Follower) poll(ctx context.Context, server *server) (isAnswered bool, err error) {
 	request := f.request()
-	ctx, cancel := context.WithTimeout(ctx, f.answerTimeout())
+	sentAt := time.Now()
+	if f.silentSince.IsZero() {
+		f.silentSince = sentAt
+	}
+	// The wait includes that of interrupted polls: a silent VM must not be kept by announcements.
+	ctx, cancel := context.WithDeadline(ctx, f.silentSince.Add(f.answerTimeout()))
 	defer cancel()
 	interrupted := f.interruptOnAnnounce(ctx, cancel)
-	sentAt := time.Now()
 	answer, err := server.control().Sync(ctx, request)
 	cancel()
 	if <-interrupted {
-		// The next poll carries the new record without delay.
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	if answer.GetNeedRecord() {
 		f.number = 0
-		return nil
+		return true, nil
 	}
 	if answer.GetNumber() != 0 {
 		f.number, f.lastSent = answer.GetNumber(), proto.CloneOf(request.GetNode())
@@ -243,7 +254,7 @@
 	if record := answer.GetOwnRecord(); len(record) > 0 && f.options.RecoverRecord != nil {
 		f.options.RecoverRecord(record)
 	}
-	return f.apply(answer, sentAt)
+	return true, f.apply(answer, sentAt)
 }
 
 // answerTimeout returns how long an answer may take before the connection counts as silent.
