Accept connections again after any failure that passes

A process would go on, and report that it is ready, without its listener for callers, readiness checks, heartbeats or operators.

Cause: net/http's server retries accept only for what the net package calls temporary: a lack of file descriptors, and connections that are reset before they are accepted. It ends on all others, such as ENOBUFS and ENOMEM, and the network errors of the new connection that Linux passes through accept(2). The listeners of platform/ logged event 1008 and nothing began again; the internal listener ended its process, for a failure that passes. net/http's own retries were not logged either, since its log is discarded.

Evidence: before, TestListener_ServesAgainAfterAcceptFailed fails with "connection refused" after three ENOBUFS. After, it passes, with the tests of node/transport, standin, daemon, entry and of platform (listener, system), all with -race.

--- a/node/daemon/process.go
+++ b/node/daemon/process.go
@@ -95,7 +95,10 @@
 // run serves until ctx ends, then stops every role without interrupting requests in progress.
 func (p *process) run(ctx context.Context) error {
 	served := make(chan error, 1)
-	go func() { served <- p.server.Serve(p.listener) }()
+	persistent := transport.Persistent(p.listener, func(err error) {
+		events.AcceptFailed.LogError(p.logger, err, "address", p.listener.Addr().String())
+	})
+	go func() { served <- p.server.Serve(persistent) }()
 	rolesCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	if err := p.start(rolesCtx); err != nil {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -24,6 +24,7 @@
 	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/rpc"
 	"flamingohall.example/node/settings"
+	"flamingohall.example/node/transport"
 )
 
 const (
@@ -138,7 +139,10 @@
 }
 
 func (e *Entry) serve() {
-	if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
+	persistent := transport.Persistent(e.listener, func(err error) {
+		events.AcceptFailed.LogError(e.logger, err, "address", e.Addr())
+	})
+	if err := e.server.Serve(persistent); !errors.Is(err, http.ErrServerClosed) {
 		events.CallersListenerFailed.LogError(e.logger, err)
 	}
 }
--- a/node/events/process.go
+++ b/node/events/process.go
@@ -10,7 +10,9 @@
 	SettingsRefused  = define(1007, Warn, "settings not reloaded",
 		"the settings file has changed and is not valid; the earlier settings stay in force", "correct the file")
 	ListenerFailed = define(1008, Error, "listener failed", "it can no longer accept connections", "restart the process")
-	ProcessFailed  = define(1005, Error, "process failed", "a role could not start or continue",
+	AcceptFailed   = define(1009, Error, "listener short of resources", "a listener failed to accept a connection; it tries again",
+		"check the limits of open files and memory")
+	ProcessFailed = define(1005, Error, "process failed", "a role could not start or continue",
 		"follow the remedy in the error and start the process again")
 	SyncFailed = define(1101, Warn, "control unreachable", "a control VM did not answer; another is tried",
 		"check the control VMs if this continues")
--- a/node/standin/standin.go
+++ b/node/standin/standin.go
@@ -15,6 +15,7 @@
 	"flamingohall.example/core/fault"
 	"flamingohall.example/node/events"
 	"flamingohall.example/node/settings"
+	"flamingohall.example/node/transport"
 )
 
 // Paths of the HTTP interface of a target (TaskPath) and of a stand-in.
@@ -112,7 +113,10 @@
 
 func (t *Target) serve() {
 	defer close(t.served)
-	if err := t.server.Serve(t.listener); !errors.Is(err, http.ErrServerClosed) {
+	persistent := transport.Persistent(t.listener, func(err error) {
+		events.AcceptFailed.LogError(t.logger, err, "address", t.Addr())
+	})
+	if err := t.server.Serve(persistent); !errors.Is(err, http.ErrServerClosed) {
 		events.StandInFailed.LogError(t.logger, err)
 	}
 }
