Deliver the frames of a session in order over several connections

Cause: on the side that accepts, each connection of a session has a goroutine of its own, and a session may get its next connection before the reader of the former one has returned. That reader counts a frame as received and delivers it afterwards, outside the lock. Meanwhile the new connection, whose handshake says that the frame has arrived, delivers the next one. A sidecar that was paused has all of this waiting when it goes on: frames of the former connection, and the handshakes that the entry has sent since. In the same way, the first frame of a session (which names the entry) could be delivered before the session was known, and was dropped.

Change: one goroutine at a time may accept and deliver a frame of a session; for a new session, that is first the one that opens it.

--- a/node/stream/peer.go
+++ b/node/stream/peer.go
@@ -44,6 +44,9 @@
 	id identity
 	// receive is called with each payload once, in order. It must not keep the slice.
 	receive func(payload []byte)
+	// delivering has room for the one goroutine that may accept and deliver a frame. A session may have a second connection before
+	// the reader of the first one has returned, and its frames must not overtake those accepted earlier.
+	delivering chan struct{}
 
 	mutex sync.Mutex
 	// sent is the number of the last frame passed to Send; unacked holds the frames not yet acknowledged.
@@ -62,7 +65,7 @@
 }
 
 func newPeer(id identity, receive func([]byte)) *Peer {
-	return &Peer{id: id, receive: receive, becameBusy: make(chan struct{}, 1)}
+	return &Peer{id: id, receive: receive, delivering: make(chan struct{}, 1), becameBusy: make(chan struct{}, 1)}
 }
 
 // Send queues a payload, which the caller must not modify afterwards. It never blocks, and does nothing once the session
@@ -208,16 +211,23 @@
 		if _, err := io.ReadFull(reader, payload); err != nil {
 			return err
 		}
-		isNew, err := p.accept(conn, binary.BigEndian.Uint64(header[4:12]), binary.BigEndian.Uint64(header[12:]))
-		if err != nil {
+		if err := p.deliver(conn, binary.BigEndian.Uint64(header[4:12]), binary.BigEndian.Uint64(header[12:]), payload); err != nil {
 			return err
 		}
-		if isNew {
-			p.receive(payload)
-		}
 	}
 }
 
+// deliver passes a frame to receive if it is new.
+func (p *Peer) deliver(conn net.Conn, number, acknowledged uint64, payload []byte) error {
+	p.delivering <- struct{}{}
+	defer func() { <-p.delivering }()
+	isNew, err := p.accept(conn, number, acknowledged)
+	if isNew {
+		p.receive(payload)
+	}
+	return err
+}
+
 // accept registers a received frame and reports whether it is new.
 func (p *Peer) accept(conn net.Conn, number, acknowledged uint64) (isNew bool, err error) {
 	p.mutex.Lock()
--- a/node/stream/serve.go
+++ b/node/stream/serve.go
@@ -99,12 +99,14 @@
 		if isNew {
 			// The other side never learns of this session: it opens another one.
 			s.forget(peer)
+			<-peer.delivering
 		}
 		_ = conn.Close()
 		return
 	}
 	if isNew {
 		s.handler.Opened(peer)
+		<-peer.delivering
 	}
 	// Whatever ended the connection, the other side connects again unless it has ended the session.
 	_ = peer.serve(conn, reader, wakeWriter)
@@ -119,7 +121,7 @@
 }
 
 // find returns the session of that identity, or a new one if the other side has received no frame of it yet. It returns
-// nil for a session that has ended or is unknown.
+// nil for a session that has ended or is unknown. A new session delivers no frames before its caller has released delivering.
 func (s *Server) find(id identity, acknowledged uint64) (peer *Peer, isNew bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -138,6 +140,7 @@
 		return nil, false
 	}
 	created := newPeer(id, nil)
+	created.delivering <- struct{}{}
 	created.receive = func(payload []byte) { s.handler.Received(created, payload) }
 	s.peers[id] = created
 	return created, true
