End a session whose other side can't take a frame, and divide large frames

An entry and a sidecar would connect again ten times a second and exchange nothing, until 4096 later frames waited.

Cause: a frame that is too large, or out of order, ended the connection only. The session went on, so that the same frame was sent first on the next connection, with all others behind it. A frame may become too large: it holds all offers to a worker of one moment, each with its job's spec (4000 bytes), and three jobs of 1400 tasks, whose needs may be 0, exceed the 8 MiB.

Change: such a frame ends the session, on either side; the next session begins without it. An entry divides the offers of a frame that would be too large.

Evidence: before, TestServer_SessionEndsWhenAFrameCannotBeTaken fails with "state 1 of the next connection, want the session unknown" in both cases, and TestPeer_FrameThatNobodyTakesEndsTheSession with "the session goes on with a frame that is too large". After, node/stream, workwire, gateway and agent pass with -race.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -350,7 +350,9 @@
 	for i := range effects.Frames {
 		frame := &effects.Frames[i]
 		if peer := g.peers[frame.Worker]; peer != nil {
-			peer.Send(workwire.EncodeToSidecar(&frame.ToSidecar))
+			for _, part := range workwire.EncodePartsToSidecar(&frame.ToSidecar, stream.MaxPayloadBytes) {
+				peer.Send(part)
+			}
 		}
 	}
 	for i := range effects.Answers {
--- a/node/stream/peer.go
+++ b/node/stream/peer.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxFrameBytes bounds a payload. It is many times the size of the largest job.
-	maxFrameBytes   = 8 << 20
+	// MaxPayloadBytes bounds a payload. A larger one ends the session.
+	MaxPayloadBytes = 8 << 20
 	headerBytes     = 4 + 8 + 8
 	readBufferBytes = 4 << 10
 	// maxUnacknowledged bounds the unacknowledged frames. Acknowledgements arrive several times a second.
@@ -78,8 +78,9 @@
 	}
 	p.sent++
 	p.unacked = append(p.unacked, outgoing{number: p.sent, payload: payload})
-	if len(p.unacked) > maxUnacknowledged {
-		// The other side has been unreachable for so long that the session will not be resumed.
+	if len(p.unacked) > maxUnacknowledged || len(payload) > MaxPayloadBytes {
+		// The other side has been unreachable for so long that the session will not be resumed, or it never takes this frame, nor the
+		// later ones.
 		p.closeLocked()
 		return
 	}
@@ -191,6 +192,10 @@
 	var writer sync.WaitGroup
 	writer.Go(func() { p.write(conn, wakeWriter, ended) })
 	err := p.read(conn, reader)
+	if errors.Is(err, errFrameTooLarge) || errors.Is(err, errOutOfOrder) {
+		// The other side would send the same frame again over each connection of the session.
+		p.Close()
+	}
 	close(ended)
 	p.drop(conn)
 	writer.Wait()
@@ -204,7 +209,7 @@
 			return err
 		}
 		size := binary.BigEndian.Uint32(header[:4])
-		if size > maxFrameBytes {
+		if size > MaxPayloadBytes {
 			return errFrameTooLarge
 		}
 		payload := make([]byte, size)
@@ -267,7 +272,7 @@
 			_ = conn.Close()
 			return
 		}
-		if cap(buffer) > maxFrameBytes/8 {
+		if cap(buffer) > MaxPayloadBytes/8 {
 			buffer = nil
 		}
 	}
--- a/node/stream/resume_test.go
+++ b/node/stream/resume_test.go
@@ -101,3 +101,43 @@
 		s.Close()
 	})
 }
+
+// TestServer_SessionEndsWhenAFrameCannotBeTaken guards against sessions that break the next connection, too, since the same frame is
+// sent again on each.
+func TestServer_SessionEndsWhenAFrameCannotBeTaken(t *testing.T) {
+	tooLarge := binary.BigEndian.AppendUint32(nil, MaxPayloadBytes+1)
+	tooLarge = append(tooLarge, make([]byte, headerBytes-len(tooLarge))...)
+	skipped := binary.BigEndian.AppendUint32(nil, 0)
+	skipped = binary.BigEndian.AppendUint64(skipped, 7)
+	skipped = binary.BigEndian.AppendUint64(skipped, 0)
+	for name, frame := range map[string][]byte{"too large": tooLarge, "number skipped": skipped} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := NewServer(Handler{Opened: func(*Peer) {}, Received: func(*Peer, []byte) {}})
+				former, _ := connectRaw(t, s, identity{1}, 0)
+				if _, err := former.conn.Write(frame); err != nil {
+					t.Fatal(err)
+				}
+				synctest.Wait()
+				if _, state := connectRaw(t, s, identity{1}, 0); state != stateUnknown {
+					t.Errorf("state %d of the next connection, want the session unknown", state)
+				}
+				s.Close()
+			})
+		})
+	}
+}
+
+// TestPeer_FrameThatNobodyTakesEndsTheSession guards against a session that goes on, with all later frames behind one that the other side
+// never takes.
+func TestPeer_FrameThatNobodyTakesEndsTheSession(t *testing.T) {
+	p := newPeer(identity{1}, func([]byte) {})
+	p.Send(make([]byte, MaxPayloadBytes))
+	if p.IsClosed() {
+		t.Fatal("the session has ended at a frame of the maximum size")
+	}
+	p.Send(make([]byte, MaxPayloadBytes+1))
+	if !p.IsClosed() {
+		t.Error("the session goes on with a frame that is too large")
+	}
+}
--- a/node/workwire/workwire.go
+++ b/node/workwire/workwire.go
@@ -52,6 +52,19 @@
 	return encode(frame)
 }
 
+// EncodePartsToSidecar encodes a frame as one of at most maxBytes, or as several that divide its offers. A frame with one offer or none is
+// not divided.
+func EncodePartsToSidecar(frame *work.ToSidecar, maxBytes int) [][]byte {
+	encoded := EncodeToSidecar(frame)
+	half := len(frame.Offers) / 2
+	if half == 0 || len(encoded) <= maxBytes && len(frame.Offers) <= maxListElements {
+		return [][]byte{encoded}
+	}
+	first, second := *frame, work.ToSidecar{Offers: frame.Offers[half:]}
+	first.Offers = frame.Offers[:half]
+	return append(EncodePartsToSidecar(&first, maxBytes), EncodePartsToSidecar(&second, maxBytes)...)
+}
+
 // DecodeToSidecar decodes the result of EncodeToSidecar.
 func DecodeToSidecar(encoded []byte) (*work.ToSidecar, error) {
 	var frame work.ToSidecar
