Keep a process and its log usable after its log's output failed

Causes: (1) a write to a closed pipe on standard output or error ends a Go process by SIGPIPE, so that a log collector that restarts ends every process that logs to it, and each successor at its first line. (2) On a full disk the writer neither counted nor reported the lines that it lost, and a line written in part spoiled the next one. (3) A goroutine that logged after Close panicked. (4) The command run (unlike platform) wrote its log synchronously: a blocked reader of standard error blocked whatever logs, loops included.

The command run uses the same writer.

--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -14,6 +14,7 @@
 	"flamingohall.example/core/fault"
 	"flamingohall.example/core/policy"
 	"flamingohall.example/node/events"
+	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/settings"
 	"flamingohall.example/platform"
 )
@@ -34,7 +35,10 @@
 	if err != nil {
 		return err
 	}
-	logger := newLogger(file, os.Stderr)
+	out := newAsyncWriter(os.Stderr)
+	defer out.Close()
+	out.publish(metrics.NewRole("process", file.Node.ID))
+	logger := newLogger(file, out)
 	limitProcessors(file.Node.Processors)
 	events.ProcessStarting.Log(logger, "version", Version, "settings", c.File, "processors", runtime.GOMAXPROCS(0))
 	return runProcess(logger, func() (*process, error) { return newProcess(file, logger) })
@@ -90,6 +94,7 @@
 	file := loaded.File()
 	out := newAsyncWriter(os.Stdout)
 	defer out.Close()
+	out.publish(metrics.NewRole("process", file.Node.ID))
 	logger := newLogger(file, out)
 	events.ProcessStarting.Log(logger, "version", Version, "name", loaded.NodeName, "processors", runtime.GOMAXPROCS(0))
 	return runProcess(logger, func() (*process, error) {
--- a/node/events/process.go
+++ b/node/events/process.go
@@ -12,6 +12,9 @@
 	ListenerFailed = define(1008, Error, "listener failed", "it can no longer accept connections", "restart the process")
 	AcceptFailed   = define(1009, Error, "listener short of resources", "a listener failed to accept a connection; it tries again",
 		"check the limits of open files and memory")
+	// LogLinesDropped is written by the log's writer itself.
+	LogLinesDropped = define(1010, Warn, "log lines dropped", "the log's output was blocked or could not be written; the field lines says how many lines are missing",
+		"check the disk and the reader of the log")
 	ProcessFailed = define(1005, Error, "process failed", "a role could not start or continue",
 		"follow the remedy in the error and start the process again")
 	SyncFailed = define(1101, Warn, "control unreachable", "a control VM did not answer; another is tried",
