--- a/node/events/process.go
+++ b/node/events/process.go
@@ -8,7 +8,7 @@
 	ProcessStopped   = define(1004, Info, "process stopped", "all requests in progress were finished", "none")
 	SettingsReloaded = define(1006, Info, "settings reloaded", "the settings file has changed", "none")
 	SettingsRefused  = define(1007, Warn, "settings not reloaded",
-		"the settings file has changed and is not valid; the earlier settings stay in force", "correct the file")
+		"the settings file can't be read, or has changed and is not valid; the earlier settings stay in force, and the file is read again", "correct the file")
 	ListenerFailed = define(1008, Error, "listener failed", "it can no longer accept connections", "restart the process")
 	AcceptFailed   = define(1009, Error, "listener short of resources", "a listener failed to accept a connection; it tries again",
 		"check the limits of open files and memory")
