--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -60,6 +60,10 @@
 	AnswersNotShared = define(2326, Warn, "answers not shared with an entry",
 		"another entry can't be reached; a caller who repeats an answered request there may have it run again",
 		"none if that entry is being restarted; else check the network between the entries")
-	AnswersShared    = define(2327, Info, "answers shared again", "the other entry can be reached again, and has got the answers since then", "none")
+	AnswersShared  = define(2327, Info, "answers shared again", "the other entry can be reached again, and has got the answers since then", "none")
+	RecordRejected = define(2328, Warn, "record of ends rejected", "control rejected the call; the ends are recorded when the workers report them again",
+		"check the load of the control VMs if this continues")
+	ProgressUnknown = define(2329, Warn, "progress of a job unknown", "control rejected the query; its tasks wait, and the query is repeated",
+		"check the load of the control VMs if this continues")
 	WorkerReadmitted = define(2308, Info, "worker readmitted", "the worker passed its probation", "none")
 )
--- a/node/events/process.go
+++ b/node/events/process.go
@@ -8,9 +8,14 @@
 	ProcessStopped   = define(1004, Info, "process stopped", "all requests in progress were finished", "none")
 	SettingsReloaded = define(1006, Info, "settings reloaded", "the settings file has changed", "none")
 	SettingsRefused  = define(1007, Warn, "settings not reloaded",
-		"the settings file has changed and is not valid; the earlier settings stay in force", "correct the file")
+		"the settings file can't be read, or has changed and is not valid; the earlier settings stay in force, and the file is read again", "correct the file")
 	ListenerFailed = define(1008, Error, "listener failed", "it can no longer accept connections", "restart the process")
-	ProcessFailed  = define(1005, Error, "process failed", "a role could not start or continue",
+	AcceptFailed   = define(1009, Error, "listener short of resources", "a listener failed to accept a connection; it tries again",
+		"check the limits of open files and memory")
+	// LogLinesDropped is written by the log's writer itself.
+	LogLinesDropped = define(1010, Warn, "log lines dropped", "the log's output was blocked or could not be written; the field lines says how many lines are missing",
+		"check the disk and the reader of the log")
+	ProcessFailed = define(1005, Error, "process failed", "a role could not start or continue",
 		"follow the remedy in the error and start the process again")
 	SyncFailed = define(1101, Warn, "control unreachable", "a control VM did not answer; another is tried",
 		"check the control VMs if this continues")
--- a/node/stream/peer.go
+++ b/node/stream/peer.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxFrameBytes bounds a payload. It is many times the size of the largest job.
-	maxFrameBytes   = 8 << 20
+	// MaxPayloadBytes bounds a payload. A larger one ends the session.
+	MaxPayloadBytes = 8 << 20
 	headerBytes     = 4 + 8 + 8
 	readBufferBytes = 4 << 10
 	// maxUnacknowledged bounds the unacknowledged frames. Acknowledgements arrive several times a second.
@@ -44,6 +44,9 @@
 	id identity
 	// receive is called with each payload once, in order. It must not keep the slice.
 	receive func(payload []byte)
+	// delivering has room for the one goroutine that may accept and deliver a frame. A session may have a second connection before
+	// the reader of the first one has returned, and its frames must not overtake those accepted earlier.
+	delivering chan struct{}
 
 	mutex sync.Mutex
 	// sent is the number of the last frame passed to Send; unacked holds the frames not yet acknowledged.
@@ -62,7 +65,7 @@
 }
 
 func newPeer(id identity, receive func([]byte)) *Peer {
-	return &Peer{id: id, receive: receive, becameBusy: make(chan struct{}, 1)}
+	return &Peer{id: id, receive: receive, delivering: make(chan struct{}, 1), becameBusy: make(chan struct{}, 1)}
 }
 
 // Send queues a payload, which the caller must not modify afterwards. It never blocks, and does nothing once the session
@@ -75,8 +78,9 @@
 	}
 	p.sent++
 	p.unacked = append(p.unacked, outgoing{number: p.sent, payload: payload})
-	if len(p.unacked) > maxUnacknowledged {
-		// The other side has been unreachable for so long that the session will not be resumed.
+	if len(p.unacked) > maxUnacknowledged || len(payload) > MaxPayloadBytes {
+		// The other side has been unreachable for so long that the session will not be resumed, or it never takes this frame, nor the
+		// later ones.
 		p.closeLocked()
 		return
 	}
@@ -188,6 +192,10 @@
 	var writer sync.WaitGroup
 	writer.Go(func() { p.write(conn, wakeWriter, ended) })
 	err := p.read(conn, reader)
+	if errors.Is(err, errFrameTooLarge) || errors.Is(err, errOutOfOrder) {
+		// The other side would send the same frame again over each connection of the session.
+		p.Close()
+	}
 	close(ended)
 	p.drop(conn)
 	writer.Wait()
@@ -201,23 +209,30 @@
 			return err
 		}
 		size := binary.BigEndian.Uint32(header[:4])
-		if size > maxFrameBytes {
+		if size > MaxPayloadBytes {
 			return errFrameTooLarge
 		}
 		payload := make([]byte, size)
 		if _, err := io.ReadFull(reader, payload); err != nil {
 			return err
 		}
-		isNew, err := p.accept(conn, binary.BigEndian.Uint64(header[4:12]), binary.BigEndian.Uint64(header[12:]))
-		if err != nil {
+		if err := p.deliver(conn, binary.BigEndian.Uint64(header[4:12]), binary.BigEndian.Uint64(header[12:]), payload); err != nil {
 			return err
 		}
-		if isNew {
-			p.receive(payload)
-		}
 	}
 }
 
+// deliver passes a frame to receive if it is new.
+func (p *Peer) deliver(conn net.Conn, number, acknowledged uint64, payload []byte) error {
+	p.delivering <- struct{}{}
+	defer func() { <-p.delivering }()
+	isNew, err := p.accept(conn, number, acknowledged)
+	if isNew {
+		p.receive(payload)
+	}
+	return err
+}
+
 // accept registers a received frame and reports whether it is new.
 func (p *Peer) accept(conn net.Conn, number, acknowledged uint64) (isNew bool, err error) {
 	p.mutex.Lock()
@@ -257,7 +272,7 @@
 			_ = conn.Close()
 			return
 		}
-		if cap(buffer) > maxFrameBytes/8 {
+		if cap(buffer) > MaxPayloadBytes/8 {
 			buffer = nil
 		}
 	}
