Repair the log after a failed write instead of giving it up

Open reads only, and keeps the last segment in memory until Prepare has rewritten it; for now replica.New calls Prepare at once.

--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -34,7 +34,7 @@
 	Unknown Kind = "unknown"
 	// Fenced means that another holder has taken over the claim or the node id: 409.
 	Fenced Kind = "fenced"
-	// Storage means that the data folder can't be trusted or can't be written, so the process stops using it: 500.
+	// Storage means that the data folder can't be trusted or can't be written: 500.
 	Storage Kind = "storage"
 	// Internal means a defect of this program: 500.
 	Internal Kind = "internal"
--- a/node/replica/group.go
+++ b/node/replica/group.go
@@ -166,6 +166,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := log.Prepare(); err != nil {
+		_ = log.Close()
+		return nil, err
+	}
 	group, err := newGroup(options, log, contents)
 	if err != nil {
 		_ = log.Close()
