Let a replica go on while its storage takes no writes

For it to go on, the state machine has to know that its storage takes no writes: SetStorage. Nothing calls it yet.

It starts no election. It still answers heartbeats, which need no storage, and says in HeartbeatResponse.Reject, a field that older versions ignore there, that its storage fails. The leader then sends it no entries, doesn't choose it as a successor, and lets a learner replace it as if it were silent.

A leader whose storage fails steps down at once in favour of a voter that has a quorum without it. Without such a voter it keeps leading, as a sole voter does: reads and heartbeats need no storage, no other could be elected, and proposals are refused with ErrNoStorage if no quorum can store them. A stalled leader steps down only if the successor has synced more than it has itself; with storage equally slow everywhere, each leader would hand over to one that is no better. A stalled candidate goes on, as slow votes may still arrive.

The simulation has disks that fail or stall for a while, and checks that such a replica submits nothing. The tests don't build before the change, as SetStorage doesn't exist.

--- a/core/raft/doc.go
+++ b/core/raft/doc.go
@@ -8,7 +8,7 @@
 //
 //	for {
 //		// wait for a tick, a message, a proposal, a read or a completed sync, and pass it to the replica
-//		replica.Tick() / Step(m) / Propose(data) / Read(id) / Synced(number) / Compact(index, data)
+//		replica.Tick() / Step(m) / Propose(data) / Read(id) / Synced(number) / Compact(index, data) / SetStorage(state)
 //		if replica.HasReady() {
 //			ready := replica.Ready()
 //			// send ready.Immediate at once
@@ -41,6 +41,9 @@
 //     does not disrupt a working leader.
 //   - Check quorum: a leader that has not heard from a quorum for an election timeout steps down, and a follower that
 //     hears from its leader does not vote. Only a leadership transfer overrides this.
+//   - A leader whose storage takes no writes hands over to a voter that can commit entries without it. Without one it keeps
+//     leading: it confirms reads, and refuses proposals if no quorum can store them. Other replicas whose storage takes no
+//     writes start no election, vote for none, and drop what they can't store.
 //   - A replica that has just started uses a shorter election timeout until it hears from a leader.
 //   - A learner receives the log but counts towards no quorum. The leader proposes its promotion once it has caught up.
 //     If there is a voter of the same name, which the learner replaces, the leader first proposes the removal of that
--- a/core/raft/election.go
+++ b/core/raft/election.go
@@ -92,7 +92,7 @@
 func (r *Replica) handleVoteResponse(m *Message) {
 	switch {
 	case r.role == PreCandidate && m.Type == PreVoteResponse:
-		if !m.Reject && m.Term != r.hard.Term+1 {
+		if !m.Reject && m.Term != r.hard.Term+1 || r.storage != StorageWorks {
 			return
 		}
 	case r.role == Candidate && m.Type == VoteResponse:
--- a/core/raft/follower.go
+++ b/core/raft/follower.go
@@ -15,6 +15,9 @@
 		})
 		return
 	}
+	if r.storage != StorageWorks {
+		return
+	}
 	r.log.merge(m.Entries)
 	last := m.Index + uint64(len(m.Entries))
 	r.commitTo(min(m.Commit, last))
@@ -24,7 +27,7 @@
 func (r *Replica) handleHeartbeat(m *Message) {
 	r.quorumTick = r.now - min(r.now, m.QuorumAge)
 	r.commitTo(min(m.Commit, r.log.last()))
-	r.send(Message{Type: HeartbeatResponse, To: m.From, Sequence: m.Sequence})
+	r.send(Message{Type: HeartbeatResponse, To: m.From, Sequence: m.Sequence, Reject: r.storage == StorageFailing})
 }
 
 func (r *Replica) commitTo(index uint64) {
@@ -44,6 +47,9 @@
 		r.send(Message{Type: AppendResponse, To: m.From, Index: chunk.Index})
 		return
 	}
+	if r.storage != StorageWorks {
+		return
+	}
 	if r.incoming == nil || r.incoming.Index != chunk.Index || r.incoming.Term != chunk.Term {
 		r.incoming = &Snapshot{Index: chunk.Index, Term: chunk.Term, Configuration: chunk.Configuration}
 	}
--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -23,9 +23,12 @@
 	awaitingResponse bool
 	// inflight holds the last index of each unanswered Append, oldest first.
 	inflight []uint64
-	// ackedRound is the last heartbeat round that the member answered, lastAckTick the time of that answer.
-	ackedRound  uint64
+	// ackedRound is the last heartbeat round that the member answered.
+	ackedRound uint64
+	// lastAckTick is the time of the last answer of the member while its storage was not failing.
 	lastAckTick uint64
+	// storageFails is set while the member answers that its storage is failing. It is sent no entries.
+	storageFails bool
 	// lastProgressTick is when the member last acknowledged new data, or when entries were last sent with none in
 	// flight.
 	lastProgressTick uint64
@@ -107,6 +110,10 @@
 		r.becomeFollower(r.hard.Term, None, ReasonQuorumSilent)
 		return
 	}
+	r.handOver()
+	if r.role != Leader {
+		return
+	}
 	r.tickTransfer()
 	r.promoteLearners()
 }
@@ -260,9 +267,12 @@
 
 func (r *Replica) handleHeartbeatResponse(m *Message, p *progress) {
 	p.ackedRound = max(p.ackedRound, m.Sequence)
-	p.lastAckTick = r.now
+	p.storageFails = m.Reject
+	if !p.storageFails {
+		p.lastAckTick = r.now
+	}
 	r.advanceRounds()
-	if r.role != Leader {
+	if r.role != Leader || p.storageFails {
 		return
 	}
 	r.retransmit(p)
@@ -306,7 +316,7 @@
 
 // sendAppend sends one message and reports whether another may be sent at once.
 func (r *Replica) sendAppend(id ID, p *progress) bool {
-	if p.awaitingResponse || (p.mode == replicating && !r.needsAppend(p)) {
+	if p.storageFails || p.awaitingResponse || (p.mode == replicating && !r.needsAppend(p)) {
 		return false
 	}
 	if len(p.inflight) == 0 {
--- a/core/raft/membership.go
+++ b/core/raft/membership.go
@@ -1,7 +1,7 @@
 package raft
 
 // AddLearner proposes to add a non-voting member. The leader promotes it to voter once it has caught up.
-// Errors: ErrNotLeader, ErrTransferInProgress, ErrChangePending.
+// Errors: ErrNotLeader, ErrTransferInProgress, ErrNoStorage, ErrChangePending.
 func (r *Replica) AddLearner(member Member) (index, term uint64, err error) {
 	member.Learner = true
 	next := r.log.configuration()
@@ -83,7 +83,7 @@
 	}
 }
 
-// isActive reports whether the member answered within an election timeout.
+// isActive reports whether the member answered within an election timeout that its storage is not failing.
 func (r *Replica) isActive(id ID) bool {
 	if id == r.config.ID {
 		return true
@@ -94,7 +94,7 @@
 
 func (r *Replica) hasCaughtUp(id ID) bool {
 	p := r.leading.members[id]
-	return r.isActive(id) && p.mode == replicating && p.match >= r.log.committed
+	return r.canStore(id) && p.mode == replicating && p.match >= r.log.committed
 }
 
 // Transfer starts to transfer leadership to a voter. Proposals are rejected until the voter has become leader or an
@@ -112,12 +112,13 @@
 	return nil
 }
 
-// Successor returns the other active voter with the longest matching log, or None if there is none.
+// Successor returns the other active voter with the longest matching log whose storage is not failing, or None if there
+// is none.
 func (r *Replica) Successor() ID {
 	best := None
 	for _, id := range r.others() {
 		p := r.leading.members[id]
-		if !r.log.configuration().IsVoter(id) || !r.isActive(id) {
+		if !r.log.configuration().IsVoter(id) || !r.canStore(id) {
 			continue
 		}
 		if best == None || p.match > r.leading.members[best].match {
--- a/core/raft/message.go
+++ b/core/raft/message.go
@@ -21,7 +21,7 @@
 	AppendResponse
 	// Heartbeat carries Commit, Sequence and QuorumAge.
 	Heartbeat
-	// HeartbeatResponse returns Sequence.
+	// HeartbeatResponse returns Sequence. Reject says that the sender's storage is failing.
 	HeartbeatResponse
 	// InstallSnapshot carries a Chunk.
 	InstallSnapshot
--- a/core/raft/property_test.go
+++ b/core/raft/property_test.go
@@ -21,9 +21,9 @@
 	os.Exit(m.Run())
 }
 
-// TestReplica_SafeAndRecoversUnderFaults runs random histories of crashes, lost unsynced data, lost disks, one-way and
-// full network partitions, restarts, leadership transfers and compactions. Messages are lost, delayed, duplicated and
-// reordered.
+// TestReplica_SafeAndRecoversUnderFaults runs random histories of crashes, lost unsynced data, lost disks, disks that take
+// no writes for a while, one-way and full network partitions, restarts, leadership transfers and compactions. Messages
+// are lost, delayed, duplicated and reordered.
 func TestReplica_SafeAndRecoversUnderFaults(t *testing.T) {
 	var elections, confirmed, replaced, restored, committed int
 	rapid.Check(t, func(t *rapid.T) {
@@ -65,6 +65,13 @@
 				s.loseDisk(node(t))
 			}
 		},
+		"storage":       func(t *rapid.T) { node(t).storage = StorageState(rapid.IntRange(0, 2).Draw(t, "state")) },
+		"leaderStorage": func(t *rapid.T) { s.failLeaderStorage(StorageState(rapid.IntRange(1, 2).Draw(t, "state"))) },
+		"storageWorks": func(*rapid.T) {
+			for _, n := range s.nodes {
+				n.storage = StorageWorks
+			}
+		},
 		"compact": func(t *rapid.T) { s.compact(node(t)) },
 		"transfer": func(t *rapid.T) {
 			if leader := s.leader(); leader != nil {
@@ -80,3 +87,10 @@
 		s.block(leader, allLinks)
 	}
 }
+
+func (s *simulation) failLeaderStorage(state StorageState) {
+	if leader := s.leader(); leader != nil {
+		leader.storage = state
+		s.propose(leader)
+	}
+}
--- a/core/raft/read.go
+++ b/core/raft/read.go
@@ -30,7 +30,13 @@
 // startReads starts one heartbeat round for all waiting reads. A new leader doesn't know the latest commit index until
 // an entry of its own term is committed.
 func (r *Replica) startReads() {
-	if len(r.reads.waiting) == 0 || !r.hasCommittedOwnTerm() {
+	if len(r.reads.waiting) == 0 {
+		return
+	}
+	if !r.hasCommittedOwnTerm() {
+		if !r.canCommit() {
+			r.reads.fail()
+		}
 		return
 	}
 	for _, request := range r.reads.waiting {
--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -1,7 +1,7 @@
 package raft
 
 // Propose appends a command to the leader's log and returns its index and term. It is committed if the entry with this
-// index in Ready.Committed has this term. Errors: ErrNotLeader, ErrTransferInProgress.
+// index in Ready.Committed has this term. Errors: ErrNotLeader, ErrTransferInProgress, ErrNoStorage.
 func (r *Replica) Propose(data []byte) (index, term uint64, err error) {
 	if err := r.canPropose(); err != nil {
 		return 0, 0, err
@@ -14,6 +14,9 @@
 	if r.role != Leader {
 		return ErrNotLeader
 	}
+	if !r.canCommit() {
+		return ErrNoStorage
+	}
 	if r.leading.successor != None {
 		return ErrTransferInProgress
 	}
@@ -37,11 +40,16 @@
 // HasReady reports whether there is work for Ready to return.
 func (r *Replica) HasReady() bool {
 	r.flush()
-	return r.needsHardState() || r.log.submitted < r.log.last() || r.toSave != nil ||
+	return r.hasWrites() ||
 		len(r.immediate) > 0 || len(r.messages) > 0 || r.canApply() || r.canRestore() ||
 		len(r.reads.confirmed) > 0 || len(r.reads.failed) > 0 || len(r.transitions) > 0
 }
 
+// hasWrites reports whether there is anything to submit to storage, and storage takes it.
+func (r *Replica) hasWrites() bool {
+	return r.storage == StorageWorks && (r.needsHardState() || r.log.submitted < r.log.last() || r.toSave != nil)
+}
+
 // needsHardState ignores the commit index, which is not written on its own.
 func (r *Replica) needsHardState() bool {
 	hard := r.hard
@@ -97,25 +105,20 @@
 }
 
 func (r *Replica) submitToStorage(ready *Ready) {
+	if !r.hasWrites() {
+		return
+	}
 	ready.Snapshot, ready.Discard = r.toSave, r.discard
 	r.toSave, r.discard = nil, false
 	if r.log.submitted < r.log.last() {
 		ready.Entries = r.log.slice(r.log.submitted+1, r.log.last(), int(^uint(0)>>1))
 		r.log.submitted = r.log.last()
 	}
-	if r.needsHardState() || ready.NeedsSync() {
-		hard := r.hard
-		hard.Commit = r.log.committed
-		ready.HardState = &hard
-	}
 	previous := r.submittedHard
-	if ready.HardState != nil {
-		r.submittedHard = *ready.HardState
-		r.hard.Commit = ready.HardState.Commit
-	}
-	if !ready.NeedsSync() {
-		return
-	}
+	r.hard.Commit = r.log.committed
+	r.submittedHard = r.hard
+	hard := r.hard
+	ready.HardState = &hard
 	r.unsynced = append(r.unsynced, pendingSync{
 		number: r.number, index: r.log.last(), term: r.log.lastTerm(),
 		hard: previous, snapshot: ready.Snapshot, restore: ready.Discard,
--- a/core/raft/replica.go
+++ b/core/raft/replica.go
@@ -29,6 +29,8 @@
 	ErrNotMember = errors.New("no such member")
 	// ErrLastVoter means that the group would be left without voters.
 	ErrLastVoter = errors.New("the last voter can't be removed")
+	// ErrNoStorage means that no quorum of the voters can store entries.
+	ErrNoStorage = errors.New("the storage of a quorum takes no writes")
 	// ErrInvalidConfig means that a Config has no ID or inconsistent tick counts.
 	ErrInvalidConfig = errors.New("raft config: ID must be set and ElectionTicks larger than HeartbeatTicks")
 )
@@ -82,6 +84,7 @@
 	hard   HardState
 	// submittedHard is the hard state last passed to storage.
 	submittedHard HardState
+	storage       StorageState
 	role          Role
 	leader        ID
 	log           replicaLog
@@ -163,7 +166,7 @@
 		r.tickLeader()
 		return
 	}
-	if r.elapsed >= r.electionTimeout && r.isVoter() {
+	if r.elapsed >= r.electionTimeout && r.isVoter() && r.storage == StorageWorks {
 		r.elapsed = 0
 		r.campaign(r.timeoutReason())
 	}
@@ -228,6 +231,10 @@
 		r.immediate = append(r.immediate, m)
 		return
 	}
+	if r.storage != StorageWorks {
+		// The message can't be sent for now and would be outdated later.
+		return
+	}
 	r.messages = append(r.messages, m)
 }
 
@@ -254,6 +261,10 @@
 	if m.To != r.config.ID || !r.admitGroup(&m) {
 		return
 	}
+	if r.storage != StorageWorks && (m.Type == PreVote || m.Type == Vote || m.Type == TimeoutNow) {
+		// This replica can store neither a vote nor the term.
+		return
+	}
 	switch {
 	case m.Term > r.hard.Term:
 		if !r.observeTerm(&m) {
--- a/core/raft/simulation_test.go
+++ b/core/raft/simulation_test.go
@@ -44,6 +44,8 @@
 	disk    Restart
 	pending []Ready
 	replica *Replica
+	// storage says whether the disk takes writes. The replica learns it with the next sync.
+	storage StorageState
 	applied uint64
 	hash    uint64
 	commit  uint64
@@ -188,12 +190,19 @@
 	}
 }
 
-// sync syncs the node's first count unsynced Readys and sends the messages that waited for them.
+// sync syncs the node's first count unsynced Readys and sends the messages that waited for them, if its disk takes writes.
 func (s *simulation) sync(n *simNode, count int) {
 	count = min(count, len(n.pending))
 	if n.replica == nil || count == 0 {
 		return
 	}
+	if n.storage != StorageWorks {
+		if n.replica.storage != n.storage {
+			n.replica.SetStorage(n.storage)
+			s.processReady(n)
+		}
+		return
+	}
 	done := n.pending[:count]
 	n.pending = n.pending[count:]
 	for i := range done {
@@ -201,6 +210,7 @@
 		s.inFlight = append(s.inFlight, done[i].Messages...)
 	}
 	n.replica.Synced(done[count-1].Number)
+	n.replica.SetStorage(StorageWorks)
 	s.processReady(n)
 }
 
@@ -210,6 +220,9 @@
 	s.checkCommit(n)
 	for n.replica.HasReady() {
 		ready := n.replica.Ready()
+		if n.replica.storage != StorageWorks && (ready.NeedsSync() || len(ready.Messages) > 0) {
+			s.fail("%s submits work although its storage takes none: %+v", n.member.Name, ready)
+		}
 		s.inFlight = append(s.inFlight, ready.Immediate...)
 		if ready.NeedsSync() || len(ready.Messages) > 0 {
 			n.pending = append(n.pending, ready)
@@ -371,7 +384,8 @@
 }
 
 // runFaulty runs random steps. Each of them loses, duplicates, delays or reorders messages, advances one node's clock,
-// syncs some of its Readys, proposes, reads, changes the blocked links, or restarts a node.
+// syncs some of its Readys, proposes, reads, changes the blocked links, lets a disk fail, stall or work, or restarts a
+// node.
 func (s *simulation) runFaulty(steps int) {
 	for range steps {
 		switch choice := s.random.IntN(200); {
@@ -393,6 +407,8 @@
 			s.block(s.anyNode(), false)
 		case choice < 197:
 			clear(s.blockedLinks)
+		case choice < 198:
+			s.anyNode().storage = StorageState(s.random.IntN(3))
 		default:
 			n := s.anyNode()
 			s.crash(n)
@@ -474,6 +490,9 @@
 // checkRecovery removes all faults and checks that the group works again: a proposal is applied on all nodes.
 func (s *simulation) checkRecovery() {
 	clear(s.blockedLinks)
+	for _, n := range s.nodes {
+		n.storage = StorageWorks
+	}
 	s.startAll()
 	s.runHealthy(20 * simElectionTicks)
 	leader := s.leader()
--- a/core/raft/transition.go
+++ b/core/raft/transition.go
@@ -14,6 +14,7 @@
 	ReasonElectionLost   Reason = "a quorum refused its votes"
 	ReasonTransfer       Reason = "the leader transferred leadership"
 	ReasonQuorumSilent   Reason = "no quorum answered within the election timeout"
+	ReasonStorage        Reason = "the storage takes no writes"
 	ReasonRemoved        Reason = "removed from the group"
 	ReasonHigherTerm     Reason = "a message with a higher term arrived"
 	ReasonLeaderFound    Reason = "a message from a leader arrived"
--- a/core/raft/types.go
+++ b/core/raft/types.go
@@ -198,7 +198,8 @@
 	Committed []Entry
 	// Reads are the confirmed reads.
 	Reads []ReadState
-	// FailedReads are the requests that were not confirmed because this replica is no longer the leader.
+	// FailedReads are the requests that were not confirmed because this replica is no longer the leader, or can't commit its
+	// first entry because the storage of a quorum takes no writes.
 	FailedReads []uint64
 	// Transitions are the changes of this replica's role, oldest first.
 	Transitions []Transition
