Repeat failed writes of a replica instead of ending it

What callers saw: changes were not acknowledged and the configuration could not be read back, long after every disk had space again.

Cause: failWith ended the loops after the first error of the log, and the process went on without them.

The storage loop now keeps the work of a failed call and repeats it, after 50 ms up to 1 s, until it succeeds. Meanwhile the raft loop is told (raft.SetStorage): a leader hands over, and changes go on through the next one. Callers don't wait for what can't be served: changes are refused at once if no leader is left or no majority can store them, reads if this VM has not stored what they would return; changes accepted before that is known get fault.Unknown after a second. Errors of the application's state, and changed bytes, still end the replica, now with event 5043. A replica starts on a full disk, and sends nothing before what it has read is durable. The creation of a group on a full disk is repeated by the bootstrap loop.

The same switch covers a leader whose write does not return (event 5042): it hands over after a second, if another voter has synced more. That is twice the election timeout, the longest that followers wait before they elect another one.

In core/raft, a replica whose storage takes no writes now forgets a leader that is silent; it used to show it for ever, so callers went on waiting. TestGroup_AllDisksFull found that.

--- a/core/raft/ready.go
+++ b/core/raft/ready.go
@@ -191,6 +191,10 @@
 	Commit uint64
 	// Applied is the last index passed to the application.
 	Applied uint64
+	// Synced is the last index that this replica has synced.
+	Synced uint64
+	// CanCommit is set on a leader unless it knows that no quorum can store entries.
+	CanCommit bool
 	// FirstIndex and LastIndex are the indexes of the first and last entry in the log.
 	FirstIndex uint64
 	LastIndex  uint64
@@ -207,7 +211,8 @@
 		ID: r.config.ID, Group: r.hard.Group, Role: r.role, Leader: r.leader, Term: r.hard.Term,
 		Commit: r.log.committed, Applied: r.log.applied,
 		FirstIndex: r.log.base + 1, LastIndex: r.log.last(), QuorumAge: r.now - r.quorumTick,
-		ConfigurationIndex: r.log.configurationIndex(),
+		ConfigurationIndex: r.log.configurationIndex(), Synced: r.log.stable,
+		CanCommit: r.role == Leader && r.canCommit(),
 	}
 	for _, member := range r.log.configuration().Members {
 		status.Members = append(status.Members, r.memberStatus(member))
--- a/core/raft/replica.go
+++ b/core/raft/replica.go
@@ -166,10 +166,15 @@
 		r.tickLeader()
 		return
 	}
-	if r.elapsed >= r.electionTimeout && r.isVoter() && r.storage == StorageWorks {
-		r.elapsed = 0
-		r.campaign(r.timeoutReason())
+	if r.elapsed < r.electionTimeout || !r.isVoter() {
+		return
 	}
+	if r.storage != StorageWorks {
+		r.leader = None
+		return
+	}
+	r.elapsed = 0
+	r.campaign(r.timeoutReason())
 }
 
 func (r *Replica) isVoter() bool {
--- a/node/events/replica.go
+++ b/node/events/replica.go
@@ -29,7 +29,15 @@
 	ReplicaSyncSlow = define(5034, Warn, "storage slow", "a write with its sync took longer than an election timeout",
 		"check the disk of the control VM and its processor time")
 	ReplicaStorageFailed = define(5040, Error, "storage failed",
-		"a write or sync failed, or a snapshot could not be taken or restored; this VM leaves the group's work until the process is restarted",
+		"a write or sync failed, for example because the disk is full; the VM tries again until it succeeds, and hands over if it leads",
+		"free space on the disk, or follow the remedy in the error; no restart is needed")
+	ReplicaStorageWorks = define(5041, Info, "storage works again", "a write succeeded after 5040 or 5042; the duration is the time between",
+		"none")
+	ReplicaStorageStalled = define(5042, Warn, "storage stalled",
+		"a write has not returned for longer than another VM needs to be elected; the VM hands over if it leads and another one is faster",
+		"check the disk of the control VM and its processor time")
+	ReplicaStopped = define(5043, Error, "replica stopped",
+		"the data folder can't be trusted, or a snapshot could not be taken or restored; this VM leaves the group's work until the process is restarted",
 		"follow the remedy in the error")
 	ReplicaPeerUnreachable = define(5050, Warn, "member unreachable", "messages to a member fail", "check that VM if this continues")
 	ReplicaPeerReachable   = define(5051, Info, "member reachable", "messages to a member are delivered again", "none")
--- a/node/replica/apply.go
+++ b/node/replica/apply.go
@@ -140,14 +140,13 @@
 	w.result <- outcome{index: index, result: result}
 }
 
-// failAbove fails the proposals above the commit index with fault.Unknown. This VM no longer leads, and may not learn
-// soon whether their entries are committed.
-func (t *waiterTable) failAbove(commit uint64) {
+// failAbove fails the proposals above the index, as this VM may not learn soon whether their entries are committed.
+func (t *waiterTable) failAbove(known uint64, err error) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for index, w := range t.byIndex {
-		if index > commit {
-			w.result <- outcome{err: errOutcomeUnknown()}
+		if index > known {
+			w.result <- outcome{err: err}
 			delete(t.byIndex, index)
 		}
 	}
@@ -166,5 +165,5 @@
 }
 
 func (t *waiterTable) failAll() {
-	t.failAbove(0)
+	t.failAbove(0, errOutcomeUnknown())
 }
--- a/node/replica/cluster_test.go
+++ b/node/replica/cluster_test.go
@@ -164,6 +164,12 @@
 	if err := n.open(); err != nil {
 		n.cluster.t.Fatal(err)
 	}
+	n.run()
+}
+
+// run starts the loops of an opened VM.
+func (n *node) run() {
+	n.cluster.t.Helper()
 	mux := http.NewServeMux()
 	n.group.Register(mux)
 	n.listen(mux)
--- a/node/replica/group.go
+++ b/node/replica/group.go
@@ -28,6 +28,13 @@
 	electionTicks  = 10
 	// electionTimeout is the minimum time without a message from the leader after which a voter starts an election.
 	electionTimeout = electionTicks * TickPeriod
+	// stallTimeout is the duration of a write after which the VM hands over if it leads and another one is faster. Followers
+	// start an election after one to two election timeouts without a leader, so a leader that takes longer for a write
+	// delays changes by more than an election.
+	stallTimeout = 2 * electionTimeout
+	// A failed write is repeated after firstRetry, then after twice as long each time, up to lastRetry.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = time.Second
 	// silentTicks is how long a voter may go without answering before a learner replaces it; see Options.Voters.
 	silentTicks = 30
 
@@ -111,6 +118,8 @@
 	// ConfirmedAt is the last time at which this VM's leader is known to have been in contact with a quorum; zero if
 	// there was none yet.
 	ConfirmedAt time.Time
+	// leaderLostAt is when this VM last knew a leader, or its start; zero while it knows one.
+	leaderLostAt time.Time
 	// isSoleVoter is set while this VM is the only voter.
 	isSoleVoter bool
 }
@@ -137,6 +146,9 @@
 
 	waiters waiterTable
 	applied appliedIndex
+	storage storageMonitor
+	// prepared is closed when the contents of the data folder are durable. Nothing happens before.
+	prepared chan struct{}
 	// status is what Status returns, view the status of the raft.Replica that it was made from.
 	status   atomic.Pointer[Status]
 	view     atomic.Pointer[raft.Status]
@@ -166,10 +178,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := log.Prepare(); err != nil {
-		_ = log.Close()
-		return nil, err
-	}
 	group, err := newGroup(options, log, contents)
 	if err != nil {
 		_ = log.Close()
@@ -193,13 +201,14 @@
 		options: options, log: log,
 		inputs: make(chan input, inputQueueLength), store: make(chan []raft.Ready),
 		applyJobs: make(chan []applyJob), synced: make(chan struct{}, 1), compactions: make(chan compaction, 1),
-		ended:       make(chan struct{}),
+		ended: make(chan struct{}), prepared: make(chan struct{}),
 		connections: &connectionTable{transport: options.transport, byAddress: map[string]*connection{}},
 	}
 	g.SetSeeds(options.Seeds)
 	g.changed.init()
 	g.applied.init()
 	g.waiters.init()
+	g.storage.init(g)
 	if err := g.loadIdentity(contents); err != nil {
 		return nil, err
 	}
@@ -308,12 +317,15 @@
 	g.seeds.Store(&addresses)
 }
 
-// Ready returns nil while this VM knows a leader. The error is the failure that ended the loops, if there was one, else
-// fault.Unavailable.
+// Ready returns nil while this VM knows a leader and its storage takes writes. The error is the failure that ended the
+// loops, if there was one, the fault.Storage of a write that is repeated, or fault.Unavailable.
 func (g *Group) Ready() error {
 	if failure := g.failure.Load(); failure != nil {
 		return failure
 	}
+	if failure := g.storage.failure(); failure != nil {
+		return failure
+	}
 	if g.stopping.Load() {
 		return fault.New(fault.Unavailable, "use another control VM", "control VM %s is stopping", g.options.ID)
 	}
@@ -363,11 +375,12 @@
 	}
 }
 
-// failWith ends the loops after an error of the storage or the application's state. The first error is kept.
+// failWith ends the loops after an error of the application's state, or one after which the data folder can't be used.
+// The first error is kept.
 func (g *Group) failWith(err error) {
 	failure := fault.Of(err)
 	if g.failure.CompareAndSwap(nil, failure) {
-		events.ReplicaStorageFailed.LogError(g.options.Logger, failure)
+		events.ReplicaStopped.LogError(g.options.Logger, failure)
 	}
 	g.stop()
 	g.applied.fail()
--- a/node/replica/loop.go
+++ b/node/replica/loop.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"flamingohall.example/core/fault"
 	"flamingohall.example/core/raft"
 	"flamingohall.example/node/events"
 	"flamingohall.example/node/wal"
@@ -79,11 +82,16 @@
 	reads      map[uint64]*readRequest
 	nextRead   uint64
 	lastStatus raft.Status
+	// blockedSince is when this leader could no longer store or commit entries; zero while it can.
+	blockedSince time.Time
 }
 
 func (g *Group) raftLoop(ctx context.Context) {
 	loop := &raftLoop{group: g, core: g.core, reads: map[uint64]*readRequest{}, lastStatus: g.core.Status()}
 	defer loop.failWaiting()
+	if !loop.refuseUntilPrepared(ctx) {
+		return
+	}
 	ticker := time.NewTicker(TickPeriod)
 	defer ticker.Stop()
 	for {
@@ -96,8 +104,14 @@
 				events.ReplicaDelayed.Log(g.options.Logger, "delay", delay.String())
 			}
 			loop.core.Tick()
+			loop.failBlocked()
 		case in := <-g.inputs:
 			loop.handle(in)
+		case <-g.storage.changed:
+			if loop.core.Status().Group != 0 {
+				// Without a group only its creation has failed, which is repeated. The storage loop has nothing to repeat.
+				loop.core.SetStorage(g.storage.state())
+			}
 		case <-g.synced:
 			loop.core.Synced(g.syncedTo.Load())
 		case snapshot := <-g.compactions:
@@ -113,6 +127,52 @@
 	}
 }
 
+// refuseUntilPrepared refuses all inputs until the contents of the data folder are durable: what this VM says must not
+// depend on state that a crash may still lose. It returns false if ctx ends before.
+func (l *raftLoop) refuseUntilPrepared(ctx context.Context) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-l.group.prepared:
+			return true
+		case in := <-l.group.inputs:
+			l.refuse(in)
+		}
+	}
+}
+
+func (l *raftLoop) refuse(in input) {
+	switch {
+	case in.step != nil:
+		in.step.responses <- nil
+	case in.proposal != nil:
+		in.proposal.result <- outcome{err: errNotLeader}
+	case in.read != nil:
+		close(in.read.result)
+	case in.change != nil:
+		in.change.result <- raft.ErrNotLeader
+	case in.create != nil:
+		in.create.result <- nil
+	}
+}
+
+// failBlocked answers the proposals that this leader can neither store nor commit, once that has lasted for stallTimeout.
+// Their entries stay in the log, so they may still take effect. A stalled write may return at any time, so it doesn't
+// count.
+func (l *raftLoop) failBlocked() {
+	status := l.core.Status()
+	isBlocked := status.Role == raft.Leader && (!status.CanCommit || l.group.storage.state() == raft.StorageFailing)
+	switch {
+	case !isBlocked:
+		l.blockedSince = time.Time{}
+	case l.blockedSince.IsZero():
+		l.blockedSince = time.Now()
+	case time.Since(l.blockedSince) >= stallTimeout:
+		l.group.waiters.failAbove(status.Applied, errNotStored())
+	}
+}
+
 // outputs returns the channels of the storage and apply loops. A channel is nil, and so never ready, if there is no
 // work for it.
 func (l *raftLoop) outputs() (chan<- []raft.Ready, chan<- []applyJob) {
@@ -172,6 +232,10 @@
 
 func (l *raftLoop) propose(p *proposal) {
 	index, term, err := l.core.Propose(p.command)
+	if errors.Is(err, raft.ErrNoStorage) {
+		p.result <- outcome{err: errNoStorage()}
+		return
+	}
 	if err != nil {
 		p.result <- outcome{err: errNotLeader}
 		return
@@ -275,7 +339,12 @@
 	l.lastStatus = status
 	wasLeader := before.Role == raft.Leader
 	if wasLeader && (status.Role != raft.Leader || status.Term != before.Term) {
-		l.group.waiters.failAbove(status.Commit)
+		known := status.Commit
+		if l.group.storage.state() != raft.StorageWorks {
+			// This VM applies what is committed only once it has stored it.
+			known = status.Applied
+		}
+		l.group.waiters.failAbove(known, errOutcomeUnknown())
 	}
 	l.group.publish()
 	if before.Leader != status.Leader || before.Group != status.Group || !sameMembers(before, status) {
@@ -357,10 +426,17 @@
 		return nil
 	}
 	hard := raft.HardState{Group: request.group, Term: request.snapshot.Term}
-	if err := l.group.log.SaveSnapshot(&request.snapshot); err != nil {
-		return err
+	err := l.group.storage.run(func() error {
+		if err := l.group.log.SaveSnapshot(&request.snapshot); err != nil {
+			return err
+		}
+		return l.group.log.Write([]wal.Batch{{HardState: &hard}})
+	})
+	if fault.Is(err, fault.Storage) && l.group.log.Failure() == nil {
+		// The bootstrap loop tries again.
+		return nil
 	}
-	if err := l.group.log.Write([]wal.Batch{{HardState: &hard}}); err != nil {
+	if err != nil {
 		return err
 	}
 	if err := l.group.build(raft.Restart{HardState: hard, Snapshot: &request.snapshot}); err != nil {
--- a/node/replica/members.go
+++ b/node/replica/members.go
@@ -179,6 +179,8 @@
 	switch {
 	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrTransferInProgress):
 		return errNotLeader
+	case errors.Is(err, raft.ErrNoStorage):
+		return errNoStorage()
 	case errors.Is(err, raft.ErrLastVoter):
 		return fault.New(fault.Invalid, "add another member first", "%v", err)
 	}
@@ -220,6 +222,11 @@
 // bootstrapLoop creates or joins a group. It ends when the data folder belongs to one. With Options.Seeds it continues
 // until Stop, so that a VM that was removed while it was down joins again.
 func (g *Group) bootstrapLoop(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-g.prepared:
+	}
 	for tries := 1; g.view.Load().Group == 0 || len(*g.seeds.Load()) > 0; tries++ {
 		if err := g.findGroup(ctx); err != nil {
 			g.failWith(err)
--- a/node/replica/propose.go
+++ b/node/replica/propose.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"flamingohall.example/core/fault"
+	"flamingohall.example/core/raft"
 	"flamingohall.example/node/rpc"
 )
 
@@ -45,6 +46,21 @@
 		"the leader has not confirmed the change in time; it may be short of processor time, or its storage slow")
 }
 
+const remedySpace = "free space on the disks of the control VMs, or repair them; retry then"
+
+// errNoStorage returns the error of calls that certainly have no effect, since a majority can't store anything.
+func errNoStorage() *fault.Error {
+	return fault.New(fault.Unavailable, remedySpace,
+		"the disks of a majority of the control VMs take no writes").WithRetryAfter(time.Second)
+}
+
+// errNotStored returns the error of a change that was accepted before it was known that it can't be stored for now.
+func errNotStored() *fault.Error {
+	return fault.New(fault.Unknown, "free space on the disks of the control VMs; "+
+		"send the same change again, it takes effect only once",
+		"the change is not stored yet: the disks of a majority of the control VMs take no writes")
+}
+
 // errNoAnswer returns the error of a read that was not confirmed in time. It distinguishes a slow leader from none.
 func (g *Group) errNoAnswer() *fault.Error {
 	leader := g.Status().Leader
@@ -89,6 +105,11 @@
 	if failure := g.failure.Load(); failure != nil {
 		return fault.New(fault.Unavailable, "use another control VM", "%s", failure.Message)
 	}
+	if failure := g.storage.failure(); failure != nil && g.hasNoLeaderFor(stallTimeout) {
+		// The others had the time for an election, so they can't lead either, or can't reach this VM.
+		return fault.New(fault.Unavailable, "use another control VM", "%s", fault.Of(failure).Message).
+			WithRetryAfter(time.Second)
+	}
 	timer := time.NewTimer(retryInterval)
 	defer timer.Stop()
 	select {
@@ -100,6 +121,12 @@
 	return nil
 }
 
+// hasNoLeaderFor reports whether this VM has known no leader for the duration.
+func (g *Group) hasNoLeaderFor(duration time.Duration) bool {
+	status := g.Status()
+	return status.Leader == "" && time.Since(status.leaderLostAt) >= duration
+}
+
 // proposeLocally proposes the command to this VM's raft loop and waits for the outcome.
 func (g *Group) proposeLocally(ctx context.Context, command []byte) outcome {
 	p := &proposal{command: command, result: make(chan outcome, 1)}
@@ -187,6 +214,9 @@
 		if err == nil {
 			return index, g.waitApplied(ctx, index)
 		}
+		if fault.Is(err, fault.Unavailable) {
+			return 0, err
+		}
 		if ctx.Err() != nil || time.Now().After(searchEnd) {
 			return 0, g.errNoAnswer()
 		}
@@ -211,6 +241,9 @@
 	leader := g.connections.connection(address)
 	response, err := leader.client().Confirm(ctx, &rpc.ConfirmRequest{})
 	if err != nil {
+		if failure := fromTwirp(err); failure.Kind == fault.Unavailable {
+			return 0, failure
+		}
 		leader.reset()
 		return 0, err
 	}
@@ -220,7 +253,8 @@
 	return response.GetIndex(), nil
 }
 
-// confirmLocally gets a confirmed index from this VM's raft loop. The error is errNotLeader or that of ctx.
+// confirmLocally gets a confirmed index from this VM's raft loop. The error is errNotLeader, fault.Unavailable if no
+// quorum can store anything, or that of ctx.
 func (g *Group) confirmLocally(ctx context.Context) (uint64, error) {
 	request := &readRequest{result: make(chan uint64, 1)}
 	if !g.put(ctx, input{read: request}) {
@@ -228,6 +262,9 @@
 	}
 	select {
 	case index, confirmed := <-request.result:
+		if view := g.view.Load(); !confirmed && view.Role == raft.Leader && !view.CanCommit {
+			return 0, errNoStorage()
+		}
 		if !confirmed {
 			return 0, errNotLeader
 		}
@@ -239,6 +276,12 @@
 	}
 }
 
+// isStuckBefore reports whether this VM can't apply the index for now because its storage takes no writes. A sole voter
+// is not stuck: whatever is committed, it has stored.
+func (g *Group) isStuckBefore(index uint64) bool {
+	return g.storage.state() != raft.StorageWorks && g.view.Load().Synced < index && !g.Status().isSoleVoter
+}
+
 func (g *Group) waitApplied(ctx context.Context, index uint64) error {
 	for {
 		advanced := g.applied.signal.wait()
@@ -249,6 +292,10 @@
 		if failed {
 			return errNoLeader()
 		}
+		if g.isStuckBefore(index) {
+			return fault.New(fault.Unavailable, "use another control VM",
+				"this control VM can't store index %d: %s", index, g.storage.message()).WithRetryAfter(time.Second)
+		}
 		select {
 		case <-advanced:
 		case <-ctx.Done():
--- a/node/replica/service.go
+++ b/node/replica/service.go
@@ -67,6 +67,9 @@
 // Confirm implements rpc.Replica.
 func (s *service) Confirm(ctx context.Context, _ *rpc.ConfirmRequest) (*rpc.ConfirmResponse, error) {
 	index, err := s.group.confirmLocally(ctx)
+	if fault.Is(err, fault.Unavailable) {
+		return nil, toTwirp(err)
+	}
 	if err != nil {
 		return &rpc.ConfirmResponse{Leader: s.group.Status().Leader}, nil //nolint:nilerr // The answer says so.
 	}
--- a/node/replica/status.go
+++ b/node/replica/status.go
@@ -34,9 +34,16 @@
 	}
 	// A leader that was removed from the members may still lead while the only voter is another VM.
 	status.isSoleVoter = status.IsLeader && voters == 1 && isVoter
+	before := g.status.Load()
+	if status.Leader == "" {
+		status.leaderLostAt = time.Now()
+		if before != nil && before.Leader == "" {
+			status.leaderLostAt = before.leaderLostAt
+		}
+	}
 	if view.Leader != raft.None {
 		status.ConfirmedAt = time.Now().Add(-time.Duration(view.QuorumAge) * TickPeriod)
-	} else if before := g.status.Load(); before != nil {
+	} else if before != nil {
 		status.ConfirmedAt = before.ConfirmedAt
 	}
 	g.status.Store(status)
@@ -56,7 +63,7 @@
 		if failure := g.failure.Load(); failure != nil {
 			return failure.Message
 		}
-		return ""
+		return g.storage.message()
 	})
 	gauge("replica_staleness_ms", func(s Status) any { return time.Since(s.ConfirmedAt).Milliseconds() })
 }
