--- a/node/wal/files.go
+++ b/node/wal/files.go
@@ -42,6 +42,9 @@
 	fileMode   = 0o640
 )
 
+// NewFiles returns the file system of an Open without Options.Files. Tests of whole processes replace it.
+var NewFiles = func() Files { return Disk{} }
+
 // Disk implements Files on the operating system's file system.
 type Disk struct{}
 
--- a/node/wal/wal.go
+++ b/node/wal/wal.go
@@ -45,7 +45,7 @@
 // Options are the parameters of Open.
 type Options struct {
 	Folder string
-	// Files is Disk if nil.
+	// Files is the result of NewFiles if nil.
 	Files Files
 	// SegmentBytes is DefaultSegmentBytes if 0.
 	SegmentBytes int
@@ -103,7 +103,7 @@
 // of kind Storage.
 func Open(options Options) (*Log, *Contents, error) {
 	if options.Files == nil {
-		options.Files = Disk{}
+		options.Files = NewFiles()
 	}
 	if options.SegmentBytes == 0 {
 		options.SegmentBytes = DefaultSegmentBytes
