Release the followers of a control VM that can't store changes

Status.ConfirmedAt no longer advances at a follower whose storage takes no writes, so the gate closes after maxSilence as if the contact were lost, and nodes go to another VM. The error names the storage. A leader that keeps leading without space stays current: nothing can be committed.

--- a/node/control/contact_test.go
+++ b/node/control/contact_test.go
@@ -1,18 +1,24 @@
 package control
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"flamingohall.example/core/fault"
 )
 
 // statusGroup is a group whose last contact with a majority is set by the test.
 type statusGroup struct {
 	Group
 	confirmedAt time.Time
+	failure     error
 }
 
+func (g *statusGroup) Ready() error { return g.failure }
+
 func (g *statusGroup) Status() Status { return Status{ConfirmedAt: g.confirmedAt} }
 
 func TestRole_ChecksContactMoreOftenWhileThereIsNone(t *testing.T) {
@@ -36,3 +42,14 @@
 		t.Errorf("without contact the check period is %v, want at most a quarter of %v", reconnectPeriod, contactPeriod)
 	}
 }
+
+// TestRole_NamesTheStorageIfItCanNotFollow guards against an error that blames the network for a full disk.
+func TestRole_NamesTheStorageIfItCanNotFollow(t *testing.T) {
+	group := &statusGroup{failure: fault.New(fault.Storage, "free space", "no space left on device")}
+	role := &Role{logger: logr.Discard(), group: group, gate: newGate(stoppingError())}
+	role.checkContact()
+	_, err := role.gate.check()
+	if !fault.Is(err, fault.Unavailable) || !strings.Contains(err.Error(), "no space left on device") {
+		t.Errorf("got error %v, want fault.Unavailable that names the storage", err)
+	}
+}
--- a/node/control/role.go
+++ b/node/control/role.go
@@ -94,6 +94,16 @@
 		"this control VM has no contact with a majority").WithRetryAfter(contactPeriod)
 }
 
+// contactError says why this VM can't follow a majority.
+func (r *Role) contactError() *fault.Error {
+	failure := r.group.Ready()
+	if !fault.Is(failure, fault.Storage) {
+		return noMajorityError()
+	}
+	return fault.New(fault.Unavailable, "ask another control VM; free space on the disk of this one",
+		"this control VM can't store changes: %s", fault.Of(failure).Message).WithRetryAfter(contactPeriod)
+}
+
 func stoppingError() *fault.Error {
 	return fault.New(fault.Unavailable, "ask another control VM", "this control VM is stopping")
 }
@@ -171,7 +181,7 @@
 		}
 		return contactPeriod
 	}
-	if r.gate.closeFor(noMajorityError(), false) {
+	if r.gate.closeFor(r.contactError(), false) {
 		events.QuorumLost.Log(r.logger, "silence", silence.String())
 	}
 	return reconnectPeriod
--- a/node/events/control.go
+++ b/node/events/control.go
@@ -12,7 +12,7 @@
 	TargetDrained = define(4006, Info, "target drain changed", "an operator drained a target or ended its drain", "none")
 	QuorumLost    = define(4007, Warn, "no contact with a majority",
 		"this control VM can't confirm that its state is current; it redirects followers to other VMs",
-		"check the other control VMs and the network between them")
+		"if 5040 or 5042 is logged too, check the disk of this VM, else the other control VMs and the network between them")
 	QuorumRegained = define(4008, Info, "contact with a majority restored", "this control VM serves requests again", "none")
 	DigestFailed   = define(4009, Debug, "digest not delivered", "the leader did not answer; the next digest includes the same nodes",
 		"none, unless there is no leader for a long time")
--- a/node/replica/group.go
+++ b/node/replica/group.go
@@ -115,8 +115,9 @@
 	AppliedIndex  uint64
 	IsLeader      bool
 	Members       []Member
-	// ConfirmedAt is the last time at which this VM's leader is known to have been in contact with a quorum; zero if
-	// there was none yet.
+	// ConfirmedAt is the last time at which this VM's leader is known to have been in contact with a quorum, and this VM to
+	// follow it: a follower whose storage takes no writes doesn't apply what is committed. It is zero if there was none
+	// yet.
 	ConfirmedAt time.Time
 	// leaderLostAt is when this VM last knew a leader, or its start; zero while it knows one.
 	leaderLostAt time.Time
--- a/node/replica/status.go
+++ b/node/replica/status.go
@@ -41,7 +41,8 @@
 			status.leaderLostAt = before.leaderLostAt
 		}
 	}
-	if view.Leader != raft.None {
+	isCurrent := status.IsLeader || g.storage.state() == raft.StorageWorks
+	if view.Leader != raft.None && isCurrent {
 		status.ConfirmedAt = time.Now().Add(-time.Duration(view.QuorumAge) * TickPeriod)
 	} else if before != nil {
 		status.ConfirmedAt = before.ConfirmedAt
--- a/node/replica/storage_test.go
+++ b/node/replica/storage_test.go
@@ -56,6 +56,9 @@
 		c.leader().propose("a")
 		time.Sleep(time.Second)
 		full.wantStorageError()
+		if age := time.Since(full.group.Status().ConfirmedAt); age < time.Second-electionTimeout {
+			t.Errorf("the state that can't follow the leader is shown as %v old", age)
+		}
 		start := time.Now()
 		if _, err := full.group.Confirm(testContext(t)); !fault.Is(err, fault.Unavailable) {
 			t.Errorf("a read at the VM that can't store the latest change: got error %v, want fault.Unavailable", err)
@@ -142,8 +145,8 @@
 			t.Error("the leader changed although no other VM can be elected")
 		}
 		leader.wantList("before", "stored by two")
-		if age := time.Since(first.group.Status().ConfirmedAt); age > electionTimeout {
-			t.Errorf("the contact with a majority is %v old", age)
+		if age := time.Since(leader.group.Status().ConfirmedAt); age > electionTimeout {
+			t.Errorf("the contact of the leader with a majority is %v old", age)
 		}
 		c.setFull(false)
 		c.wantStorageWorks()
