Describe what control VMs do while a disk takes no writes

GUARANTEES (state and disk faults), OPERATIONS (what is seen, what to do, the space that a repair needs), DESIGN (what was weighed), package wal.

--- a/node/wal/wal.go
+++ b/node/wal/wal.go
@@ -11,8 +11,8 @@
 //     and the page cache may hold bytes that the disk has lost. The next call first writes the part of the segment that
 //     an earlier sync covers to a new file. What failed is therefore absent; only a crash before that may find it. This
 //     needs space for up to one segment. A call that fails may be repeated.
-//   - The disk is full, or fails, at Open: Open reads only. The last segment is rewritten by Prepare, since the page cache
-//     may hold bytes that the disk has lost. Until then the contents must not be acted on.
+//   - The disk is full, or fails, at Open: Open only reads, and removes temporary files. The last segment is rewritten by
+//     Prepare, since the page cache may hold bytes that the disk has lost. Until then the contents must not be acted on.
 //   - A snapshot is written to a temporary file, synced and renamed. Open removes unfinished ones. If a snapshot is
 //     corrupted later, Open uses the previous one, which is kept together with the log after it.
 package wal
