Keep the lease of an idle worker within the grants of all entries

Callers could see a task run twice at the same time for up to about a tenth of a second when a sidecar was killed or frozen, or lost its link to the entry, soon after its worker had been idle.

Cause: a worker's lease never shortens. lease() took the minimum over the sessions that had runs at that moment, so a hold of an idle worker, or of one with runs of other entries only, lasted until now + 1 s. A run that started later, with a grant that ends sooner (the entry's last answered probe may be 350 ms old), ran under the longer lease; the entry waits for its grant only. The package comment claimed the contrary.

Evidence: TestRunner_LeaseOfAnIdleWorkerNeverReachesBeyondAGrant failed before: "the lease lasts 300 ms longer than the grant of a task that is started now". TestRunner_LeaseNeverReachesBeyondAGrant looked at the Start's own lease only.

Now the lease ends with the earliest grant of all open sessions, whether they have runs or not. No message and no start is delayed. While one entry does not answer, the leases of a worker's other runs shrink to StopAhead (200 ms) until its session is closed, as they did before if that entry had a run there; with entries that answer, a lease is at least 1 s less the interval of quiet probes and a round trip, where it was 1 s less the shorter interval.

--- a/core/runner/doc.go
+++ b/core/runner/doc.go
@@ -8,9 +8,10 @@
 //     delayed order from a predecessor of this process carries a lower fence and is rejected.
 //   - Running tasks end by themselves when their lease expires. The lease is an absolute time on the worker's clock, so
 //     a delayed order does not extend it.
-//   - The lease never outlasts the grant of any entry whose tasks are running. A grant ends Limits.Grant after the
-//     sending of the last probe that the entry has answered. An entry that receives nothing therefore knows when all
-//     its offers are over: Limits.Grant after its last answer, plus a margin for the drift of the worker's clock.
+//   - The lease never outlasts the grant of any entry with a session, whether it has tasks here or not: a lease never
+//     shortens, and a task that starts later runs under it. A grant ends Limits.Grant after the sending of the last probe
+//     that the entry has answered. An entry that receives nothing therefore knows when all its offers are over:
+//     Limits.Grant after its last answer, plus a margin for the drift of the worker's clock.
 //   - An order without an answer is revoked. Its offer is refused only after the worker has confirmed the stop and
 //     reported its ends; only then may the entry offer the task elsewhere.
 package runner
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -243,6 +243,32 @@
 	}
 }
 
+// TestRunner_LeaseOfAnIdleWorkerNeverReachesBeyondAGrant guards against a hold of an idle worker whose lease outlasts the grant
+// with which a task is started later: a lease never shortens. The entry would offer the task elsewhere while it still runs.
+func TestRunner_LeaseOfAnIdleWorkerNeverReachesBeyondAGrant(t *testing.T) {
+	h := newHarness(t)
+	limits := runner.DefaultLimits
+	leaseUntil, grantUntil := int64(0), h.clockMS
+	for h.now < time.Minute+3*time.Second {
+		probe := h.frame.Probe
+		h.step(10 * time.Millisecond)
+		if h.frame.Probe != probe {
+			h.echo()
+			grantUntil = h.clockMS + limits.Grant.Milliseconds()
+		}
+		if h.hold != nil {
+			leaseUntil = max(leaseUntil, h.hold.LeaseUntilMS)
+			h.answerHold()
+		}
+		if leaseUntil > grantUntil {
+			t.Fatalf("the lease lasts %d ms longer than the grant of a task that is started now", leaseUntil-grantUntil)
+		}
+	}
+	if leaseUntil == 0 {
+		t.Error("no hold had a lease")
+	}
+}
+
 func TestRunner_NewIncarnationEndsEarlierRuns(t *testing.T) {
 	h := newHarness(t)
 	h.run("a.0.0.0", 1000)
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -217,14 +217,17 @@
 	r.worker.heardAt, r.worker.unansweredSince = now, 0
 }
 
-// lease returns the end of the next lease, on this machine's clock: no later than the grant of any entry with a run.
+// lease returns the end of the next lease, on this machine's clock: no later than the grant of any entry that has a run or may
+// get one. Entries without runs count because a lease never shortens, and a task of theirs may start while it lasts.
 func (r *Runner) lease(now time.Duration) time.Duration {
 	end := now + r.limits.Lease
+	for _, s := range r.sessions {
+		end = min(end, s.answeredAt+r.limits.Grant)
+	}
 	for _, run := range r.runs {
-		if !run.usesCapacity() {
-			continue
+		if run.usesCapacity() {
+			end = min(end, run.offeredBy.answeredAt+r.limits.Grant)
 		}
-		end = min(end, run.offeredBy.answeredAt+r.limits.Grant)
 	}
 	return end
 }
