Give the runs of a sidecar's predecessor no further lease

A task could run on beyond the time for which its entry waits after a sidecar was restarted within the lease: the new process gave its worker a lease of 1 s with the second hold, while it was still stopping the runs that it had not ordered. If a stop got no answer, or the process ended again, such a run went on for up to 1 s more, and its entry had offered the task elsewhere.

Evidence: TestRunner_RunsOfAPredecessorGetNoLease failed before: "hold {... LeaseUntilMS:6010 ...}, want no lease while runs of a predecessor are reported".

While a report lists only runs that this process did not order, holds carry no lease, so that these runs end by the lease of the predecessor at the latest. Nothing starts at such a worker anyway (mayStart), so this costs nothing. The first hold carried no lease before: the worker's clock is unknown then.

--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -269,6 +269,27 @@
 	}
 }
 
+// TestRunner_RunsOfAPredecessorGetNoLease guards against a restarted sidecar that extends runs which it has to stop: their entries
+// wait only for the leases that the predecessor gave.
+func TestRunner_RunsOfAPredecessorGetNoLease(t *testing.T) {
+	h := &harness{t: t, core: runner.New(runner.DefaultLimits, 10), now: time.Minute, clockMS: 5000}
+	h.core.Announced(h.now, announcement(1))
+	h.core.Open(h.now, session, work.Hello{Entry: "e"})
+	h.step(0)
+	for range 10 {
+		if h.hold != nil && h.hold.LeaseUntilMS != 0 {
+			t.Fatalf("hold %+v, want no lease while runs of a predecessor are reported", h.hold)
+		}
+		if h.hold != nil {
+			h.answerHold(runner.ReportedRun{RunID: work.RunID{Task: "x.0.0.0", Run: 3}})
+		}
+		h.step(10 * time.Millisecond)
+	}
+	if len(h.stops) == 0 {
+		t.Error("the run was not stopped")
+	}
+}
+
 func TestRunner_NewIncarnationEndsEarlierRuns(t *testing.T) {
 	h := newHarness(t)
 	h.run("a.0.0.0", 1000)
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -237,8 +237,9 @@
 	w := &r.worker
 	order := Order{Incarnation: w.Incarnation, Fence: w.fence}
 	end := r.lease(now)
-	if w.clockAt == 0 || end <= now || w.suspect || r.leaseMustExpire() && !r.isBusy() {
-		// The runs of a worker that does not answer must end at a known time, so its lease is not renewed.
+	if w.clockAt == 0 || end <= now || w.suspect || (r.leaseMustExpire() || w.unorderedRuns > 0) && !r.isBusy() {
+		// The runs of a worker that does not answer, and those that a predecessor of this process ordered, must end at a known
+		// time, so their lease is not renewed.
 		return order
 	}
 	order.LeaseUntilMS = w.clockMS + (end - w.clockAt).Milliseconds()
