Deliver the frames of a replaced connection before those of the new one

After a session between an entry and its sidecar had got a new connection, a stop could overtake its offer. The sidecar ignores a stop of a run that it does not have, and then runs a task that nobody waits for; when its caller sends the job again, two runs of the task overlap.

Cause: at the accepting side each connection has its own reader. A reader registers a frame under the mutex and delivers it afterwards, for example once the event loop has room. A reader of the next connection could deliver the following frame in between. The dialling side runs its connections one after the other, so frames to entries were in order.

Evidence: TestStream_FrameOfANewConnectionWaitsForThatOfTheOldOne failed before: "frames received: [2 1], want 1 before 2".

Now a reader starts once that of the previous connection has ended; its connection was closed when the new one was attached, so only a delivery in progress is waited for. A connection whose handshake could not be answered is no longer attached to its session. No message and no wait is added to a connection that is not replaced.

--- a/node/stream/dial.go
+++ b/node/stream/dial.go
@@ -88,7 +88,7 @@
 func runConnection(
 	ctx context.Context, peer *Peer, conn net.Conn, reader *bufio.Reader, acknowledged uint64, events Events,
 ) {
-	wakeWriter, err := peer.attach(conn, acknowledged)
+	attached, err := peer.attach(conn, acknowledged)
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -97,7 +97,7 @@
 	watched, stop := context.WithCancel(ctx)
 	go watchIdle(watched, peer, conn)
 	// Whatever ended the connection, maintainSession connects again unless the session has ended.
-	_ = peer.serve(conn, reader, wakeWriter)
+	_ = peer.serve(attached, reader)
 	stop()
 	events.Attached(peer, false)
 }
--- a/node/stream/peer.go
+++ b/node/stream/peer.go
@@ -56,7 +56,9 @@
 	conn      net.Conn
 	// wakeWriter wakes the writer of the current connection when frames are queued; it has room for one signal.
 	wakeWriter chan struct{}
-	closed     bool
+	// readEnded is closed when the newest connection's reader has ended; nil before the first connection.
+	readEnded chan struct{}
+	closed    bool
 	// becameBusy wakes the watcher of idle connections when busySince is set; it has room for one signal.
 	becameBusy chan struct{}
 }
@@ -158,8 +160,18 @@
 	return since.Add(busyIdleLimit).Sub(now)
 }
 
+// connection is a connection of a session. Its attach must be followed by serve.
+type connection struct {
+	net.Conn
+	wakeWriter chan struct{}
+	// previousEnded is closed when the reader of the previous connection has ended, nil if there was none. readEnded is closed when
+	// that of this one has.
+	previousEnded <-chan struct{}
+	readEnded     chan struct{}
+}
+
 // attach makes conn the session's connection. acknowledged is the number of the last frame that the other side received.
-func (p *Peer) attach(conn net.Conn, acknowledged uint64) (wakeWriter chan struct{}, err error) {
+func (p *Peer) attach(conn net.Conn, acknowledged uint64) (*connection, error) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
@@ -170,9 +182,10 @@
 	}
 	p.acknowledge(acknowledged)
 	p.conn, p.receivedAt = conn, time.Now()
-	p.wakeWriter = make(chan struct{}, 1)
+	attached := &connection{Conn: conn, wakeWriter: make(chan struct{}, 1), previousEnded: p.readEnded, readEnded: make(chan struct{})}
+	p.wakeWriter, p.readEnded = attached.wakeWriter, attached.readEnded
 	p.signal()
-	return p.wakeWriter, nil
+	return attached, nil
 }
 
 // acknowledge drops the frames up to number. The caller holds the mutex.
@@ -183,13 +196,16 @@
 }
 
 // serve reads frames until the connection ends, while a second goroutine writes.
-func (p *Peer) serve(conn net.Conn, reader *bufio.Reader, wakeWriter chan struct{}) error {
-	ended := make(chan struct{})
+func (p *Peer) serve(c *connection, reader *bufio.Reader) error {
 	var writer sync.WaitGroup
-	writer.Go(func() { p.write(conn, wakeWriter, ended) })
-	err := p.read(conn, reader)
-	close(ended)
-	p.drop(conn)
+	writer.Go(func() { p.write(c.Conn, c.wakeWriter, c.readEnded) })
+	if c.previousEnded != nil {
+		// That reader may have registered a frame that it has not delivered yet.
+		<-c.previousEnded
+	}
+	err := p.read(c.Conn, reader)
+	close(c.readEnded)
+	p.drop(c.Conn)
 	writer.Wait()
 	return err
 }
--- a/node/stream/serve.go
+++ b/node/stream/serve.go
@@ -94,8 +94,11 @@
 	if err == nil {
 		err = conn.SetDeadline(time.Time{})
 	}
-	wakeWriter, attachErr := peer.attach(conn, acknowledged)
-	if err != nil || attachErr != nil {
+	var attached *connection
+	if err == nil {
+		attached, err = peer.attach(conn, acknowledged)
+	}
+	if err != nil {
 		if isNew {
 			// The other side never learns of this session: it opens another one.
 			s.forget(peer)
@@ -107,7 +110,7 @@
 		s.handler.Opened(peer)
 	}
 	// Whatever ended the connection, the other side connects again unless it has ended the session.
-	_ = peer.serve(conn, reader, wakeWriter)
+	_ = peer.serve(attached, reader)
 }
 
 // forget ends a session and drops it.
--- a/node/stream/stream_test.go
+++ b/node/stream/stream_test.go
@@ -1,11 +1,14 @@
 package stream
 
 import (
+	"bufio"
 	"context"
 	"encoding/binary"
 	"net"
+	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -209,3 +212,43 @@
 		t.Errorf("%d sessions are kept, want none", len(server.peers))
 	}
 }
+
+// TestStream_FrameOfANewConnectionWaitsForThatOfTheOldOne guards against a stop that overtakes its offer: a reader of a replaced
+// connection may have a frame that it has registered and not yet delivered.
+func TestStream_FrameOfANewConnectionWaitsForThatOfTheOldOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mutex sync.Mutex
+		var received []uint64
+		proceed := make(chan struct{})
+		peer := newPeer(identity{}, func(payload []byte) {
+			n := binary.BigEndian.Uint64(payload)
+			if n == 1 {
+				<-proceed
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			received = append(received, n)
+		})
+		var readers sync.WaitGroup
+		for n := range uint64(2) {
+			local, remote := net.Pipe()
+			connection, err := peer.attach(local, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			readers.Go(func() { _ = peer.serve(connection, bufio.NewReader(local)) })
+			frame := binary.BigEndian.AppendUint32(nil, 8)
+			frame = binary.BigEndian.AppendUint64(frame, n+1)
+			frame = binary.BigEndian.AppendUint64(frame, 0)
+			go func() { _, _ = remote.Write(append(frame, number(n+1)...)) }()
+			synctest.Wait()
+		}
+		close(proceed)
+		synctest.Wait()
+		peer.Close()
+		readers.Wait()
+		if !slices.Equal(received, []uint64{1, 2}) {
+			t.Errorf("frames received: %d, want 1 before 2", received)
+		}
+	})
+}
