Submit no job whose caller has left while the request waited

After an entry had started, or while its event loop was behind, tasks of a job could start although its caller had disconnected and may have sent the job to another entry: two runs of its tasks at the same time, until the stops arrived.

Cause: a request waits for the start of the entry (up to 2 s) and in the queue of the event loop. Submit handed the job to the dispatcher without a look at the request's context, and told it afterwards that the caller had left; tasks had been offered in between.

Evidence: TestGateway_JobOfACallerThatHasLeftIsNotSubmitted failed before: "2 jobs submitted to the dispatcher, want the second one only".

Now the loop looks at the context at the moment at which it would submit the job. A caller whose job was not submitted is not counted as one that leaves, as it would end the job of another caller with the same ID. Costs no message and no wait.

--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -237,7 +237,14 @@
 // dispatch.GivenUp.
 func (g *Gateway) Submit(ctx context.Context, job dispatch.Submission) dispatch.Answer {
 	caller := make(chan dispatch.Answer, 1)
+	// submitted is accessed only from the loop.
+	submitted := false
 	accepted := g.put(func(now time.Duration) {
+		if ctx.Err() != nil {
+			// The caller may already have sent the job to another entry.
+			return
+		}
+		submitted = true
 		g.callers[job.ID] = append(g.callers[job.ID], caller)
 		g.core.Submit(now, job)
 	})
@@ -250,7 +257,11 @@
 	case <-ctx.Done():
 	case <-g.context.Done():
 	}
-	g.put(func(now time.Duration) { g.core.CallerLeft(now, job.ID) })
+	g.put(func(now time.Duration) {
+		if submitted {
+			g.core.CallerLeft(now, job.ID)
+		}
+	})
 	return dispatch.Answer{Job: job.ID, Queue: job.Queue.Name, Result: dispatch.GivenUp, Cause: dispatch.CallerGone}
 }
 
--- a/node/gateway/gateway_test.go
+++ b/node/gateway/gateway_test.go
@@ -55,3 +55,20 @@
 		t.Errorf("%d refusals counted, want 1", got)
 	}
 }
+
+// TestGateway_JobOfACallerThatHasLeftIsNotSubmitted guards against tasks that start although their caller has disconnected, and
+// may have sent the job to another entry, while the request waited.
+func TestGateway_JobOfACallerThatHasLeftIsNotSubmitted(t *testing.T) {
+	g := startGateway(t)
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	if answer := g.Submit(left, dispatch.Submission{ID: "j", Steps: []dispatch.Step{{Count: 1}}}); answer.Cause != dispatch.CallerGone {
+		t.Errorf("answer %+v, want one with cause CallerGone", answer)
+	}
+	g.Submit(t.Context(), dispatch.Submission{ID: "k", Steps: []dispatch.Step{{Count: 1}}})
+	// An answer is counted after it is given, and before the loop handles the next input.
+	g.Pending(t.Context(), "")
+	if got := g.counters.refused.Load(); got != 1 {
+		t.Errorf("%d jobs submitted to the dispatcher, want the second one only", got)
+	}
+}
