--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -88,7 +88,7 @@
 
 // newJob returns a job whose first steps are ready.
 func newJob(now time.Duration, s Submission) *job {
-	j := &job{Submission: s, key: JobKey(s.ID), arrivedAt: now - s.Waited, waiters: 1}
+	j := &job{Submission: s, key: JobKey(s.ID), arrivedAt: now - s.Waited - s.Unread, waiters: 1}
 	if s.Timeout > 0 {
 		j.deadline = j.arrivedAt + s.Timeout
 	}
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -16,7 +16,7 @@
 	if known := d.jobs[s.ID]; known != nil {
 		known.waiters++
 		if s.Timeout > 0 {
-			known.deadline = max(known.deadline, now+s.Timeout)
+			known.deadline = max(known.deadline, now-s.Unread+s.Timeout)
 		}
 		return
 	}
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -36,6 +36,8 @@
 	Steps   []Step `cbor:"5,keyasint"`
 	// Waited is how long the job waited at this entry before it was submitted to the dispatcher.
 	Waited time.Duration `cbor:"-"`
+	// Unread is how long the request waited in its socket before this process read it.
+	Unread time.Duration `cbor:"-"`
 	// Timeout is how long the caller waits for the answer; 0 means no limit.
 	Timeout time.Duration `cbor:"-"`
 	// IsStored means that control stores the job, and that it continues without its caller.
