Hold a job at an entry while another one runs it

What callers saw, or would have: a caller without an answer sends its job again after 1.3 s, to any entry. If the first entry still ran it, every task whose run takes longer than that ran twice at the same time.

Cause: an entry knows only its own jobs. The second one started the copy at once; only the very sidecar that had a run of the task refused it as busy. Nothing unusual was logged anywhere.

Why this works: each call in which an entry shares its answers also lists the keys of all jobs that may be running because of it; the list replaces the last one. A job that another entry lists is held: it gets the first one's answer, starts once no entry lists it, or is given up (not refused: it may have run) when its caller's time ends. A list counts for at least the grant, so that the runs of an entry that died have ended; callers who resend after 1.3 s do not wait longer for it with up to ten entries. A job that was given up remains listed until its runs have ended (0.5 s for stops, or the grant where a session has no connection), and is held at its own entry likewise. Held jobs are not listed, so no two entries wait for each other.

Cost: 8 bytes for each job in progress in calls that are made anyway; an entry without answers but with jobs in progress now calls, too, four times a second. Nothing waits for these messages, no start is delayed but those of copies.

Left: copies that reach two entries within the period of the reports both run, which callers who wait for more than a second don't do up to about 50 entries; a cut between two entries that both reach the workers.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -57,6 +57,9 @@
 	records       map[work.RunID][]string
 	recentlyEnded recentlyEnded
 	answered      answeredJobs
+	inProgress    inProgress
+	// heldJobs is the number of jobs that are held.
+	heldJobs int
 	// progressRequestNumber is the number of the last ProgressRequest.
 	progressRequestNumber uint64
 	// jobLeaseUntil is when the job lease expires; holdsJobLease is false while stored jobs are stopped.
@@ -81,7 +84,7 @@
 		limits: limits, localDataCentre: dataCentre, entries: 1, random: rand.New(rand.NewPCG(seed, 0)), //nolint:gosec // Not a secret.
 		workers: map[string]*worker{}, drained: map[string]bool{}, jobs: map[string]*job{}, pools: map[string]*sharedPool{},
 		tasks: map[string]*task{}, noLateOffers: map[string]bool{}, records: map[work.RunID][]string{},
-		recentlyEnded: recentlyEnded{jobs: map[string]endedJob{}}, answered: newAnsweredJobs(), estimates: map[string]*estimate{},
+		recentlyEnded: recentlyEnded{jobs: map[string]endedJob{}}, answered: newAnsweredJobs(), inProgress: newInProgress(), estimates: map[string]*estimate{},
 		detector: health.NewOutlierDetector(), crashes: crash.NewMonitor(crashLimits), epoch: time.Unix(0, 0),
 	}
 }
@@ -271,6 +274,7 @@
 	d.endExpired(now)
 	d.endHopeless(now)
 	d.endHopelessLate(now)
+	d.startHeld(now)
 	d.offerWaiting(now)
 	d.reportBacklogs(now)
 	d.noteSheddingEnds(now)
--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -9,4 +9,8 @@
 //
 //   - the sidecar has rejected the offer or reported the end of the run, or
 //   - the session has ended, and Limits.Grant has passed since the entry last answered a probe.
+//
+// A caller without an answer may submit its job again, at any entry, while the first one still runs it. Entries therefore report
+// their jobs in progress to each other, and a job that may be running because of an earlier submission is held: it gets that one's
+// answer, or starts once the reports have ended. Two copies that reach two entries before the first report both run.
 package dispatch
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -76,7 +76,9 @@
 	waiters int
 	// isLateWork means that the job can't end in time and uses only capacity that no other job needs.
 	isLateWork bool
-	trace      Trace
+	// isHeld means that the job may be running because of an earlier submission, and is not started.
+	isHeld bool
+	trace  Trace
 }
 
 // stepProgress tracks the tasks of a step.
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -11,7 +11,8 @@
 const minRetryAfter = time.Second
 
 // Submit takes a job, or answers at once with the reason why it is refused. If the job is already in progress, the call
-// adds a caller to it. If an entry has answered it before, the answer is the same.
+// adds a caller to it. If an entry has answered it before, the answer is the same. If it is in progress at another entry, it
+// waits here for the answer.
 func (d *Dispatcher) Submit(now time.Duration, s Submission) {
 	if known := d.jobs[s.ID]; known != nil {
 		known.waiters++
@@ -24,6 +25,10 @@
 		d.answer(now, newJob(now, s), Answer{Result: answered.result(), Cause: AnsweredBefore})
 		return
 	}
+	if d.inProgress.holds(now, JobKey(s.ID)) {
+		d.hold(now, s)
+		return
+	}
 	if j, refusal := d.admit(now, s); refusal != nil {
 		d.answer(now, j, *refusal)
 	} else {
@@ -76,7 +81,9 @@
 	for _, t := range j.tasks {
 		d.tasks[t.name] = t
 	}
-	d.waiting = append(d.waiting, j.unblock()...)
+	if !j.isHeld {
+		d.waiting = append(d.waiting, j.unblock()...)
+	}
 }
 
 // span returns the time in which the job should end.
@@ -291,8 +298,9 @@
 	if j == nil {
 		return
 	}
+	d.noteEnding(now, j)
 	d.stopTasks(j)
-	if result == GivenUp && !j.wasOffered() {
+	if result == GivenUp && !j.wasOffered() && !j.isHeld {
 		result = Refused
 	}
 	d.answer(now, j, Answer{Result: result, Cause: cause, RetryAfter: minRetryAfter})
@@ -349,6 +357,9 @@
 	if j.isLateWork {
 		d.lateJobs--
 	}
+	if j.isHeld {
+		d.heldJobs--
+	}
 	if position, isFound := slices.BinarySearchFunc(d.jobsByID, j.ID, compareJobID); isFound {
 		d.jobsByID = slices.Delete(d.jobsByID, position, position+1)
 	}
--- a/node/gateway/answers.go
+++ b/node/gateway/answers.go
@@ -24,6 +24,10 @@
 	shareTimeout = time.Second
 	// shareDialTimeout bounds opening a connection.
 	shareDialTimeout = 300 * time.Millisecond
+	// validPeriods is for how many periods a report of jobs in progress counts, beside minSharePeriod for the call: one may fail.
+	validPeriods = 2
+	// maxValid limits how long a report counts at the entry that receives it.
+	maxValid = 5 * time.Second
 	// maxShared limits the answers in one call, maxUnshared those that are kept for entries that can't be reached.
 	maxShared   = 10_000
 	maxUnshared = 50_000
@@ -34,8 +38,8 @@
 	return max(minSharePeriod, time.Duration(entries)*sharePeriodPerEntry)
 }
 
-// answerSharer tells the other entries which jobs this entry has answered. Callers that repeat a request may reach any
-// entry. It serves rpc.Answers.
+// answerSharer tells the other entries which jobs this entry has answered, and which are in progress here. Callers that repeat
+// a request may reach any entry. It serves rpc.Answers.
 type answerSharer struct {
 	gateway *Gateway
 	// asksForAll is true while a call waits for the answers that another entry remembers, and once one has returned them.
@@ -133,7 +137,7 @@
 	defer client.CloseIdleConnections()
 	answers := rpc.NewAnswersProtobufClient("http://"+node.GetAddress(), client)
 	var sent uint64
-	isReachable := true
+	isReachable, reported := true, false
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -143,10 +147,10 @@
 		case <-timer.C:
 		}
 		timer.Reset(sharePeriod(int(s.entries.Load())))
-		next, err := s.share(ctx, answers, sent)
+		next, hasReported, err := s.share(ctx, answers, sent, reported)
 		switch {
 		case err == nil:
-			sent = next
+			sent, reported = next, hasReported
 			if !isReachable {
 				events.AnswersShared.Log(s.gateway.options.Logger, "entry", node.GetId(), "address", node.GetAddress())
 			}
@@ -162,32 +166,44 @@
 	}
 }
 
-// share sends the answers after the number sent, if there are any, and returns the number of the last one.
-func (s *answerSharer) share(ctx context.Context, client rpc.Answers, sent uint64) (uint64, error) {
+// share sends the jobs in progress and the answers after the number sent, if there are any, and returns the number of the last
+// answer. reported says whether the last call reported jobs in progress, hasReported whether this one did.
+func (s *answerSharer) share(ctx context.Context, client rpc.Answers, sent uint64, reported bool) (last uint64, hasReported bool, err error) {
+	// A job that ends in between is among the answers, which count first.
+	inProgress := s.gateway.inProgress(ctx)
 	news, last := s.after(sent)
 	wantsAll := s.asksForAll.CompareAndSwap(false, true)
-	if len(news) == 0 && !wantsAll {
-		return last, nil
+	if len(news) == 0 && !wantsAll && len(inProgress) == 0 && !reported {
+		return last, false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	request := &rpc.ShareAnswersRequest{WantsAll: wantsAll}
+	request := &rpc.ShareAnswersRequest{
+		WantsAll: wantsAll, InProgress: inProgress, Entry: s.gateway.options.ID,
+		ValidMs: uint32((validPeriods*sharePeriod(int(s.entries.Load())) + minSharePeriod).Milliseconds()),
+	}
 	request.Completed, request.Failed = keysOf(news)
 	response, err := client.Share(ctx, request)
 	if err != nil {
 		if wantsAll {
 			s.asksForAll.Store(false)
 		}
-		return sent, err
+		return sent, reported, err
 	}
 	s.gateway.counters.answersShared.Add(int64(len(news)))
 	s.learn(response.GetCompleted(), response.GetFailed())
-	return last, nil
+	return last, len(inProgress) > 0, nil
 }
 
 // Share implements rpc.Answers.
 func (s *answerSharer) Share(ctx context.Context, request *rpc.ShareAnswersRequest) (*rpc.ShareAnswersResponse, error) {
 	s.learn(request.GetCompleted(), request.GetFailed())
+	if entry := request.GetEntry(); entry != "" {
+		validFor := min(time.Duration(request.GetValidMs())*time.Millisecond, maxValid)
+		s.gateway.put(func(now time.Duration) {
+			s.gateway.core.InProgressElsewhere(now, entry, request.GetInProgress(), validFor)
+		})
+	}
 	response := &rpc.ShareAnswersResponse{}
 	if request.GetWantsAll() {
 		response.Completed, response.Failed = keysOf(s.gateway.recentlyAnswered(ctx))
@@ -222,6 +238,21 @@
 	return completed, failed
 }
 
+// inProgress returns the keys of the jobs that may be running because of this entry.
+func (g *Gateway) inProgress(ctx context.Context) []uint64 {
+	result := make(chan []uint64, 1)
+	if !g.put(func(now time.Duration) { result <- g.core.InProgress(now) }) {
+		return nil
+	}
+	select {
+	case keys := <-result:
+		return keys
+	case <-ctx.Done():
+	case <-g.context.Done():
+	}
+	return nil
+}
+
 // recentlyAnswered returns all answers that this entry remembers.
 func (g *Gateway) recentlyAnswered(ctx context.Context) []dispatch.AnsweredJob {
 	result := make(chan []dispatch.AnsweredJob, 1)
--- a/node/gateway/answers_test.go
+++ b/node/gateway/answers_test.go
@@ -147,3 +147,23 @@
 		t.Errorf("response %v, error %v", response, err)
 	}
 }
+
+// TestAnswers_CopyOfAJobInProgressElsewhereGetsItsAnswer guards against running a job at two entries at the same time.
+func TestAnswers_CopyOfAJobInProgressElsewhereGetsItsAnswer(t *testing.T) {
+	g := startGateway(t)
+	key := dispatch.JobKey("j")
+	if _, err := g.answers.Share(t.Context(), &rpc.ShareAnswersRequest{InProgress: []uint64{key}, Entry: "other", ValidMs: 5000}); err != nil {
+		t.Fatal(err)
+	}
+	answered := make(chan dispatch.Answer, 1)
+	go func() {
+		answered <- g.Submit(t.Context(), dispatch.Submission{ID: "j", Steps: []dispatch.Step{{Count: 1}}})
+	}()
+	until(t, "the copy is held", func() bool { return g.jobs.Load() == 1 })
+	if _, err := g.answers.Share(t.Context(), &rpc.ShareAnswersRequest{Completed: []uint64{key}, Entry: "other", ValidMs: 5000}); err != nil {
+		t.Fatal(err)
+	}
+	if answer := <-answered; answer.Result != dispatch.Completed || answer.Cause != dispatch.AnsweredBefore {
+		t.Errorf("answer %+v, want that of the other entry; without workers a job that is not held is refused", answer)
+	}
+}
