--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -76,7 +76,9 @@
 	waiters int
 	// isLateWork means that the job can't end in time and uses only capacity that no other job needs.
 	isLateWork bool
-	trace      Trace
+	// isHeld means that the job may be running because of an earlier submission, and is not started.
+	isHeld bool
+	trace  Trace
 }
 
 // stepProgress tracks the tasks of a step.
@@ -88,7 +90,7 @@
 
 // newJob returns a job whose first steps are ready.
 func newJob(now time.Duration, s Submission) *job {
-	j := &job{Submission: s, key: JobKey(s.ID), arrivedAt: now - s.Waited, waiters: 1}
+	j := &job{Submission: s, key: JobKey(s.ID), arrivedAt: now - s.Waited - s.Unread, waiters: 1}
 	if s.Timeout > 0 {
 		j.deadline = j.arrivedAt + s.Timeout
 	}
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -243,6 +243,53 @@
 	}
 }
 
+// TestRunner_LeaseOfAnIdleWorkerNeverReachesBeyondAGrant guards against a hold of an idle worker whose lease outlasts the grant
+// with which a task is started later: a lease never shortens. The entry would offer the task elsewhere while it still runs.
+func TestRunner_LeaseOfAnIdleWorkerNeverReachesBeyondAGrant(t *testing.T) {
+	h := newHarness(t)
+	limits := runner.DefaultLimits
+	leaseUntil, grantUntil := int64(0), h.clockMS
+	for h.now < time.Minute+3*time.Second {
+		probe := h.frame.Probe
+		h.step(10 * time.Millisecond)
+		if h.frame.Probe != probe {
+			h.echo()
+			grantUntil = h.clockMS + limits.Grant.Milliseconds()
+		}
+		if h.hold != nil {
+			leaseUntil = max(leaseUntil, h.hold.LeaseUntilMS)
+			h.answerHold()
+		}
+		if leaseUntil > grantUntil {
+			t.Fatalf("the lease lasts %d ms longer than the grant of a task that is started now", leaseUntil-grantUntil)
+		}
+	}
+	if leaseUntil == 0 {
+		t.Error("no hold had a lease")
+	}
+}
+
+// TestRunner_RunsOfAPredecessorGetNoLease guards against a restarted sidecar that extends runs which it has to stop: their entries
+// wait only for the leases that the predecessor gave.
+func TestRunner_RunsOfAPredecessorGetNoLease(t *testing.T) {
+	h := &harness{t: t, core: runner.New(runner.DefaultLimits, 10), now: time.Minute, clockMS: 5000}
+	h.core.Announced(h.now, announcement(1))
+	h.core.Open(h.now, session, work.Hello{Entry: "e"})
+	h.step(0)
+	for range 10 {
+		if h.hold != nil && h.hold.LeaseUntilMS != 0 {
+			t.Fatalf("hold %+v, want no lease while runs of a predecessor are reported", h.hold)
+		}
+		if h.hold != nil {
+			h.answerHold(runner.ReportedRun{RunID: work.RunID{Task: "x.0.0.0", Run: 3}})
+		}
+		h.step(10 * time.Millisecond)
+	}
+	if len(h.stops) == 0 {
+		t.Error("the run was not stopped")
+	}
+}
+
 func TestRunner_NewIncarnationEndsEarlierRuns(t *testing.T) {
 	h := newHarness(t)
 	h.run("a.0.0.0", 1000)
