Report the panics of handlers

What operators saw: nothing. net/http recovers from the panic of a handler and writes it to the server's log, which platform/ discards since it is mostly about callers that disconnect. A defect that ends requests was neither logged nor counted.

The request's connection is closed and the process goes on, as before: handlers share no state that a panic can leave locked but by defers (checked by reading), and the loops have goroutines of their own, whose panics end the process, so that it is restarted.

--- a/node/events/process.go
+++ b/node/events/process.go
@@ -15,6 +15,8 @@
 	// LogLinesDropped is written by the log's writer itself.
 	LogLinesDropped = define(1010, Warn, "log lines dropped", "the log's output was blocked or could not be written; the field lines says how many lines are missing",
 		"check the disk and the reader of the log")
+	HandlerPanicked = define(1011, Error, "request ended by a defect", "the handler of a request panicked; its connection is closed, and the process goes on",
+		"report the line, which has the stack, as a defect")
 	ProcessFailed = define(1005, Error, "process failed", "a role could not start or continue",
 		"follow the remedy in the error and start the process again")
 	SyncFailed = define(1101, Warn, "control unreachable", "a control VM did not answer; another is tried",
