Unlock the holders after a panic of a call

Cause: Holders.waiting released its lock without defer. net/http recovers from a panic in a call of Keep, so that one panic while the state is read would leave the lock held: all later renewals of job leases, and the watch that reassigns jobs, would wait for good in a leader that looks alive. No such panic is known.

Evidence: before, the new test fails with "the holders stay locked"; after, TestHolders passes with -race. All other locks without defer were read: nothing between lock and unlock can panic there.

--- a/node/control/holders.go
+++ b/node/control/holders.go
@@ -80,6 +80,7 @@
 	sum := map[string]uint32{}
 	silent := map[string]bool{}
 	o.mutex.Lock()
+	defer o.mutex.Unlock()
 	for holder, report := range o.reports {
 		if now.Sub(report.at) <= maxReportAge {
 			addWaiting(sum, report.waiting)
@@ -98,7 +99,6 @@
 			}
 		}
 	})
-	o.mutex.Unlock()
 	return sum
 }
 
--- a/node/control/holders_test.go
+++ b/node/control/holders_test.go
@@ -66,3 +66,19 @@
 		t.Error("renewed by a call of an earlier term")
 	}
 }
+
+// TestHolders_PanicDuringAReportLeavesThemUnlocked guards against renewals that wait for good: net/http recovers from the panic of a call.
+func TestHolders_PanicDuringAReportLeavesThemUnlocked(t *testing.T) {
+	o := newHolders(&Role{})
+	func() {
+		defer func() {
+			if recover() == nil {
+				t.Error("no panic without a state")
+			}
+		}()
+		o.waiting(time.Now())
+	}()
+	if !o.mutex.TryLock() {
+		t.Error("the holders stay locked")
+	}
+}
