Refuse to run a stored job that would end the entry

What callers saw: nothing yet; found while looking for what one malformed message can end.

Cause: an entry created a task for each count of a stored job without a check.

--- a/node/workwire/workwire.go
+++ b/node/workwire/workwire.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"flamingohall.example/core/catalogue"
 	"flamingohall.example/core/dispatch"
 	"flamingohall.example/core/runner"
 	"flamingohall.example/core/work"
@@ -99,9 +100,30 @@
 	if err := decoder.Unmarshal(encoded, &job); err != nil {
 		return nil, errors.Wrap(err, "decode stored job")
 	}
+	if problem := stepsProblem(job.Steps); problem != "" {
+		return nil, errors.Errorf("decode stored job: %s", problem)
+	}
 	return &job, nil
 }
 
+// stepsProblem returns what is wrong with the steps of a job, "" if nothing is. A job that ends the entry that runs it would end one entry after
+// the other, since control assigns it to the next.
+func stepsProblem(steps []dispatch.Step) string {
+	tasks := 0
+	for i := range steps {
+		if steps[i].Count < 0 || steps[i].Count > catalogue.MaxTasksPerJob-tasks {
+			return "a step has a negative number of tasks, or the steps have too many in total"
+		}
+		tasks += steps[i].Count
+		for _, earlier := range steps[i].After {
+			if earlier < 0 || earlier >= i {
+				return "a step depends on one that is not earlier"
+			}
+		}
+	}
+	return ""
+}
+
 // EncodeAnnouncement encodes the announcement of a worker.
 func EncodeAnnouncement(announcement *runner.Announcement) []byte {
 	return encode(announcement)
