Replace a silent connection to the leading control VM

After a cut of the network, a control VM would fail all calls that it forwards to the leader (renewals of job leases, orders of operators) and its digests, for as long as TCP takes to send again, although a new connection would work at once.

Cause: the calls share one HTTP/2 connection. A failed call closes idle connections, since the one that it used may be dead. That connection isn't idle while other calls wait on it, and with several entries that renew their leases, one always does.

Change: a connection that has delivered nothing for 500 ms is probed, and replaced if it doesn't answer within 500 ms.

The clients of followers and of calls about stored jobs are replaced after each failure, so that they don't have this fault.

--- a/node/control/role.go
+++ b/node/control/role.go
@@ -25,6 +25,10 @@
 	maxSilence = 2 * time.Second
 	// idleTimeout closes connections to a former leader.
 	idleTimeout = 30 * time.Second
+	// silentAfter is how long a connection to the leader may deliver nothing before it is probed, and probeTimeout how long the answer may
+	// take. Their sum is below the job lease (dispatch.Limits.JobLease), whose renewals are forwarded.
+	silentAfter  = 500 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
 )
 
 // Role is the control role of a process.
@@ -82,10 +86,12 @@
 	return role, nil
 }
 
-// compactClient returns the client for digests and for requests forwarded to the leader.
+// compactClient returns the client for digests and for requests forwarded to the leader. It replaces a connection that doesn't answer
+// probes: one that calls in progress share is never idle, so that closing idle connections after a failed call does not replace it.
 func compactClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		Protocols: transport.CompactProtocols(), DisableCompression: true, IdleConnTimeout: idleTimeout,
+		HTTP2: &http.HTTP2Config{SendPingTimeout: silentAfter, PingTimeout: probeTimeout},
 	}}
 }
 
