Wait for the end of a stopped run that the worker does not list

A run whose stop the worker had just answered could be reported to its entry as ended, or as never started, while the worker was still stopping it, which takes up to 50 ms; its task was then started elsewhere. Two cases: the answer to the start arrives after the stop was sent, and was ignored; the worker lists a run that it stops neither as running nor as ended. Whether any worker does the latter is not known: the platform's page says that the capacity becomes free when the end is listed.

Evidence: TestRunner_StoppedRunEndsOnceItsEndIsListedOrItsStopHasTakenItsTime failed before: "refused [{{j.0.0.0 1} unanswered}] 1ms after the stop, want none: a stop takes up to 50 ms".

Now a late answer that the start was accepted is noted, and a run that was started ends when its end is listed, or when the last Hold, sent 60 ms after the answer to the stop or later, lists it nowhere. A start that was not carried out is refused as soon as before. Costs nothing with workers that list the end.

--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -12,6 +12,8 @@
 	// A run may be stopped as stalled once it has taken stallFactor times its expected run time plus stallSlack.
 	stallFactor = 3
 	stallSlack  = 500 * time.Millisecond
+	// stopTime is how long a worker may take to end a run after it has answered the Stop, with a margin.
+	stopTime = 60 * time.Millisecond
 	// minStall is the least time without progress after which a run counts as stalled.
 	minStall = 700 * time.Millisecond
 )
@@ -182,7 +184,10 @@
 			return
 		}
 		if run.wasStarted {
-			r.end(now, run, run.outcome)
+			// The worker may list a run that it stops neither as running nor as ended until it has ended.
+			if w := &r.worker; report.Number == w.holdNumber && w.holdSentAt >= run.changedAt+stopTime {
+				r.end(now, run, run.outcome)
+			}
 			return
 		}
 		// The Start was not carried out, and the Stop prevents it from being carried out later.
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -290,6 +290,36 @@
 	}
 }
 
+// TestRunner_StoppedRunEndsOnceItsEndIsListedOrItsStopHasTakenItsTime guards against a run that is reported as ended while the worker
+// still stops it, and lists it neither as running nor as ended: its task would be started elsewhere.
+func TestRunner_StoppedRunEndsOnceItsEndIsListedOrItsStopHasTakenItsTime(t *testing.T) {
+	h := newHarness(t)
+	id := h.offer("j.0.0.0", 8000)
+	h.core.Take(h.now, session, &work.ToSidecar{Stops: []work.RunID{id}})
+	h.step(0)
+	// The answer to the start arrives after the stop was sent.
+	h.core.Started(h.now, id, runner.Accepted, h.reading())
+	h.core.Stopped(h.now, id, runner.Accepted, h.reading())
+	stoppedAt := h.now
+	for h.step(time.Millisecond); h.now < stoppedAt+50*time.Millisecond; h.step(10 * time.Millisecond) {
+		if h.hold != nil {
+			h.answerHold()
+		}
+		if len(h.frame.Ended)+len(h.frame.Refused) != 0 {
+			t.Fatalf("ended %v, refused %v %v after the stop, want none: a stop takes up to 50 ms", h.frame.Ended, h.frame.Refused, h.now-stoppedAt)
+		}
+	}
+	for range 3 {
+		h.step(20 * time.Millisecond)
+		if h.hold != nil {
+			h.answerHold()
+		}
+	}
+	if len(h.frame.Ended) != 1 || h.frame.Ended[0].Outcome != work.Stopped {
+		t.Errorf("ended %v, want the run stopped", h.frame.Ended)
+	}
+}
+
 func TestRunner_NewIncarnationEndsEarlierRuns(t *testing.T) {
 	h := newHarness(t)
 	h.run("a.0.0.0", 1000)
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -258,7 +258,11 @@
 func (r *Runner) Started(now time.Duration, id work.RunID, answer Answer, reading ClockReading) {
 	r.updateClock(now, reading)
 	run := r.runs[id.Task]
-	if run == nil || run.Run != id.Run || run.state != ordered {
+	if run == nil || run.Run != id.Run {
+		return
+	}
+	if run.state != ordered {
+		r.noteLateStart(now, run, answer)
 		return
 	}
 	switch answer {
@@ -287,6 +291,14 @@
 	}
 }
 
+// noteLateStart handles an answer to a Start that arrives after the run's Stop was sent: the Stop may have to end a run, and not
+// only to prevent one.
+func (r *Runner) noteLateStart(now time.Duration, run *taskRun, answer Answer) {
+	if answer == Accepted && !run.wasStarted && (run.state == stopping || run.state == stopped) {
+		run.wasStarted, run.startedAt, run.progressAt = true, now, now
+	}
+}
+
 // revoke stops a run whose start was not confirmed.
 func (r *Runner) revoke(now time.Duration, run *taskRun) {
 	r.note(Note{Kind: RunRevoked, RunID: run.RunID, Session: run.session})
