Ask the other entries for their jobs in progress before startup ends

Callers whose connections to a killed entry broke send their jobs again; an entry that had just been started again could start a copy of a job that another one had in progress: two runs of a task at the same time.

Cause: an entry learns what others have in progress from their next call, up to a period (250 ms) after control has told them of its new process. Until then it held nothing.

TestAnswers_NewProcessKnowsWhatOthersHaveInProgressBeforeItStartsJobs covers the question, its answer and the condition; that startup waits for it is covered by no test of this commit.

Now the first call to each entry asks for its jobs in progress, and startup, for which requests wait, ends only after every other entry in control's registry was asked, whether it answered or not, or after 2 s as before. Costs a round trip at a start; an entry that is registered and can't be reached delays it by up to a second.

--- a/node/gateway/answers.go
+++ b/node/gateway/answers.go
@@ -47,6 +47,8 @@
 	entries    atomic.Int64
 
 	mutex sync.Mutex
+	// asked holds the processes of other entries that were asked for their jobs in progress, whether they answered or not.
+	asked map[string]bool
 	// own holds the latest answers of this entry, oldest first. The first one has the number dropped + 1.
 	own     []ownAnswer
 	dropped uint64
@@ -110,13 +112,16 @@
 	wanted := map[string]*rpc.Node{}
 	for id, node := range nodes {
 		if node.GetRole() == rpc.Role_ROLE_ENTRY && id != s.gateway.options.ID {
-			wanted[node.GetAddress()+" "+node.GetIncarnation()] = node
+			wanted[processOf(node)] = node
 		}
 	}
 	for process, cancel := range running {
 		if wanted[process] == nil {
 			cancel()
 			delete(running, process)
+			s.mutex.Lock()
+			delete(s.asked, process)
+			s.mutex.Unlock()
 		}
 	}
 	for process, node := range wanted {
@@ -138,6 +143,7 @@
 	answers := rpc.NewAnswersProtobufClient("http://"+node.GetAddress(), client)
 	var sent uint64
 	isReachable, reported := true, false
+	isFirst := true
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -147,10 +153,11 @@
 		case <-timer.C:
 		}
 		timer.Reset(sharePeriod(int(s.entries.Load())))
-		next, hasReported, err := s.share(ctx, answers, sent, reported)
+		next, hasReported, err := s.share(ctx, answers, sent, reported, isFirst)
+		s.noteAsked(node)
 		switch {
 		case err == nil:
-			sent, reported = next, hasReported
+			sent, reported, isFirst = next, hasReported, false
 			if !isReachable {
 				events.AnswersShared.Log(s.gateway.options.Logger, "entry", node.GetId(), "address", node.GetAddress())
 			}
@@ -167,20 +174,23 @@
 }
 
 // share sends the jobs in progress and the answers after the number sent, if there are any, and returns the number of the last
-// answer. reported says whether the last call reported jobs in progress, hasReported whether this one did.
-func (s *answerSharer) share(ctx context.Context, client rpc.Answers, sent uint64, reported bool) (last uint64, hasReported bool, err error) {
+// answer. reported says whether the last call reported jobs in progress, hasReported whether this one did. With wantsInProgress, it
+// asks for the jobs in progress at the other entry.
+func (s *answerSharer) share(
+	ctx context.Context, client rpc.Answers, sent uint64, reported, wantsInProgress bool,
+) (last uint64, hasReported bool, err error) {
 	// A job that ends in between is among the answers, which count first.
 	inProgress := s.gateway.inProgress(ctx)
 	news, last := s.after(sent)
 	wantsAll := s.asksForAll.CompareAndSwap(false, true)
-	if len(news) == 0 && !wantsAll && len(inProgress) == 0 && !reported {
+	if len(news) == 0 && !wantsAll && len(inProgress) == 0 && !reported && !wantsInProgress {
 		return last, false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
 	request := &rpc.ShareAnswersRequest{
-		WantsAll: wantsAll, InProgress: inProgress, Entry: s.gateway.options.ID,
-		ValidMs: uint32((validPeriods*sharePeriod(int(s.entries.Load())) + minSharePeriod).Milliseconds()),
+		WantsAll: wantsAll, InProgress: inProgress, Entry: s.gateway.options.ID, ValidMs: s.validMS(),
+		WantsInProgress: wantsInProgress,
 	}
 	request.Completed, request.Failed = keysOf(news)
 	response, err := client.Share(ctx, request)
@@ -192,25 +202,67 @@
 	}
 	s.gateway.counters.answersShared.Add(int64(len(news)))
 	s.learn(response.GetCompleted(), response.GetFailed())
+	s.learnInProgress(response.GetEntry(), response.GetInProgress(), response.GetValidMs())
 	return last, len(inProgress) > 0, nil
 }
 
 // Share implements rpc.Answers.
 func (s *answerSharer) Share(ctx context.Context, request *rpc.ShareAnswersRequest) (*rpc.ShareAnswersResponse, error) {
 	s.learn(request.GetCompleted(), request.GetFailed())
-	if entry := request.GetEntry(); entry != "" {
-		validFor := min(time.Duration(request.GetValidMs())*time.Millisecond, maxValid)
-		s.gateway.put(func(now time.Duration) {
-			s.gateway.core.InProgressElsewhere(now, entry, request.GetInProgress(), validFor)
-		})
-	}
+	s.learnInProgress(request.GetEntry(), request.GetInProgress(), request.GetValidMs())
 	response := &rpc.ShareAnswersResponse{}
+	if request.GetWantsInProgress() {
+		response.InProgress, response.Entry, response.ValidMs = s.gateway.inProgress(ctx), s.gateway.options.ID, s.validMS()
+	}
 	if request.GetWantsAll() {
 		response.Completed, response.Failed = keysOf(s.gateway.recentlyAnswered(ctx))
 	}
 	return response, nil
 }
 
+// validMS returns for how long a report of jobs in progress counts, in milliseconds.
+func (s *answerSharer) validMS() uint32 {
+	return uint32((validPeriods*sharePeriod(int(s.entries.Load())) + minSharePeriod).Milliseconds())
+}
+
+// learnInProgress passes the jobs in progress at another entry to the dispatcher. Entries of earlier versions report none.
+func (s *answerSharer) learnInProgress(entry string, keys []uint64, validMS uint32) {
+	if entry == "" {
+		return
+	}
+	validFor := min(time.Duration(validMS)*time.Millisecond, maxValid)
+	s.gateway.put(func(now time.Duration) { s.gateway.core.InProgressElsewhere(now, entry, keys, validFor) })
+}
+
+func processOf(node *rpc.Node) string {
+	return node.GetAddress() + " " + node.GetIncarnation()
+}
+
+func (s *answerSharer) noteAsked(node *rpc.Node) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.asked == nil {
+		s.asked = map[string]bool{}
+	}
+	s.asked[processOf(node)] = true
+}
+
+// hasAskedAll reports whether every other entry in control's registry was asked for its jobs in progress.
+func (s *answerSharer) hasAskedAll() bool {
+	view := s.gateway.follower.View()
+	if view == nil {
+		return false
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id, node := range view.Nodes {
+		if node.GetRole() == rpc.Role_ROLE_ENTRY && id != s.gateway.options.ID && !s.asked[processOf(node)] {
+			return false
+		}
+	}
+	return true
+}
+
 // learn passes answers of other entries to the dispatcher.
 func (s *answerSharer) learn(completed, failed []uint64) {
 	if len(completed)+len(failed) == 0 {
--- a/node/gateway/answers_test.go
+++ b/node/gateway/answers_test.go
@@ -24,6 +24,7 @@
 	keys        []uint64
 	remembers   []uint64
 	asked       int
+	inProgress  []uint64
 }
 
 // Share implements rpc.Answers.
@@ -35,6 +36,9 @@
 	}
 	f.keys = append(append(f.keys, request.GetCompleted()...), request.GetFailed()...)
 	response := &rpc.ShareAnswersResponse{}
+	if request.GetWantsInProgress() {
+		response.Entry, response.InProgress, response.ValidMs = "other", f.inProgress, 5000
+	}
 	if request.GetWantsAll() {
 		f.asked++
 		response.Completed = f.remembers
@@ -167,3 +171,28 @@
 		t.Errorf("answer %+v, want that of the other entry; without workers a job that is not held is refused", answer)
 	}
 }
+
+// TestAnswers_NewProcessKnowsWhatOthersHaveInProgressBeforeItStartsJobs guards against a restarted entry that starts a job which
+// another one has in progress.
+func TestAnswers_NewProcessKnowsWhatOthersHaveInProgressBeforeItStartsJobs(t *testing.T) {
+	other := &fakeEntry{unavailable: true, inProgress: []uint64{dispatch.JobKey("j")}}
+	control := &fakeControl{}
+	control.set(false, &rpc.Node{Id: "unasked", Role: rpc.Role_ROLE_ENTRY, Address: "other", Incarnation: "1"})
+	g := followingGateway(t, control)
+	until(t, "the registry is known", func() bool { return g.follower.View() != nil })
+	serveEntry(t, g, other)
+	other.set(false)
+	until(t, "a job of the other entry is held", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), minSharePeriod)
+		defer cancel()
+		return g.Submit(ctx, dispatch.Submission{ID: "j", Steps: []dispatch.Step{{Count: 1}}}).Cause == dispatch.CallerGone
+	})
+	s := &answerSharer{gateway: g}
+	if s.hasAskedAll() {
+		t.Error("all entries count as asked, want one that was not")
+	}
+	s.noteAsked(&rpc.Node{Address: "other", Incarnation: "1"})
+	if !s.hasAskedAll() {
+		t.Error("an entry that was asked counts as not asked")
+	}
+}
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -165,8 +165,8 @@
 	workerSettleTime = 60 * time.Millisecond
 )
 
-// awaitWorkers closes startupDone once a catalogue is in force and the workers have connected, and after maxStartupWait
-// in any case.
+// awaitWorkers closes startupDone once a catalogue is in force, the workers have connected and the other entries were asked for
+// their jobs in progress, and after maxStartupWait in any case.
 func (g *Gateway) awaitWorkers() {
 	defer close(g.startupDone)
 	ctx, cancel := context.WithTimeout(g.context, maxStartupWait)
@@ -184,6 +184,8 @@
 		}
 		return count >= g.expectedSidecars() || time.Since(grewAt) > workerSettleTime
 	})
+	// A caller whose connection to the previous process broke may send a job that another entry has in progress.
+	duty.Until(ctx, startupPollInterval, g.answers.hasAskedAll)
 }
 
 // expectedSidecars returns the number of sidecars in this entry's part of control's registry.
