Refuse changes at once if voters that could store them don't answer

Callers saw: with one full disk in a term that its replica could not store, and a second one full afterwards, the leader accepted changes that nobody could commit. Their callers waited for 30 s, its log grew with each of them, and reads waited as well if the leader had not yet committed an entry of its term. The same with one control VM that is down and one full disk.

Cause: Replica.canCommit took every voter for able that had not said that its storage fails. A replica whose storage fails sends no answer in a term that it has not synced (isImmediate), so it can't say so; a dead one can't either. The answers of the second one keep the leader in contact with a quorum, so it doesn't step down.

TestStorage_SilentVotersCountAsUnableToCommit failed before: "got error <nil>, want ErrNoStorage".

Now only voters count that have answered within an election timeout that their storage is not failing. Without a failing storage nothing changes: a leader that a quorum has not answered for that long steps down anyway.

--- a/core/raft/replica.go
+++ b/core/raft/replica.go
@@ -29,7 +29,7 @@
 	ErrNotMember = errors.New("no such member")
 	// ErrLastVoter means that the group would be left without voters.
 	ErrLastVoter = errors.New("the last voter can't be removed")
-	// ErrNoStorage means that no quorum of the voters can store entries.
+	// ErrNoStorage means that no quorum of the voters answers and can store entries.
 	ErrNoStorage = errors.New("the storage of a quorum takes no writes")
 	// ErrInvalidConfig means that a Config has no ID or inconsistent tick counts.
 	ErrInvalidConfig = errors.New("raft config: ID must be set and ElectionTicks larger than HeartbeatTicks")
--- a/core/raft/storage.go
+++ b/core/raft/storage.go
@@ -63,16 +63,13 @@
 	return id != r.config.ID && r.isActive(id) && !r.leading.members[id].storageFails
 }
 
-// canCommit reports whether a quorum may be able to store entries.
+// canCommit reports whether a quorum may be able to store entries. A voter that doesn't answer may be one that can't store
+// this term.
 func (r *Replica) canCommit() bool {
 	voters := r.log.configuration().Voters()
 	able := 0
 	for _, id := range voters {
-		fails := r.storage == StorageFailing
-		if id != r.config.ID {
-			fails = r.leading.members[id].storageFails
-		}
-		if !fails {
+		if id == r.config.ID && r.storage != StorageFailing || r.canStore(id) {
 			able++
 		}
 	}
--- a/core/raft/storage_test.go
+++ b/core/raft/storage_test.go
@@ -222,3 +222,28 @@
 	}
 	stuck.storage = StorageWorks
 }
+
+// TestStorage_SilentVotersCountAsUnableToCommit guards against proposals and reads that wait in vain, and a log that grows,
+// because a voter that can't store the new term, and so doesn't answer, is taken for one that can store entries.
+func TestStorage_SilentVotersCountAsUnableToCommit(t *testing.T) {
+	s, first := newStorageSimulation(t, 3, nil)
+	first.storage = StorageFailing
+	s.propose(first)
+	s.runHealthy(simElectionTicks / 2)
+	leader := s.leader()
+	if leader == nil || leader == first {
+		t.Fatal("the leader did not hand over")
+	}
+	for _, n := range s.followers(leader) {
+		n.storage = StorageFailing
+	}
+	s.propose(leader)
+	s.runHealthy(2 * simElectionTicks)
+	if s.leader() != leader {
+		t.Fatal("the leader stepped down although a quorum answers it")
+	}
+	if _, _, err := leader.replica.Propose(nil); !errors.Is(err, ErrNoStorage) {
+		t.Errorf("got error %v, want ErrNoStorage", err)
+	}
+	s.checkRecovery()
+}
--- a/node/replica/propose.go
+++ b/node/replica/propose.go
@@ -46,19 +46,19 @@
 		"the leader has not confirmed the change in time; it may be short of processor time, or its storage slow")
 }
 
-const remedySpace = "free space on the disks of the control VMs, or repair them; retry then"
+const remedySpace = "start the control VMs that are down, and free space on the disks of the others, or repair them; retry then"
 
 // errNoStorage returns the error of calls that certainly have no effect, since a majority can't store anything.
 func errNoStorage() *fault.Error {
 	return fault.New(fault.Unavailable, remedySpace,
-		"the disks of a majority of the control VMs take no writes").WithRetryAfter(time.Second)
+		"a majority of the control VMs can't store anything: they don't answer, or their disks take no writes").WithRetryAfter(time.Second)
 }
 
 // errNotStored returns the error of a change that was accepted before it was known that it can't be stored for now.
 func errNotStored() *fault.Error {
-	return fault.New(fault.Unknown, "free space on the disks of the control VMs; "+
+	return fault.New(fault.Unknown, "start the control VMs that are down, and free space on the disks of the others; "+
 		"send the same change again, it takes effect only once",
-		"the change is not stored yet: the disks of a majority of the control VMs take no writes")
+		"the change is not stored yet: a majority of the control VMs doesn't answer, or their disks take no writes")
 }
 
 // errNoAnswer returns the error of a read that was not confirmed in time. It distinguishes a slow leader from none.
