Ask further entries for their answers if the first one is as new

Callers saw: two entries that restart together, as after the loss of a machine or during a rollout, could run a job a second time that one of them had answered before the restart.

Cause: a new process asked one entry for the answers that it remembers, and any answer ended the asking, an empty one too. An entry that has just started has nothing to tell of the time before, while the others, which do, were not asked. The answers of the process that is gone come from nobody else: entries share only their own.

TestAnswers_NewProcessAsksOnAfterAnEntryThatIsNewToo failed before: "the answers of the second one are learned: not within 10 s".

Now each entry is asked once, one at a time, until three have returned some. An answer that isn't empty may be that of a new entry as well, hence more than one.

--- a/node/gateway/answers.go
+++ b/node/gateway/answers.go
@@ -27,6 +27,8 @@
 	// maxShared limits the answers in one call, maxUnshared those that are kept for entries that can't be reached.
 	maxShared   = 10_000
 	maxUnshared = 50_000
+	// enoughTeachers is the number of entries whose remembered answers a new process asks for. One alone may be as new.
+	enoughTeachers = 3
 )
 
 // sharePeriod returns the time between two calls to another entry if there are that many entries.
@@ -38,9 +40,11 @@
 // entry. It serves rpc.Answers.
 type answerSharer struct {
 	gateway *Gateway
-	// asksForAll is true while a call waits for the answers that another entry remembers, and once one has returned them.
-	asksForAll atomic.Bool
-	entries    atomic.Int64
+	// isAsking is true while a call waits for the answers that another entry remembers; teachers counts the entries that have
+	// returned some.
+	isAsking atomic.Bool
+	teachers atomic.Int64
+	entries  atomic.Int64
 
 	mutex sync.Mutex
 	// own holds the latest answers of this entry, oldest first. The first one has the number dropped + 1.
@@ -133,7 +137,7 @@
 	defer client.CloseIdleConnections()
 	answers := rpc.NewAnswersProtobufClient("http://"+node.GetAddress(), client)
 	var sent uint64
-	isReachable := true
+	isReachable, wasAsked := true, false
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -143,7 +147,7 @@
 		case <-timer.C:
 		}
 		timer.Reset(sharePeriod(int(s.entries.Load())))
-		next, err := s.share(ctx, answers, sent)
+		next, err := s.share(ctx, answers, sent, &wasAsked)
 		switch {
 		case err == nil:
 			sent = next
@@ -162,10 +166,14 @@
 	}
 }
 
-// share sends the answers after the number sent, if there are any, and returns the number of the last one.
-func (s *answerSharer) share(ctx context.Context, client rpc.Answers, sent uint64) (uint64, error) {
+// share sends the answers after the number sent, if there are any, and returns the number of the last one. It asks for the
+// answers that the other entry remembers unless it was asked or enough others have returned theirs.
+func (s *answerSharer) share(ctx context.Context, client rpc.Answers, sent uint64, wasAsked *bool) (uint64, error) {
 	news, last := s.after(sent)
-	wantsAll := s.asksForAll.CompareAndSwap(false, true)
+	wantsAll := !*wasAsked && s.teachers.Load() < enoughTeachers && s.isAsking.CompareAndSwap(false, true)
+	if wantsAll {
+		defer s.isAsking.Store(false)
+	}
 	if len(news) == 0 && !wantsAll {
 		return last, nil
 	}
@@ -175,11 +183,14 @@
 	request.Completed, request.Failed = keysOf(news)
 	response, err := client.Share(ctx, request)
 	if err != nil {
-		if wantsAll {
-			s.asksForAll.Store(false)
-		}
 		return sent, err
 	}
+	if wantsAll {
+		*wasAsked = true
+		if len(response.GetCompleted())+len(response.GetFailed()) > 0 {
+			s.teachers.Add(1)
+		}
+	}
 	s.gateway.counters.answersShared.Add(int64(len(news)))
 	s.learn(response.GetCompleted(), response.GetFailed())
 	return last, nil
--- a/node/gateway/answers_test.go
+++ b/node/gateway/answers_test.go
@@ -48,6 +48,12 @@
 	f.unavailable = unavailable
 }
 
+func (f *fakeEntry) timesAsked() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.asked
+}
+
 func (f *fakeEntry) told() []uint64 {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -120,6 +126,21 @@
 	}
 }
 
+// TestAnswers_NewProcessAsksOnAfterAnEntryThatIsNewToo guards against an entry that runs answered jobs again because it was
+// restarted together with the first entry that it asks.
+func TestAnswers_NewProcessAsksOnAfterAnEntryThatIsNewToo(t *testing.T) {
+	g, newToo, old := startGateway(t), &fakeEntry{}, &fakeEntry{remembers: []uint64{dispatch.JobKey("j")}}
+	serveEntry(t, g, newToo)
+	until(t, "the first entry is asked", func() bool { return newToo.timesAsked() == 1 })
+	serveEntry(t, g, old)
+	until(t, "the answers of the second one are learned", func() bool { return len(g.recentlyAnswered(t.Context())) == 1 })
+	g.answers.add([]dispatch.AnsweredJob{{Key: 1}})
+	until(t, "both get a further call", func() bool { return len(newToo.told()) == 1 && len(old.told()) == 1 })
+	if newToo.timesAsked() != 1 || old.timesAsked() != 1 {
+		t.Errorf("asked %d and %d times for all answers, want once each", newToo.timesAsked(), old.timesAsked())
+	}
+}
+
 // TestAnswers_UnreachableEntryCostsBoundedMemory guards against answers that are kept for an entry that never returns.
 func TestAnswers_UnreachableEntryCostsBoundedMemory(t *testing.T) {
 	s := &answerSharer{}
