Ignore what overdue heartbeat answers say about storage

Callers saw: none known. Found by review: changes could be refused with fault.Unavailable for up to a heartbeat interval although all disks work, if answers from before their repair arrive after later ones.

Cause: the leader took over HeartbeatResponse.Reject of each answer, whatever its round.

TestStorage_OverdueAnswersSayNothingAboutStorage failed before: "got error the storage of a quorum takes no writes".

Answers to rounds before the last one that the member has answered are ignored now.

--- a/core/raft/leader.go
+++ b/core/raft/leader.go
@@ -266,7 +266,10 @@
 }
 
 func (r *Replica) handleHeartbeatResponse(m *Message, p *progress) {
-	p.ackedRound = max(p.ackedRound, m.Sequence)
+	if m.Sequence < p.ackedRound {
+		return
+	}
+	p.ackedRound = m.Sequence
 	p.storageFails = m.Reject
 	if !p.storageFails {
 		p.lastAckTick = r.now
--- a/core/raft/storage_test.go
+++ b/core/raft/storage_test.go
@@ -247,3 +247,24 @@
 	}
 	s.checkRecovery()
 }
+
+// TestStorage_OverdueAnswersSayNothingAboutStorage guards against proposals that are refused because answers from before the
+// repair of the disks arrive after the latest ones.
+func TestStorage_OverdueAnswersSayNothingAboutStorage(t *testing.T) {
+	r := newTestReplica(t, 6)
+	leadTestReplica(t, r)
+	r.broadcastHeartbeat()
+	for _, id := range []ID{2, 3} {
+		r.stepFrom(id, r.hard.Term, Message{Type: HeartbeatResponse, Sequence: 2})
+		r.stepFrom(id, r.hard.Term, Message{Type: HeartbeatResponse, Sequence: 1, Reject: true})
+	}
+	if _, _, err := r.Propose(nil); err != nil {
+		t.Errorf("got error %v", err)
+	}
+	for _, id := range []ID{2, 3} {
+		r.stepFrom(id, r.hard.Term, Message{Type: HeartbeatResponse, Sequence: 2, Reject: true})
+	}
+	if _, _, err := r.Propose(nil); !errors.Is(err, ErrNoStorage) {
+		t.Errorf("got error %v, want ErrNoStorage", err)
+	}
+}
