--- a/node/gateway/answers.go
+++ b/node/gateway/answers.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"flamingohall.example/core/dispatch"
-	"flamingohall.example/node/events"
-	"flamingohall.example/node/faultrpc"
 	"flamingohall.example/node/rpc"
-	"flamingohall.example/node/transport"
 )
 
 const (
@@ -20,10 +15,6 @@
 	minSharePeriod = 250 * time.Millisecond
 	// sharePeriodPerEntry bounds the calls of one entry to all others to 40 a second, however many there are.
 	sharePeriodPerEntry = 25 * time.Millisecond
-	// shareTimeout bounds one call.
-	shareTimeout = time.Second
-	// shareDialTimeout bounds opening a connection.
-	shareDialTimeout = 300 * time.Millisecond
 	// validPeriods is for how many periods a report of jobs in progress counts, beside minSharePeriod for the call: one may fail.
 	validPeriods = 2
 	// maxValid limits how long a report counts at the entry that receives it.
@@ -31,6 +22,8 @@
 	// maxShared limits the answers in one call, maxUnshared those that are kept for entries that can't be reached.
 	maxShared   = 10_000
 	maxUnshared = 50_000
+	// enoughSources is the number of entries whose remembered answers a new process asks for. One alone may be as new.
+	enoughSources = 3
 )
 
 // sharePeriod returns the time between two calls to another entry if there are that many entries.
@@ -42,9 +35,11 @@
 // a request may reach any entry. It serves rpc.Answers.
 type answerSharer struct {
 	gateway *Gateway
-	// asksForAll is true while a call waits for the answers that another entry remembers, and once one has returned them.
-	asksForAll atomic.Bool
-	entries    atomic.Int64
+	entries atomic.Int64
+	// isAsking is true while a call waits for the answers that another entry remembers. sources counts the entries that have
+	// returned some.
+	isAsking atomic.Bool
+	sources  atomic.Int64
 
 	mutex sync.Mutex
 	// asked holds the processes of other entries that were asked for their jobs in progress, whether they answered or not.
@@ -128,84 +123,11 @@
 		if running[process] == nil {
 			loopCtx, cancel := context.WithCancel(ctx)
 			running[process] = cancel
-			loops.Go(func() { s.shareWith(loopCtx, node) })
+			loops.Go(func() { newAnswerLink(s, node).run(loopCtx) })
 		}
 	}
 }
 
-// shareWith tells one entry the answers of this one, from now on, until ctx ends.
-func (s *answerSharer) shareWith(ctx context.Context, node *rpc.Node) {
-	dialer := &net.Dialer{Timeout: shareDialTimeout}
-	client := &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, Protocols: transport.CompactProtocols(), DisableCompression: true,
-	}}
-	defer client.CloseIdleConnections()
-	answers := rpc.NewAnswersProtobufClient("http://"+node.GetAddress(), client)
-	var sent uint64
-	isReachable, reported := true, false
-	isFirst := true
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		timer.Reset(sharePeriod(int(s.entries.Load())))
-		next, hasReported, err := s.share(ctx, answers, sent, reported, isFirst)
-		s.noteAsked(node)
-		switch {
-		case err == nil:
-			sent, reported, isFirst = next, hasReported, false
-			if !isReachable {
-				events.AnswersShared.Log(s.gateway.options.Logger, "entry", node.GetId(), "address", node.GetAddress())
-			}
-			isReachable = true
-		case ctx.Err() == nil:
-			// A connection that lost its other end without a reset would fail every call.
-			client.CloseIdleConnections()
-			if isReachable {
-				events.AnswersNotShared.LogError(s.gateway.options.Logger, faultrpc.From(err), "entry", node.GetId(), "address", node.GetAddress())
-			}
-			isReachable = false
-		}
-	}
-}
-
-// share sends the jobs in progress and the answers after the number sent, if there are any, and returns the number of the last
-// answer. reported says whether the last call reported jobs in progress, hasReported whether this one did. With wantsInProgress, it
-// asks for the jobs in progress at the other entry.
-func (s *answerSharer) share(
-	ctx context.Context, client rpc.Answers, sent uint64, reported, wantsInProgress bool,
-) (last uint64, hasReported bool, err error) {
-	// A job that ends in between is among the answers, which count first.
-	inProgress := s.gateway.inProgress(ctx)
-	news, last := s.after(sent)
-	wantsAll := s.asksForAll.CompareAndSwap(false, true)
-	if len(news) == 0 && !wantsAll && len(inProgress) == 0 && !reported && !wantsInProgress {
-		return last, false, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-	defer cancel()
-	request := &rpc.ShareAnswersRequest{
-		WantsAll: wantsAll, InProgress: inProgress, Entry: s.gateway.options.ID, ValidMs: s.validMS(),
-		WantsInProgress: wantsInProgress,
-	}
-	request.Completed, request.Failed = keysOf(news)
-	response, err := client.Share(ctx, request)
-	if err != nil {
-		if wantsAll {
-			s.asksForAll.Store(false)
-		}
-		return sent, reported, err
-	}
-	s.gateway.counters.answersShared.Add(int64(len(news)))
-	s.learn(response.GetCompleted(), response.GetFailed())
-	s.learnInProgress(response.GetEntry(), response.GetInProgress(), response.GetValidMs())
-	return last, len(inProgress) > 0, nil
-}
-
 // Share implements rpc.Answers.
 func (s *answerSharer) Share(ctx context.Context, request *rpc.ShareAnswersRequest) (*rpc.ShareAnswersResponse, error) {
 	s.learn(request.GetCompleted(), request.GetFailed())
