--- a/core/dispatch/answered.go
+++ b/core/dispatch/answered.go
@@ -29,8 +29,8 @@
 	return Completed
 }
 
-// JobKey returns a hash of a job's ID. It is the same at all entries. No two IDs with the same hash can be found, so a
-// caller can't make another one's job appear answered.
+// JobKey returns a hash of a job's ID, the same at all entries. It is short for a cryptographic hash, but a caller can't find
+// an ID with the key of another caller's job.
 func JobKey(id string) uint64 {
 	sum := sha256.Sum256([]byte(id))
 	return binary.BigEndian.Uint64(sum[:])
