Use a log further on a full disk without space for a copy of it

Cause: after every failure the synced part of the segment was copied to a new file. That is needed after a failed sync, since the page cache may hold bytes that the disk lost. After a failed write it isn't: everything before was synced, and the tail can be cut off.

TestLog_DiskWithLittleSpaceTakesABatchThatFits failed before ("rewrite.wal: no space left on device").

--- a/node/wal/files.go
+++ b/node/wal/files.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"io"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -28,6 +29,8 @@
 // File is an open file to which data is appended.
 type File interface {
 	Write(data []byte) (int, error)
+	// Truncate drops everything after the size, in bytes, at which the next Write continues.
+	Truncate(size int64) error
 	Sync() error
 	Close() error
 }
@@ -76,7 +79,24 @@
 
 // Create implements Files.
 func (Disk) Create(path string) (File, error) {
-	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode) //nolint:gosec // As above.
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode) //nolint:gosec // As above.
+	if err != nil {
+		return nil, err
+	}
+	return diskFile{file}, nil
+}
+
+type diskFile struct {
+	*os.File
+}
+
+// Truncate implements File.
+func (f diskFile) Truncate(size int64) error {
+	if err := f.File.Truncate(size); err != nil {
+		return err
+	}
+	_, err := f.Seek(size, io.SeekStart)
+	return err
 }
 
 // Rename implements Files.
--- a/node/wal/repair_test.go
+++ b/node/wal/repair_test.go
@@ -323,3 +323,37 @@
 		t.Errorf("got error %v, want none", err)
 	}
 }
+
+// TestLog_DiskWithLittleSpaceTakesABatchThatFits guards against a log that stays unusable on a disk that has space for the
+// next batch, but not for a copy of the whole segment.
+func TestLog_DiskWithLittleSpaceTakesABatchThatFits(t *testing.T) {
+	files, log := newMemoryLog(t)
+	log.options.SegmentBytes = 1 << 20
+	var state model
+	write := func(batch Batch) error {
+		err := log.Write([]Batch{batch})
+		if err == nil {
+			state = state.apply(batch)
+		}
+		return err
+	}
+	hard := raft.HardState{Group: 1, Term: 1}
+	for index := uint64(1); index <= 40; index++ {
+		if err := write(Batch{HardState: &hard, Entries: entriesFrom(index, 1, 1)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	files.capacity = files.used() + 200
+	large := raft.Entry{Index: 41, Term: 1, Data: make([]byte, 1000)}
+	if err := write(Batch{Entries: []raft.Entry{large}}); !fault.Is(err, fault.Storage) {
+		t.Fatalf("write of a batch without space: got error %v, want fault.Storage", err)
+	}
+	if err := write(Batch{Entries: entriesFrom(41, 1, 1)}); err != nil {
+		t.Fatalf("write of a batch that fits: %v", err)
+	}
+	files.capacity = 0
+	_, contents, err := openMemory(files)
+	if err != nil || !state.equals(contents) {
+		t.Errorf("found %+v, error %v, want %+v", contents, err, state)
+	}
+}
--- a/node/wal/wal.go
+++ b/node/wal/wal.go
@@ -7,10 +7,12 @@
 //     nothing in it was acknowledged. Open drops the tail.
 //   - Bytes have changed anywhere else: an acknowledged entry may be lost, so Open fails with fault.Storage. The VM has
 //     to be replaced under a new identity; the other members of the group have its entries.
-//   - A write or sync fails, for example because the disk is full: the file is not used again, since its end is unknown
-//     and the page cache may hold bytes that the disk has lost. The next call first writes the part of the segment that
-//     an earlier sync covers to a new file. What failed is therefore absent; only a crash before that may find it. This
-//     needs space for up to one segment. A call that fails may be repeated.
+//   - A write fails, for example because the disk is full: the file is truncated to the part that an earlier sync covers.
+//   - A sync or that truncation fails: the file is not used again, since the page cache may hold bytes that the disk has
+//     lost. The next call first writes the part of the segment that an earlier sync covers to a new file, which needs space
+//     for up to one segment.
+//   - In both cases what failed is absent after the next successful call; only a crash before that may find it. A call that
+//     fails may be repeated.
 //   - The disk is full, or fails, at Open: Open only reads, and removes temporary files. The last segment is rewritten by
 //     Prepare, since the page cache may hold bytes that the disk has lost. Until then the contents must not be acted on.
 //   - A snapshot is written to a temporary file, synced and renamed. Open removes unfinished ones. If a snapshot is
@@ -192,7 +194,7 @@
 		return l.fail("encode a batch", err)
 	}
 	if _, err := l.file.Write(data); err != nil {
-		l.closeFile()
+		l.dropTail()
 		return l.fail("write", err)
 	}
 	if err := l.file.Sync(); err != nil {
@@ -226,6 +228,14 @@
 	return data, hard, lastIndex, nil
 }
 
+// dropTail removes what a failed write has left in the file. What comes before is synced, and no sync has failed, so the
+// file can be used further; on a full disk there may be no space for a copy of it.
+func (l *Log) dropTail() {
+	if err := l.file.Truncate(int64(l.segmentSize)); err != nil {
+		l.closeFile()
+	}
+}
+
 // closeFile abandons the file of the last segment. An error is of no interest: what counts in the file is synced.
 func (l *Log) closeFile() {
 	_ = l.file.Close()
