--- a/review/platform/orphan.go
+++ b/review/platform/orphan.go
@@ -11,12 +11,12 @@
 
 func init() { cases["orphan"] = orphan }
 
-// orphan: while jobs are handed in, all control VMs lose power for 5.8 s, and once more as they come back. Callers without an answer send
-// their jobs again, at other entries, and those that are told to come back later do so. Every job that is accepted has to be run.
+// orphan: while jobs are handed in, all control VMs lose power for 5.8 s, and once more as they come back. Callers that got no answer, or 504,
+// send their jobs again later, at another entry; those that are refused don't. Every job that is accepted has to be run.
 func orphan() {
 	c := startCluster(3, 4, 8, oneRoute(3))
 	o := &orphans{cluster: c}
-	for n := 0; n < 6 && !o.hasIdleJob(); n++ {
+	for n := 0; n < 5 && !o.hasIdleJob(); n++ {
 		o.round()
 	}
 	note("traffic has ended")
@@ -66,6 +66,8 @@
 	// perRound jobs are handed in, four a millisecond. Power is lost a moment after the answer with the number beforeLoss.
 	perRound   = 200
 	beforeLoss = 40
+	// resendAfter is when a caller that got no answer sends its job again. The pages set no time for stored jobs.
+	resendAfter = 14 * time.Second
 )
 
 // hasIdleJob reports whether a job that was accepted over 3 s before has no run, while no other job is left.
@@ -94,7 +96,7 @@
 
 func (o *orphans) handIn(j *orphanJob, entry int) {
 	body := jobBody("cpu=3100 ms=60 job="+j.id, false, phase{Count: 1, CPU: 3100, Memory: 64, Estimate: 60})
-	for begun := now(); now() < begun+30*time.Second; entry++ {
+	for begun := now(); now() < begun+20*time.Second; entry++ {
 		status, _ := o.request(http.MethodPost, j.id, o.entries[entry%len(o.entries)], 1500*time.Millisecond, body)
 		switch status {
 		case http.StatusOK:
@@ -104,10 +106,10 @@
 				o.losePower()
 			}
 			return
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-			time.Sleep(time.Second) // as Retry-After says
+		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+			time.Sleep(resendAfter)
 		default:
-			time.Sleep(resendTime)
+			return
 		}
 	}
 }
