--- a/review/platform/record.go
+++ b/review/platform/record.go
@@ -84,6 +84,21 @@
 	return count
 }
 
+// inProgress returns the number of runs in progress.
+func (l *ledger) inProgress() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	count := 0
+	for _, spans := range l.spans {
+		for _, s := range spans {
+			if s.how == "" {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // spansOf returns copies of the runs of a job's tasks.
 func (l *ledger) spansOf(job string) []span {
 	l.mutex.Lock()
--- a/review/platform/stuck.go
+++ b/review/platform/stuck.go
@@ -40,13 +40,18 @@
 	}
 	var broken []string
 	for _, j := range jobs {
-		if !j.accepted || j.state == "completed" {
+		// A job that is shown as failed has used its attempts at the worker that fails.
+		if !j.accepted || j.state == "completed" || j.state == "failed" {
 			continue
 		}
-		last := time.Duration(0)
+		idle, last := true, time.Duration(0)
 		for _, s := range record.spansOf(j.id) {
+			idle = idle && s.how != ""
 			last = max(last, s.to)
 		}
+		if !idle || now() < last+3*time.Second {
+			continue
+		}
 		broken = append(broken, fmt.Sprintf("LOST: job %s of %s, accepted at %.3f, is %q at %.3f; its last run ended at %.3f, and all workers are idle",
 			j.id, j.first.name, j.acceptedAt.Seconds(), j.state, now().Seconds(), last.Seconds()))
 	}
