Keep what is known about one run of a task in a value that the next offer replaces

Cause: the number of the request to control about a run that must have ended was kept by the task. When the run's end was reported while the request was open, the number stayed. The answer then counted as one about the next run, which was offered again while it was at work; or the next run was never asked about, and its task stayed uncertain for good.

Evidence: both tests of progress_test.go failed before: 3 offers instead of 2, and 1 request instead of 2. The number is the only state that connects a request with a run, and nothing else reset it.

Fix: number, worker, times, end and request of a run are one value that each offer replaces, so that nothing of an earlier run is left to reset. This also covers the other fields that described one run and outlived it.

--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -89,7 +89,7 @@
 		d.effects.Records = append(d.effects.Records, Record{RunID: ended.RunID, IsCrash: true})
 	}
 	if history.IsGivenUp() {
-		d.note(Note{Kind: TaskGivenUp, RunID: ended.RunID, Worker: t.worker, Count: history.Crashes})
+		d.note(Note{Kind: TaskGivenUp, RunID: ended.RunID, Worker: t.run.worker, Count: history.Crashes})
 		if j.IsStored {
 			d.recordGivenUp(t)
 			return true
@@ -109,7 +109,7 @@
 func (d *Dispatcher) recordGivenUp(t *task) {
 	t.state = exhausted
 	for n := range max(1, t.job.Queue.Attempts) {
-		id := work.RunID{Task: t.name, Run: t.run + uint32(n)}
+		id := work.RunID{Task: t.name, Run: t.run.number + uint32(n)}
 		d.effects.Records = append(d.effects.Records, Record{RunID: id, IsFailure: true})
 	}
 }
@@ -249,7 +249,7 @@
 func (j *job) needsAt(worker string) work.Needs {
 	var total work.Needs
 	for _, t := range j.tasks {
-		if t.worker == worker && (t.state == offered || t.state == started) {
+		if t.run.worker == worker && (t.state == offered || t.state == started) {
 			total = total.Plus(t.step.Needs)
 		}
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -128,7 +128,7 @@
 	busy := map[string]bool{}
 	for _, t := range d.tasks {
 		if t.state == offered || t.state == started {
-			busy[t.worker] = true
+			busy[t.run.worker] = true
 		}
 	}
 	return busy
@@ -182,7 +182,7 @@
 	w.isUp = false
 	lost := 0
 	for _, t := range d.tasksAt(id) {
-		t.state, t.runEndsBy = uncertain, w.answeredAt+d.limits.Grant
+		t.state, t.run.endsBy = uncertain, w.answeredAt+d.limits.Grant
 		d.waiting = append(d.waiting, t)
 		lost++
 	}
@@ -200,7 +200,7 @@
 func (d *Dispatcher) tasksAt(id string) []*task {
 	var atWorker []*task
 	for _, t := range d.tasks {
-		if t.worker == id && (t.state == offered || t.state == started) {
+		if t.run.worker == id && (t.state == offered || t.state == started) {
 			atWorker = append(atWorker, t)
 		}
 	}
@@ -226,7 +226,7 @@
 	}
 	for _, runID := range frame.Started {
 		if t := d.taskAt(id, runID); t != nil && t.state == offered {
-			t.state, t.startedAt = started, now
+			t.state, t.run.startedAt = started, now
 			d.countStart(now, t)
 			t.job.trace.Waited = max(t.job.trace.Waited, now-t.job.arrivedAt)
 		}
@@ -253,7 +253,7 @@
 
 func (d *Dispatcher) taskAt(id string, runID work.RunID) *task {
 	t := d.tasks[runID.Task]
-	if t == nil || t.run != runID.Run || t.worker != id {
+	if t == nil || t.run.number != runID.Run || t.run.worker != id {
 		return nil
 	}
 	return t
@@ -304,7 +304,7 @@
 	clear(d.noLateOffers)
 	slices.SortStableFunc(d.waiting, func(a, b *task) int { return compareWaiting(now, a, b) })
 	d.waiting = slices.DeleteFunc(d.waiting, func(t *task) bool {
-		if t.state == uncertain && now >= t.runEndsBy {
+		if t.state == uncertain && now >= t.run.endsBy {
 			d.resolveUncertain(t)
 		}
 		return t.state == waiting && now >= t.retryAt && (d.holdsJobLease || !t.job.IsStored) && !d.isHeldBack(now, t) && d.offer(now, t)
@@ -319,7 +319,7 @@
 		return
 	}
 	t.state = waiting
-	t.job.stepOf(t).perWorker[t.worker]--
+	t.job.stepOf(t).perWorker[t.run.worker]--
 }
 
 func (t *task) needsOffer() bool {
@@ -340,8 +340,7 @@
 	progress := t.job.stepOf(t)
 	expected := progress.expected
 	w.sequence++
-	t.run++
-	t.state, t.worker, t.offeredAt, t.loadAge = offered, w.id, now, now-w.loadAt
+	t.state, t.run = offered, run{number: t.run.number + 1, worker: w.id, offeredAt: now, loadAge: now - w.loadAt}
 	if t.firstOfferedAt == 0 {
 		t.firstOfferedAt = now
 	}
--- a/core/dispatch/ended.go
+++ b/core/dispatch/ended.go
@@ -34,7 +34,7 @@
 		return
 	}
 	d.note(Note{
-		Kind: RunUnsuccessful, RunID: ended.RunID, Worker: w.id, Reason: ended.Outcome.String(), Age: t.loadAge,
+		Kind: RunUnsuccessful, RunID: ended.RunID, Worker: w.id, Reason: ended.Outcome.String(), Age: t.run.loadAge,
 	})
 	if ended.Outcome == work.Failed {
 		t.failures, t.countedRun = t.failures+1, ended.Run
@@ -60,8 +60,8 @@
 // stages returns where a task that ends now has spent its time.
 func (t *task) stages(now time.Duration) Stages {
 	return Stages{
-		Offered: t.firstOfferedAt - t.job.arrivedAt, Reoffered: t.offeredAt - t.firstOfferedAt,
-		Queued: t.startedAt - t.offeredAt, Run: now - t.startedAt,
+		Offered: t.firstOfferedAt - t.job.arrivedAt, Reoffered: t.run.offeredAt - t.firstOfferedAt,
+		Queued: t.run.startedAt - t.run.offeredAt, Run: now - t.run.startedAt,
 	}
 }
 
@@ -117,7 +117,7 @@
 	}
 	t.job.stepOf(t).perWorker[w.id]--
 	d.note(Note{
-		Kind: OfferRejected, RunID: refused.RunID, Worker: w.id, Reason: refused.Reason.String(), Age: t.loadAge,
+		Kind: OfferRejected, RunID: refused.RunID, Worker: w.id, Reason: refused.Reason.String(), Age: t.run.loadAge,
 	})
 	retryAt := now + refusalBackoff
 	switch refused.Reason {
@@ -125,7 +125,7 @@
 		d.abandon(now, t.job, JobFailed, TaskFailed)
 		return
 	case work.Superseded:
-		t.run += supersededRunStep
+		t.run.number += supersededRunStep
 	case work.Unavailable, work.Busy:
 		t.avoid, retryAt = w.id, w.retryAfterRefusal(now, retryAt)
 	case work.Unanswered:
--- a/core/dispatch/evacuation.go
+++ b/core/dispatch/evacuation.go
@@ -85,7 +85,7 @@
 // startedCold reports whether a run started while its worker was slow after its start. Its run time says nothing about the
 // worker's usual speed.
 func (w *worker) startedCold(t *task) bool {
-	return t.startedAt < w.coldUntil
+	return t.run.startedAt < w.coldUntil
 }
 
 // warmFirst moves the warm workers to the front and returns their number. It keeps their order, so that choices among warm
--- a/core/dispatch/inprogress.go
+++ b/core/dispatch/inprogress.go
@@ -103,9 +103,9 @@
 	for _, t := range j.tasks {
 		switch t.state {
 		case uncertain:
-			until = max(until, t.runEndsBy)
+			until = max(until, t.run.endsBy)
 		case offered, started:
-			if w := d.workers[t.worker]; !w.isAttached {
+			if w := d.workers[t.run.worker]; !w.isAttached {
 				until = max(until, w.answeredAt+d.limits.Grant)
 			}
 		case blocked, waiting, finished, exhausted:
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -34,20 +34,11 @@
 	step  *Step
 	name  string
 	state taskState
-	run   uint32
-	// worker is the worker that has the task, or had it last.
-	worker    string
-	offeredAt time.Duration
+	// run is the current run, or the last one if the task waits.
+	run run
 	// firstOfferedAt is when the task was first offered; 0 before.
 	firstOfferedAt time.Duration
-	// loadAge is the age of the worker's load report when the offer was made.
-	loadAge   time.Duration
-	startedAt time.Duration
-	// runEndsBy is when the run of an uncertain task must have ended.
-	runEndsBy time.Duration
-	// progressRequest is the number of the ProgressRequest that was made once the run must have ended; 0 before.
-	progressRequest uint64
-	failures        int
+	failures       int
 	// countedRun is the last run that is counted in failures.
 	countedRun uint32
 	checkpoint string
@@ -61,6 +52,23 @@
 	fullOffers int
 }
 
+// run is one run of a task, from its offer on. Each offer replaces it as a whole, so that nothing that was learned, asked or
+// decided about one run counts for the next.
+type run struct {
+	// number is 0 before the first run.
+	number uint32
+	// worker is the worker that the run was offered to.
+	worker    string
+	offeredAt time.Duration
+	// loadAge is the age of the worker's load report when the offer was made.
+	loadAge   time.Duration
+	startedAt time.Duration
+	// endsBy is when the run of an uncertain task must have ended; 0 if it isn't uncertain.
+	endsBy time.Duration
+	// progressRequest is the number of the ProgressRequest that was made once the run must have ended; 0 before.
+	progressRequest uint64
+}
+
 // job is one submission in progress.
 type job struct {
 	Submission
@@ -115,7 +123,7 @@
 func (j *job) restoreProgress() {
 	if j.Epoch > 1 {
 		for _, t := range j.tasks {
-			t.run = (j.Epoch - 1) * runsPerEpoch
+			t.run.number = (j.Epoch - 1) * runsPerEpoch
 		}
 	}
 	for t, recorded := range j.progressByTask(j.Progress) {
@@ -207,5 +215,5 @@
 
 // id identifies the task's current run.
 func (t *task) id() work.RunID {
-	return work.RunID{Task: t.name, Run: t.run}
+	return work.RunID{Task: t.name, Run: t.run.number}
 }
--- /dev/null
+++ b/core/dispatch/progress_test.go
@@ -0,0 +1,83 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"flamingohall.example/core/dispatch"
+	"flamingohall.example/core/work"
+)
+
+// loseLease lets the job lease expire and the runs of the open jobs with it, and returns the number of progress requests.
+func (h *harness) loseLease() int {
+	h.step(dispatch.DefaultLimits.JobLease)
+	h.step(dispatch.DefaultLimits.Grant)
+	return len(h.progressRequests)
+}
+
+func (h *harness) renewLease() {
+	h.core.JobLeaseRenewed(h.now, h.now)
+	h.step(0)
+}
+
+// workerOf returns the worker that got the given run of the harness's only task.
+func (h *harness) workerOf(run uint32) string {
+	h.t.Helper()
+	for worker, offers := range h.offers {
+		for _, offer := range offers {
+			if offer.Run == run {
+				return worker
+			}
+		}
+	}
+	h.t.Fatalf("run %d was not offered", run)
+	return ""
+}
+
+// failWithOpenRequest takes a job to the point at which the answer about its first run is still awaited from control, while
+// that run is known to have failed.
+func failWithOpenRequest(t *testing.T) *harness {
+	t.Helper()
+	h := newStoredHarness(t, 2)
+	h.accept("j", 1)
+	if requests := h.loseLease(); requests != 1 {
+		t.Fatalf("%d progress requests, want 1", requests)
+	}
+	h.reportEnd(h.workerOf(1), work.RunID{Task: "j.0.0.0", Run: 1}, work.Failed)
+	return h
+}
+
+// TestProgress_AnswerAboutAnEarlierRunStartsNoSecondOne guards against two runs of a task at the same time: the answer to a
+// question about one run released the next one while that was at work.
+func TestProgress_AnswerAboutAnEarlierRunStartsNoSecondOne(t *testing.T) {
+	h := failWithOpenRequest(t)
+	h.renewLease()
+	if h.total() != 2 {
+		t.Fatalf("%d offers, want a second run", h.total())
+	}
+	h.step(dispatch.DefaultLimits.JobLease)
+	h.core.ProgressReported(h.now, h.progressRequests[0], dispatch.StoredOpen, nil)
+	h.renewLease()
+	if h.total() != 2 {
+		t.Errorf("%d offers; the second run was offered again before it must have ended", h.total())
+	}
+}
+
+// TestProgress_TaskWhoseEarlierRunWasAskedAboutIsAskedAboutAgain guards against jobs that never end: a task stayed uncertain for
+// good, as the question about its earlier run counted as one about the lost run.
+func TestProgress_TaskWhoseEarlierRunWasAskedAboutIsAskedAboutAgain(t *testing.T) {
+	h := failWithOpenRequest(t)
+	h.core.ProgressReported(h.now, h.progressRequests[0], dispatch.StoredOpen, nil)
+	h.renewLease()
+	h.core.Closed(h.now, h.workerOf(2))
+	h.step(dispatch.DefaultLimits.Grant + time.Millisecond)
+	if got := len(h.progressRequests); got != 2 {
+		t.Fatalf("%d progress requests, want another one about the second run", got)
+	}
+	h.renewLease()
+	h.core.ProgressReported(h.now, h.progressRequests[1], dispatch.StoredOpen, nil)
+	h.step(0)
+	if h.total() != 3 {
+		t.Errorf("%d offers, want a third run", h.total())
+	}
+}
--- a/core/dispatch/stored.go
+++ b/core/dispatch/stored.go
@@ -85,7 +85,7 @@
 		d.stopTasks(j)
 		for _, t := range j.tasks {
 			if t.state == offered || t.state == started {
-				t.state, t.runEndsBy = uncertain, now+d.limits.Grant
+				t.state, t.run.endsBy = uncertain, now+d.limits.Grant
 				d.waiting = append(d.waiting, t)
 			}
 		}
@@ -148,14 +148,14 @@
 // requestProgress asks control whether the end of a task's run is recorded, once for each run, with one request for all
 // tasks of the job whose runs must have ended.
 func (d *Dispatcher) requestProgress(t *task) {
-	if t.progressRequest != 0 {
+	if t.run.progressRequest != 0 {
 		return
 	}
 	d.progressRequestNumber++
 	d.effects.ProgressRequests = append(d.effects.ProgressRequests, ProgressRequest{Job: t.job.ID, Number: d.progressRequestNumber})
 	for _, other := range t.job.tasks {
-		if other.state == uncertain && other.progressRequest == 0 && other.runEndsBy <= t.runEndsBy {
-			other.progressRequest = d.progressRequestNumber
+		if other.state == uncertain && other.run.progressRequest == 0 && other.run.endsBy <= t.run.endsBy {
+			other.run.progressRequest = d.progressRequestNumber
 		}
 	}
 }
@@ -171,11 +171,10 @@
 	recorded := j.progressByTask(progress)
 	d.learnCrashes(now, j, progress)
 	for _, t := range j.tasks {
-		if t.state != uncertain || t.progressRequest != request.Number {
+		if t.state != uncertain || t.run.progressRequest != request.Number {
 			continue
 		}
-		t.progressRequest = 0
-		j.stepOf(t).perWorker[t.worker]--
+		j.stepOf(t).perWorker[t.run.worker]--
 		t.failures = max(t.failures, recorded[t].Failures)
 		if recorded[t].IsDone {
 			d.finish(t)
@@ -207,9 +206,9 @@
 		return
 	}
 	if t.state == offered || t.state == started {
-		w := d.workers[t.worker]
+		w := d.workers[t.run.worker]
 		w.frame.Stops = append(w.frame.Stops, t.id())
-		j.stepOf(t).perWorker[t.worker]--
+		j.stepOf(t).perWorker[t.run.worker]--
 	}
 	if t.state != blocked {
 		d.finish(t)
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -343,7 +343,7 @@
 func (d *Dispatcher) stopTasks(j *job) {
 	for _, t := range j.tasks {
 		if t.state == offered || t.state == started {
-			w := d.workers[t.worker]
+			w := d.workers[t.run.worker]
 			w.frame.Stops = append(w.frame.Stops, t.id())
 		}
 	}
