Let holders learn from control's log which jobs they have stored

Cause: an entry accepted a job that it had stored itself only with the answer to its own call. It repeated a call without an answer for 10 s and then forgot the job, while control left such jobs out of what it tells a holder, as known to it. All other entries found the job stored and answered so. Nobody ran it.

Fix: control alone decides who holds a job. Each answer that renews the job lease lists the ids of the jobs that were stored for the holder since the last one; the entry requests those that it doesn't have and runs them. This doesn't depend on how long a call was on its way. Store calls end with their caller.

--- a/core/dispatch/control_test.go
+++ b/core/dispatch/control_test.go
@@ -16,6 +16,7 @@
 	maxReportAge  = time.Second
 	syncedWrite   = 9 * time.Millisecond
 	callTimeout   = 400 * time.Millisecond
+	storeTimeout  = 1400 * time.Millisecond
 )
 
 // fakeControl stores jobs as the control VMs do together. It answers nothing while it is unavailable.
@@ -129,10 +130,8 @@
 func (c *fakeControl) renewalAnswer(entry int, holder string, known uint64, sentAt time.Duration, check []string) func() {
 	n := c.simulation.entries[entry]
 	var assigned []dispatch.Submission
+	// Jobs that the entry stored itself are among them: the answer to its call may have been lost.
 	for _, j := range c.table.HeldBy(holder, known) {
-		if j.Epoch == 1 && known != 0 {
-			continue
-		}
 		s := c.bodies[j.ID]
 		s.Epoch, s.Progress = j.Epoch, progressOf(j)
 		assigned = append(assigned, s)
@@ -159,8 +158,12 @@
 	}
 }
 
-// store sends a job to control until it is stored, as long as the entry's process is alive.
+// store sends a job to control until it is stored or its caller has left.
 func (c *fakeControl) store(entry int, s dispatch.Submission) {
+	c.storeUntil(c.simulation.now+storeTimeout, entry, s)
+}
+
+func (c *fakeControl) storeUntil(callerLeaves time.Duration, entry int, s dispatch.Submission) {
 	sim := c.simulation
 	n := sim.entries[entry]
 	incarnation, isAnswered := n.incarnation, false
@@ -181,7 +184,7 @@
 			switch {
 			case answer.Result == jobstore.HolderRetired:
 				c.rename(entry, holder)
-				c.store(entry, s)
+				c.storeUntil(callerLeaves, entry, s)
 			case answer.Holder == holder && answer.State == jobstore.Open && n.holder == holder:
 				s.Epoch = 1
 				n.core.Accept(sim.now, s)
@@ -189,8 +192,8 @@
 		}
 	})
 	sim.after(callTimeout, func() {
-		if !isAnswered {
-			sim.whenResponsive(entry, incarnation, func() { c.store(entry, s) })
+		if !isAnswered && sim.now < callerLeaves {
+			sim.whenResponsive(entry, incarnation, func() { c.storeUntil(callerLeaves, entry, s) })
 		}
 	})
 }
--- a/core/dispatch/stored.go
+++ b/core/dispatch/stored.go
@@ -224,6 +224,15 @@
 	return d.recentlyEnded.jobs[id].state, false
 }
 
+// HasStored reports whether a stored job is, or was recently, in progress here.
+func (d *Dispatcher) HasStored(id string) bool {
+	if j := d.jobs[id]; j != nil {
+		return j.IsStored
+	}
+	_, hasEnded := d.recentlyEnded.jobs[id]
+	return hasEnded
+}
+
 func (j *job) hasBegun() bool {
 	return slices.ContainsFunc(j.tasks, func(t *task) bool { return t.state >= started }) || len(j.Progress) > 0
 }
--- a/node/control/jobs.go
+++ b/node/control/jobs.go
@@ -157,8 +157,8 @@
 	if !status.IsLeader {
 		return j.forwardKeep(ctx, status, request)
 	}
-	if len(request.GetCheck()) > maxCheckedJobs {
-		return nil, faultrpc.To(fault.New(fault.TooLarge, "check fewer jobs at once", "keep: %d jobs to check are too many", len(request.GetCheck())))
+	if count := max(len(request.GetCheck()), len(request.GetMissing())); count > maxCheckedJobs {
+		return nil, faultrpc.To(fault.New(fault.TooLarge, "check fewer jobs at once", "keep: %d jobs to check are too many", count))
 	}
 	arrived := time.Now()
 	confirming, cancel := context.WithTimeout(ctx, keepTimeout)
@@ -200,9 +200,16 @@
 	}
 	response.Index = s.Index
 	for _, job := range s.Jobs.HeldBy(request.GetHolder(), request.GetKnownIndex()) {
-		// The caller knows the jobs that it stored itself (epoch 1), unless it asks for all of its jobs.
+		// The caller usually has the jobs that it stored itself (epoch 1), so that their ids are enough.
 		if job.Epoch > 1 || request.GetKnownIndex() == 0 {
 			response.Assigned = append(response.Assigned, heldJob(job))
+		} else {
+			response.Stored = append(response.Stored, job.ID)
+		}
+	}
+	for _, id := range request.GetMissing() {
+		if job := s.Jobs.Find(id); job != nil && job.State == jobstore.Open && job.Holder == request.GetHolder() {
+			response.Assigned = append(response.Assigned, heldJob(job))
 		}
 	}
 	for _, id := range request.GetCheck() {
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -46,7 +46,8 @@
 	StoredJobCancelled = define(2316, Info, "stored job cancelled", "a caller cancelled the job", "none")
 	HolderRenamed      = define(2317, Warn, "holder renamed", "control assigned all stored jobs of this entry to others; the entry continues under another holder name",
 		"look for an earlier loss of the job lease")
-	StoreUncertain      = define(2318, Warn, "job storage uncertain", "control did not confirm in time whether a job is stored", "check control")
+	StoredJobMissing    = define(2318, Info, "stored job missing", "control stores a job of this entry that it has no answer about; it is requested and run",
+		"none; an answer of control was lost or arrives late")
 	StoredJobUnreadable = define(2319, Error, "stored job unreadable", "a job assigned to this entry can't be decoded", "upgrade all entries to one version")
 	TaskGivenUp         = define(2320, Warn, "task given up", "workers have ended under the task, the last of them with no other job's task; its job fails",
 		"find out why the task ends its workers; event 3209 names the workers")
--- a/node/gateway/lease_renewer.go
+++ b/node/gateway/lease_renewer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,6 +23,8 @@
 	minCheckAge = 2 * time.Second
 	// checkPeriod is the time between two checks.
 	checkPeriod = time.Second
+	// maxMissingPerCall limits the jobs that one call requests, since the answer carries their bodies.
+	maxMissingPerCall = 64
 )
 
 // leaseRenewer renews this entry's job lease, and accepts the jobs that control assigns to it. Its fields are accessed only
@@ -33,6 +37,8 @@
 	renames  int
 	// knownIndex is the index of the last answer from control.
 	knownIndex uint64
+	// missing holds the jobs that this entry has stored, as control says, but has no answer about.
+	missing map[string]bool
 	// checkedAt is the time of the last check.
 	checkedAt time.Duration
 	// waiting is the number of stored jobs of all holders that have not begun, by queue.
@@ -40,7 +46,7 @@
 }
 
 func newLeaseRenewer(g *Gateway) *leaseRenewer {
-	r := &leaseRenewer{gateway: g, baseName: g.options.ID + "/" + duty.Incarnation(), waiting: map[string]uint32{}}
+	r := &leaseRenewer{gateway: g, baseName: g.options.ID + "/" + duty.Incarnation(), missing: map[string]bool{}, waiting: map[string]uint32{}}
 	g.holder.Store(&r.baseName)
 	return r
 }
@@ -75,7 +81,7 @@
 		return
 	}
 	r.gateway.jobsClient.SetLeader(response.GetLeaderAddress())
-	r.gateway.put(func(now time.Duration) { r.apply(now, sentAt, request.GetHolder(), response) })
+	r.gateway.put(func(now time.Duration) { r.apply(now, sentAt, request, response) })
 }
 
 // request returns the next request and the time from which the renewed lease counts. The request is nil if the gateway is
@@ -86,6 +92,7 @@
 	accepted := r.gateway.put(func(now time.Duration) {
 		request := &rpc.KeepRequest{
 			Holder: *r.gateway.holder.Load(), KnownIndex: r.knownIndex, Waiting: r.gateway.core.WaitingStored(),
+			Missing: r.nextMissing(),
 		}
 		if now >= r.checkedAt+checkPeriod {
 			r.checkedAt, request.Check = now, r.gateway.core.StoredBefore(now-minCheckAge)
@@ -103,24 +110,34 @@
 	}
 }
 
+// nextMissing returns some of the missing jobs.
+func (r *leaseRenewer) nextMissing() []string {
+	missing := slices.Sorted(maps.Keys(r.missing))
+	return missing[:min(len(missing), maxMissingPerCall)]
+}
+
 // apply applies an answer from control. It runs in the loop.
-func (r *leaseRenewer) apply(now, sentAt time.Duration, holder string, response *rpc.KeepResponse) {
-	if holder != *r.gateway.holder.Load() {
+func (r *leaseRenewer) apply(now, sentAt time.Duration, request *rpc.KeepRequest, response *rpc.KeepResponse) {
+	if request.GetHolder() != *r.gateway.holder.Load() {
 		return
 	}
 	if response.GetRetired() {
-		r.rename(now, holder)
+		r.rename(now, request.GetHolder())
 		return
 	}
 	core := r.gateway.core
 	core.JobLeaseRenewed(now, sentAt)
 	r.knownIndex, r.waiting = response.GetIndex(), response.GetWaiting()
+	r.noteStored(request.GetMissing(), response.GetStored())
 	for _, job := range response.GetAssigned() {
 		submission, err := workwire.DecodeSubmission(job.GetBody())
 		if err != nil {
 			events.StoredJobUnreadable.LogError(r.gateway.options.Logger, err, "job", job.GetJobId())
 			continue
 		}
+		if slices.Contains(request.GetMissing(), job.GetJobId()) && !core.HasStored(job.GetJobId()) {
+			events.StoredJobMissing.Log(r.gateway.options.Logger, "job", job.GetJobId())
+		}
 		submission.Epoch = job.GetEpoch()
 		submission.Progress = taskProgress(job.GetProgress())
 		core.Accept(now, *submission)
@@ -130,6 +147,19 @@
 	}
 }
 
+// noteStored updates the missing jobs from the answer to a request for some of them. Control alone decides which jobs this entry
+// holds: a job whose Store got no answer may be stored nevertheless, also long after the call, and then nobody else runs it.
+func (r *leaseRenewer) noteStored(requested, stored []string) {
+	for _, id := range requested {
+		delete(r.missing, id)
+	}
+	for _, id := range stored {
+		if !r.gateway.core.HasStored(id) {
+			r.missing[id] = true
+		}
+	}
+}
+
 // rename drops all stored jobs and gives the holder a new name, after control has retired the given one and assigned its
 // jobs to other entries. It does nothing if the holder already has another name. It runs in the loop.
 func (r *leaseRenewer) rename(now time.Duration, retired string) {
@@ -140,6 +170,7 @@
 	r.renames++
 	name := r.baseName + "#" + strconv.Itoa(r.renames)
 	r.knownIndex = 0
+	clear(r.missing)
 	r.gateway.holder.Store(&name)
 	events.HolderRenamed.Log(r.gateway.options.Logger, "holder", retired, "now", name)
 }
--- a/node/gateway/stored.go
+++ b/node/gateway/stored.go
@@ -17,9 +17,6 @@
 	controlTimeout = 1200 * time.Millisecond
 	// responseReserve is the part of a caller's timeout that is reserved for sending the answer back.
 	responseReserve = 100 * time.Millisecond
-	// resolveTimeout is how long an entry retries a store call whose outcome is unknown. It is longer than control takes
-	// to elect a leader.
-	resolveTimeout = 10 * time.Second
 )
 
 // State is the state of a stored job.
@@ -70,8 +67,8 @@
 	}
 	answer.Trace.Took = time.Since(began)
 	if fault.Of(err).Kind == fault.Unknown {
+		// The call isn't repeated, as the caller may have left or cancelled the job. If it was stored, the lease renewer learns that.
 		answer.Result = dispatch.GivenUp
-		g.duties.Go(func() { g.resolveStore(&job) })
 	}
 	g.counters.recordAnswer(&answer)
 	g.put(func(time.Duration) { g.countByQueue(&answer) })
@@ -107,17 +104,6 @@
 	return dispatch.Answer{Job: job.ID, Request: job.Request, Queue: job.Queue.Name, IsStored: true, Result: dispatch.Accepted}
 }
 
-// resolveStore retries storing a job until the outcome is known, for at most resolveTimeout. This entry then runs the job if
-// it is its holder.
-func (g *Gateway) resolveStore(job *dispatch.Submission) {
-	ctx, cancel := context.WithTimeout(g.context, resolveTimeout)
-	defer cancel()
-	if err := g.store(ctx, job); err != nil {
-		// If the job has been stored after all, control assigns it to another entry once this one ends.
-		events.StoreUncertain.LogError(g.options.Logger, err, "job", job.ID, "request", job.Request)
-	}
-}
-
 // checkAdmission asks the dispatcher whether the job can be served in time.
 func (g *Gateway) checkAdmission(ctx context.Context, job dispatch.Submission) (refusal dispatch.Answer, isRefused bool) {
 	type decision struct {
