Keep the cancel of a job that has not arrived yet

Cause: control kept nothing of a cancel of a job that it didn't know. The job was on its way, at an entry that was suspended, and was accepted when it arrived.

Evidence: TestTable_JobThatWasCancelledBeforeItArrivedIsNotAccepted fails without the change, as the job is stored.

Fix: such a cancel is an entry of the table, in the state "cancelled early", kept like an ended job and at most 65,000 times. Callers see no such job. If the job arrives, it is cancelled at once.

The replicated state of control VMs of the version before differs for jobs that arrive after their cancel, until all are upgraded.

--- a/core/jobstore/image.go
+++ b/core/jobstore/image.go
@@ -32,6 +32,9 @@
 		t.jobs[j.ID] = &j
 		if j.State != Open {
 			t.ended = append(t.ended, j.ID)
+			if j.State == CancelledEarly {
+				t.earlyCancels++
+			}
 			continue
 		}
 		t.assign(&j)
--- a/core/jobstore/job.go
+++ b/core/jobstore/job.go
@@ -19,11 +19,13 @@
 	Failed
 	// Cancelled means that the job was ended by a cancel request.
 	Cancelled
+	// CancelledEarly means that a cancel request arrived before the job, which has not been stored. Callers see no such job.
+	CancelledEarly
 )
 
 // String returns the name of the state, as used in logs.
 func (s State) String() string {
-	names := [...]string{"none", "open", "completed", "failed", "cancelled"}
+	names := [...]string{"none", "open", "completed", "failed", "cancelled", "cancelled early"}
 	if int(s) < len(names) {
 		return names[s]
 	}
--- a/core/jobstore/table.go
+++ b/core/jobstore/table.go
@@ -13,11 +13,15 @@
 	RetentionMS int64
 	// Retired is the number of retired holders that are kept.
 	Retired int
+	// EarlyCancels is the number of cancels of unknown jobs that are kept, for RetentionMS like an ended job. A cancel beyond it is
+	// not kept: its job is accepted if it arrives later.
+	EarlyCancels int
 }
 
 // DefaultLimits suit a control VM with 128 MB of disk, which stores the log and two snapshots. The retention is two
-// minutes, as on the callers' platform, plus a margin for the replicated state's clock.
-var DefaultLimits = Limits{Bytes: 24 << 20, RetentionMS: 130_000, Retired: 1000}
+// minutes, as on the callers' platform, plus a margin for the replicated state's clock. The early cancels suffice for 500 a
+// second during the retention, with less than 4 MB of a snapshot.
+var DefaultLimits = Limits{Bytes: 24 << 20, RetentionMS: 130_000, Retired: 1000, EarlyCancels: 65_000}
 
 // jobOverheadBytes estimates the memory of an open job without its body.
 const jobOverheadBytes = 256
@@ -33,6 +37,8 @@
 	// retired holds the ids of retired holders, in the order in which they were retired.
 	retired []string
 	bytes   int
+	// earlyCancels is the number of jobs in the state CancelledEarly.
+	earlyCancels int
 }
 
 // NewTable returns an empty table.
@@ -45,9 +51,13 @@
 	return len(t.jobs)
 }
 
-// Store accepts a job at a log index, unless a job with the same id exists.
+// Store accepts a job at a log index, unless a job with the same id exists or was cancelled before it arrived.
 func (t *Table) Store(s Store, index uint64) Answer {
 	if known := t.jobs[s.Job]; known != nil {
+		if known.State == CancelledEarly {
+			known.State = Cancelled
+			t.earlyCancels--
+		}
 		return known.answer(Known)
 	}
 	if slices.Contains(t.retired, s.Holder) {
@@ -107,10 +117,16 @@
 	return j.answer(Stored)
 }
 
-// Cancel ends an open job. It has no effect on a job that has ended.
+// Cancel ends an open job. It has no effect on a job that has ended. A cancel of an unknown job is kept: the job may be on its way
+// to control, at an entry that is suspended or has got no answer, and must not start after its cancel was answered.
 func (t *Table) Cancel(id string, nowMS int64) Answer {
 	j := t.jobs[id]
-	if j == nil {
+	if j == nil && t.earlyCancels < t.limits.EarlyCancels {
+		t.jobs[id] = &Job{ID: id, State: CancelledEarly, EndedMS: nowMS}
+		t.ended = append(t.ended, id)
+		t.earlyCancels++
+	}
+	if j == nil || j.State == CancelledEarly {
 		return Answer{Result: Unknown}
 	}
 	if j.State == Open {
@@ -180,6 +196,9 @@
 		if j != nil && nowMS-j.EndedMS <= t.limits.RetentionMS {
 			break
 		}
+		if j != nil && j.State == CancelledEarly {
+			t.earlyCancels--
+		}
 		delete(t.jobs, id)
 		count++
 	}
--- a/core/jobstore/table_test.go
+++ b/core/jobstore/table_test.go
@@ -221,3 +221,51 @@
 		}
 	}
 }
+
+// TestTable_JobThatWasCancelledBeforeItArrivedIsNotAccepted guards against jobs that started long after the answer to their cancel:
+// the cancel overtook the job on its way to control, and left no trace.
+func TestTable_JobThatWasCancelledBeforeItArrivedIsNotAccepted(t *testing.T) {
+	table := NewTable(DefaultLimits)
+	for range 2 {
+		if answer := table.Cancel("j", 5); answer != (Answer{Result: Unknown}) {
+			t.Fatalf("cancel of an unknown job: %+v", answer)
+		}
+	}
+	if job := table.Find("j"); job == nil || job.State != CancelledEarly {
+		t.Fatalf("job %+v", job)
+	}
+	if answer := Restore(DefaultLimits, table.Image()).Store(store("j", "a"), 9); answer.State != Cancelled {
+		t.Errorf("after a restart: %+v", answer)
+	}
+	if answer := table.Store(store("j", "a"), 9); answer != (Answer{Result: Known, State: Cancelled}) {
+		t.Errorf("store after the cancel: %+v", answer)
+	}
+	if held := table.HeldBy("a", 0); len(held) != 0 {
+		t.Errorf("held jobs %v", held)
+	}
+	if answer := table.Cancel("j", 10); answer.State != Cancelled {
+		t.Errorf("cancel of the job that arrived since: %+v", answer)
+	}
+}
+
+// TestTable_EarlyCancelsAreBoundedAndForgotten guards against a table that grows with each cancel of an unknown job.
+func TestTable_EarlyCancelsAreBoundedAndForgotten(t *testing.T) {
+	limits := DefaultLimits
+	limits.EarlyCancels = 3
+	table := NewTable(limits)
+	for n := range 10 {
+		table.Cancel(fmt.Sprint("j", n), int64(n))
+	}
+	table.Store(store("j0", "a"), 1)
+	table.Cancel("k", 10)
+	table.Cancel("l", 10)
+	table = Restore(limits, table.Image())
+	if table.Len() != 4 || table.Find("k") == nil || table.Find("l") != nil {
+		t.Errorf("%d jobs, want j0 to j2 and k", table.Len())
+	}
+	table.Expire(limits.RetentionMS + 11)
+	table.Cancel("m", limits.RetentionMS+11)
+	if table.Len() != 1 || table.earlyCancels != 1 {
+		t.Errorf("%d jobs, %d early cancels, want 1 of each", table.Len(), table.earlyCancels)
+	}
+}
--- a/node/control/jobs.go
+++ b/node/control/jobs.go
@@ -266,6 +266,8 @@
 		return rpc.JobState_JOB_STATE_FAILED
 	case jobstore.Cancelled:
 		return rpc.JobState_JOB_STATE_CANCELLED
+	case jobstore.CancelledEarly:
+		// To callers there is no such job until it arrives.
 	}
 	return rpc.JobState_JOB_STATE_UNSPECIFIED
 }
