Run stored jobs only as confirmed since the last loss of contact

Cause: an entry that went on after a suspension ran what it had. The answer to a Store, given before the cancel, was still in its socket. Once control had renewed the job lease, the job ran; a check of each job against control came once a second, for jobs older than two seconds.

Fix: after its expiry, the job lease is acquired again only with an answer that checked all stored jobs of the entry. The answer to a Store counts only within the time of a job lease after its call; else control is asked about the job. Control takes a check of 100,000 jobs in a call, more than can be open: a check of more than 4,096 was refused, and the job lease with it.

--- a/core/dispatch/control_test.go
+++ b/core/dispatch/control_test.go
@@ -105,13 +105,16 @@
 	}
 	if sim.now >= n.frozenUntil {
 		sentAt, holder, known := sim.now, n.holder, n.known
-		check := n.core.StoredBefore(sim.now - 2*time.Second)
+		check, isFullCheck := n.core.StoredBefore(sim.now-2*time.Second), !n.core.HoldsJobLease(sim.now)
+		if isFullCheck {
+			check = n.core.StoredBefore(sim.now)
+		}
 		c.call(entry, 0, func() func() {
 			c.heard[holder] = sim.now
 			if c.table.IsRetired(holder) {
 				return func() { c.rename(entry, holder) }
 			}
-			return c.renewalAnswer(entry, holder, known, sentAt, check)
+			return c.renewalAnswer(entry, holder, known, sentAt, check, isFullCheck)
 		})
 	}
 	sim.after(renewPeriod, func() { c.renewLease(entry, incarnation) })
@@ -127,7 +130,7 @@
 }
 
 // renewalAnswer returns what an entry does with the answer to its renewal.
-func (c *fakeControl) renewalAnswer(entry int, holder string, known uint64, sentAt time.Duration, check []string) func() {
+func (c *fakeControl) renewalAnswer(entry int, holder string, known uint64, sentAt time.Duration, check []string, isFullCheck bool) func() {
 	n := c.simulation.entries[entry]
 	var assigned []dispatch.Submission
 	// Jobs that the entry stored itself are among them: the answer to its call may have been lost.
@@ -147,7 +150,9 @@
 		if n.holder != holder {
 			return
 		}
-		n.core.JobLeaseRenewed(c.simulation.now, sentAt)
+		if isFullCheck || n.core.HoldsJobLease(c.simulation.now) {
+			n.core.JobLeaseRenewed(c.simulation.now, sentAt)
+		}
 		n.known = index
 		for _, s := range assigned {
 			n.core.Accept(c.simulation.now, s)
--- a/core/dispatch/stored.go
+++ b/core/dispatch/stored.go
@@ -62,8 +62,10 @@
 }
 
 // JobLeaseRenewed handles an answer of control to a call that was sent at sentAt: this entry may run its stored jobs
-// until Limits.JobLease after that time.
+// until Limits.JobLease after that time. Once the lease has expired, the call must have checked all stored jobs of this entry: some
+// may have been cancelled, or assigned to others, while it was out of contact.
 func (d *Dispatcher) JobLeaseRenewed(now, sentAt time.Duration) {
+	d.checkJobLease(now)
 	d.jobLeaseUntil = max(d.jobLeaseUntil, sentAt+d.limits.JobLease)
 	if !d.holdsJobLease && now < d.jobLeaseUntil {
 		d.holdsJobLease, d.isCutOff = true, false
@@ -71,6 +73,11 @@
 	}
 }
 
+// HoldsJobLease reports whether this entry may run its stored jobs.
+func (d *Dispatcher) HoldsJobLease(now time.Duration) bool {
+	return d.holdsJobLease && now < d.jobLeaseUntil
+}
+
 // checkJobLease stops stored jobs once control may have assigned them to other entries.
 func (d *Dispatcher) checkJobLease(now time.Duration) {
 	if !d.holdsJobLease || now < d.jobLeaseUntil {
--- a/node/control/jobs.go
+++ b/node/control/jobs.go
@@ -17,7 +17,8 @@
 	maxJobBodyBytes = 256 << 10
 	maxJobSteps     = 1_400
 	maxEnds         = 4_096
-	maxCheckedJobs  = 4_096
+	// maxCheckedJobs is more than the jobs that can be open (jobstore.Limits.Bytes), since an entry checks all of its jobs at once.
+	maxCheckedJobs = 100_000
 )
 
 // jobs serves rpc.Jobs.
--- a/node/gateway/lease_renewer.go
+++ b/node/gateway/lease_renewer.go
@@ -39,8 +39,9 @@
 	knownIndex uint64
 	// missing holds the jobs that this entry has stored, as control says, but has no answer about.
 	missing map[string]bool
-	// checkedAt is the time of the last check.
-	checkedAt time.Duration
+	// checkedAt is the time of the last check. isFullCheck is true if the last call checked all stored jobs.
+	checkedAt   time.Duration
+	isFullCheck bool
 	// waiting is the number of stored jobs of all holders that have not begun, by queue.
 	waiting map[string]uint32
 }
@@ -94,7 +95,11 @@
 			Holder: *r.gateway.holder.Load(), KnownIndex: r.knownIndex, Waiting: r.gateway.core.WaitingStored(),
 			Missing: r.nextMissing(),
 		}
-		if now >= r.checkedAt+checkPeriod {
+		r.isFullCheck = !r.gateway.core.HoldsJobLease(now)
+		switch {
+		case r.isFullCheck:
+			r.checkedAt, request.Check = now, r.gateway.core.StoredBefore(now)
+		case now >= r.checkedAt+checkPeriod:
 			r.checkedAt, request.Check = now, r.gateway.core.StoredBefore(now-minCheckAge)
 		}
 		result <- request
@@ -126,7 +131,9 @@
 		return
 	}
 	core := r.gateway.core
-	core.JobLeaseRenewed(now, sentAt)
+	if r.isFullCheck || core.HoldsJobLease(now) {
+		core.JobLeaseRenewed(now, sentAt)
+	}
 	r.knownIndex, r.waiting = response.GetIndex(), response.GetWaiting()
 	r.noteStored(request.GetMissing(), response.GetStored())
 	for _, job := range response.GetAssigned() {
--- a/node/gateway/lost_answer_test.go
+++ b/node/gateway/lost_answer_test.go
@@ -34,6 +34,10 @@
 	return nil, faultrpc.To(fault.New(fault.Unknown, "send it again", "the answer was lost"))
 }
 
+func (s *silentStore) Find(context.Context, *rpc.FindRequest) (*rpc.FindResponse, error) {
+	return &rpc.FindResponse{}, nil
+}
+
 // count returns the number of calls to store a job.
 func (s *silentStore) count() int {
 	s.mutex.Lock()
--- a/node/gateway/stored.go
+++ b/node/gateway/stored.go
@@ -6,6 +6,7 @@
 
 	"flamingohall.example/core/dispatch"
 	"flamingohall.example/core/fault"
+	"flamingohall.example/node/boottime"
 	"flamingohall.example/node/events"
 	"flamingohall.example/node/rpc"
 	"flamingohall.example/node/workwire"
@@ -140,7 +141,9 @@
 		holder := *g.holder.Load()
 		request.Holder = holder
 		var response *rpc.StoreResponse
+		var sentAt time.Duration
 		err := g.jobsClient.Retry(ctx, func(ctx context.Context, jobs rpc.Jobs) (err error) {
+			sentAt = boottime.Now()
 			response, err = jobs.Store(ctx, request)
 			return err
 		})
@@ -158,20 +161,25 @@
 			continue
 		}
 		if response.GetHolder() == holder && response.GetState() == rpc.JobState_JOB_STATE_OPEN {
-			g.acceptStored(ctx, holder, *job)
+			g.acceptStored(ctx, holder, *job, sentAt)
 		}
 		return nil
 	}
 }
 
-// acceptStored passes a job that was stored under the given holder name to the dispatcher, and returns once that is done.
-// If the holder has been renamed since, control has assigned the job to another entry, and it is not accepted.
-func (g *Gateway) acceptStored(ctx context.Context, holder string, job dispatch.Submission) {
+// acceptStored passes a job that was stored under the given holder name, by a call sent at sentAt, to the dispatcher, and returns
+// once that is done. If the holder has been renamed since, control has assigned the job to another entry, and it is not accepted.
+// If the call was sent longer ago than a job lease lasts, the process was suspended, and the job may have been cancelled since.
+func (g *Gateway) acceptStored(ctx context.Context, holder string, job dispatch.Submission, sentAt time.Duration) {
 	accepted := make(chan struct{})
 	job.Epoch = 1
 	g.put(func(now time.Duration) {
-		if holder == *g.holder.Load() {
+		switch {
+		case holder != *g.holder.Load():
+		case now-sentAt < dispatch.DefaultLimits.JobLease:
 			g.core.Accept(now, job)
+		default:
+			g.leaseRenewer.missing[job.ID] = true
 		}
 		close(accepted)
 	})
