Deny a stored job only after a confirmed read

Cause: a control VM that was in contact again, but had not caught up, answered "unknown" from its own state.

Evidence: TestFind_LaggingReplicaDoesNotDenyAnAcceptedJob failed before: the cut-off VM answered that there is no such job.

Fix: that there is no such job is answered after a confirmed read only. Known jobs are answered from the VM's state as before.

Result: tests of node/control pass.

--- a/node/control/jobs.go
+++ b/node/control/jobs.go
@@ -128,11 +128,20 @@
 	if _, err := j.role.gate.check(); err != nil {
 		return nil, faultrpc.To(err)
 	}
-	if request.GetConfirmed() {
-		if err := (&operator{role: j.role}).confirm(ctx); err != nil {
-			return nil, faultrpc.To(err)
+	if !request.GetConfirmed() {
+		// Only a confirmed answer says that there is no such job: this VM may not have the newest jobs yet.
+		if response := j.find(request); response.GetState() != rpc.JobState_JOB_STATE_UNSPECIFIED {
+			return response, nil
 		}
 	}
+	if err := (&operator{role: j.role}).confirm(ctx); err != nil {
+		return nil, faultrpc.To(err)
+	}
+	return j.find(request), nil
+}
+
+// find looks up a job in the state that this VM has.
+func (j *jobs) find(request *rpc.FindRequest) *rpc.FindResponse {
 	response := &rpc.FindResponse{}
 	j.role.machine.read(func(s *state.State) {
 		job := s.Jobs.Find(request.GetJobId())
@@ -144,7 +153,7 @@
 			response.Progress = taskProgress(job)
 		}
 	})
-	return response, nil
+	return response
 }
 
 // keepTimeout limits the confirmation of a call of Keep. It is below holderTimeout, so that a call that waited can't replace the report
