Count runs as over only by the worker's word, its end, or its lease

All tasks of one worker were started elsewhere at once, while it went on with them.

Cause: a sidecar gave up all runs of its worker on hearsay: after one refused connection, and when any other incarnation was announced. Also, a start that a new process under the same ID had carried out counted as refused.

Fix: an announced incarnation is verified by a call before it takes the worker's place. Starts without an answer are revoked at the next process, too.

Tests replaced: TestRunner_RefusedConnectionMeansThatNothingRuns demanded the fault; three tests that are as strict on both sides stand in its place. The crash tests demanded a report with the first refusal; they now demand it after the second, with the run time until the first.

--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -388,6 +388,12 @@
 	if effects.Hold != nil {
 		sim.hold(n, *effects.Hold, reply)
 	}
+	if verify := effects.Verify; verify != nil {
+		sim.after(time.Millisecond/2, func() {
+			answer := n.worker.admit(verify)
+			reply(func() { n.core.Verified(sim.now, verify.Incarnation, answer) })
+		})
+	}
 	for _, id := range effects.Close {
 		if l := n.sessions[id]; l != nil {
 			sim.endedAtSidecar(l)
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -58,6 +58,7 @@
 	r.startQueued(now)
 	r.sendStops(now)
 	r.sendHold(now)
+	r.sendVerify(now)
 	r.sendUnconfirmed(now)
 	r.fillFrames(now)
 }
@@ -74,10 +75,16 @@
 
 // loseStarted ends, as lost, every run that the worker may have been running. It is called once the lease has expired.
 func (r *Runner) loseStarted(now time.Duration) {
-	r.worker.lostRuns = r.crashedRuns(now)
+	reason := "lease expired"
+	if r.worker.gone {
+		reason = workerEnded
+		r.reportCrash(now, reason)
+	} else {
+		r.worker.lostRuns = r.crashedRuns(now)
+	}
 	for _, run := range r.sorted() {
 		if run.usesCapacity() {
-			r.lose(now, run, "lease expired")
+			r.lose(now, run, reason)
 		}
 	}
 }
@@ -210,6 +217,7 @@
 	if w.unansweredSince == 0 {
 		w.unansweredSince = now
 	}
+	w.openHolds++
 	r.effects.Hold = &Hold{Order: r.order(now), Number: w.holdNumber, Confirmed: w.confirmed, Wait: wait}
 }
 
--- a/core/runner/confirm_test.go
+++ b/core/runner/confirm_test.go
@@ -137,8 +137,7 @@
 func TestConfirm_NewIncarnationHasNothingToConfirm(t *testing.T) {
 	h := newHarness(t)
 	h.reportEnd(h.runStored("j.0.0.0"))
-	h.core.Announced(h.now, announcement(2))
-	h.step(0)
+	h.restart(announcement(2))
 	if !h.core.Idle() {
 		t.Error("the runner awaits the confirmation of an end of the previous incarnation")
 	}
--- a/core/runner/crash.go
+++ b/core/runner/crash.go
@@ -39,11 +39,15 @@
 	return runs
 }
 
-// reportCrash informs all entries if the worker has ended under runs, those included that it had when its lease expired. All
+// reportCrash informs all entries if the worker has ended under runs: those that it had when it was first found gone or when its lease
+// expired, or else those that it has now. All
 // of them must know: a caller whose entry has ended submits its job to another one. The end of a worker that has said that it
 // leaves is no crash.
 func (r *Runner) reportCrash(now time.Duration, reason string) {
-	runs := append(r.crashedRuns(now), r.worker.lostRuns...)
+	runs := r.worker.lostRuns
+	if len(runs) == 0 {
+		runs = r.crashedRuns(now)
+	}
 	r.worker.lostRuns = nil
 	if len(runs) == 0 || r.worker.leaving {
 		return
--- a/core/runner/crash_test.go
+++ b/core/runner/crash_test.go
@@ -30,6 +30,25 @@
 	h.core.Reported(h.now, &runner.Report{Answer: runner.ConnectionRefused, Number: h.hold.Number})
 }
 
+// afterLease returns the crashes that sessions are told of until the lease of a worker that has ended has expired.
+func (h *harness) afterLease() map[runner.Session][]work.Crash {
+	told := map[runner.Session][]work.Crash{}
+	for until := h.now + runner.DefaultLimits.Lease + 100*time.Millisecond; h.now < until; h.now += 10 * time.Millisecond {
+		h.core.Advance(h.now)
+		effects := h.core.Effects()
+		for _, frame := range effects.Frames {
+			told[frame.Session] = append(told[frame.Session], frame.Crashes...)
+			if frame.Probe != 0 {
+				h.core.Take(h.now, frame.Session, &work.ToSidecar{Echo: frame.Probe})
+			}
+		}
+		if effects.Hold != nil {
+			h.core.Reported(h.now, &runner.Report{Answer: runner.ConnectionRefused, Number: effects.Hold.Number})
+		}
+	}
+	return told
+}
+
 func TestCrash_EveryEntryLearnsUnderWhichTasksTheWorkerEnded(t *testing.T) {
 	h := newHarness(t)
 	other := h.openAnother()
@@ -38,21 +57,15 @@
 	h.run("b.0.0.0", 1000)
 	h.now += 8 * time.Millisecond
 	h.end()
-	h.core.Advance(h.now)
-	effects := h.core.Effects()
-	told := map[runner.Session]work.Crash{}
-	for _, frame := range effects.Frames {
-		if len(frame.Crashes) == 1 {
-			told[frame.Session] = frame.Crashes[0]
-		}
-	}
+	told := h.afterLease()
 	later := runner.Session(99)
 	h.core.Open(h.now, later, work.Hello{Entry: "restarted"})
-	if crashes := h.crashesOf(later); len(crashes) == 1 {
-		told[later] = crashes[0]
-	}
+	told[later] = h.crashesOf(later)
 	for _, id := range []runner.Session{session, other, later} {
-		got := told[id]
+		if len(told[id]) != 1 {
+			t.Fatalf("session %d: crashes %+v, want one", id, told[id])
+		}
+		got := told[id][0]
 		if got.Incarnation != "w@1" || len(got.Runs) != 2 || got.Runs[0].RanMS+got.Runs[1].RanMS != 38+8 || got.Runs[0].Crashes != 1 {
 			t.Errorf("session %d: crash %+v, want both runs with their run times", id, got)
 		}
@@ -66,7 +79,20 @@
 	leaving.Leaving, leaving.Sequence = true, 2
 	h.core.Announced(h.now, leaving)
 	h.end()
-	if crashes := h.crashesOf(session); len(crashes) != 0 {
+	if crashes := h.afterLease()[session]; len(crashes) != 0 {
+		t.Errorf("crashes %+v, want none", crashes)
+	}
+}
+
+// TestCrash_WorkerThatOnlyRefusedConnectionsHasNotCrashed guards against tasks that are given up for crashes that were none.
+func TestCrash_WorkerThatOnlyRefusedConnectionsHasNotCrashed(t *testing.T) {
+	h := newHarness(t)
+	id := h.run("a.0.0.0", 1000)
+	h.end()
+	h.now += 100 * time.Millisecond
+	crashes := h.crashesOf(session)
+	h.answerHold(runner.ReportedRun{RunID: id})
+	if crashes = append(crashes, h.crashesOf(session)...); len(crashes) != 0 {
 		t.Errorf("crashes %+v, want none", crashes)
 	}
 }
@@ -88,6 +114,10 @@
 				h.report(&runner.Report{Answer: runner.Accepted})
 			}
 			h.core.Announced(h.now, announcement(2))
+			if crashes := h.crashesOf(session); len(crashes) != 0 {
+				t.Errorf("crashes %+v before the new incarnation is confirmed", crashes)
+			}
+			h.core.Verified(h.now, "w@2", runner.Accepted)
 			if crashes := h.crashesOf(session); (len(crashes) == 1) != isReplaced {
 				t.Errorf("crashes %+v", crashes)
 			}
@@ -122,12 +152,13 @@
 	}
 }
 
-// TestCrash_IsReportedAtOnceWhileSeveralHoldsAreOpen covers a worker that ends while an earlier Hold is still open: both Holds
+// TestCrash_IsNoticedAtOnceWhileSeveralHoldsAreOpen covers a worker that ends while an earlier Hold is still open: both Holds
 // break at the same moment. Counted as two failures in a row, they delayed the next call by 50 ms, and the crash was reported
 // with run times that were too long by as much, so that no queue was found to have caused it.
-func TestCrash_IsReportedAtOnceWhileSeveralHoldsAreOpen(t *testing.T) {
+func TestCrash_IsNoticedAtOnceWhileSeveralHoldsAreOpen(t *testing.T) {
 	h := newHarness(t)
 	h.run("a.0.0.0", 1000)
+	startedAt := h.now
 	first := h.hold
 	// A Hold is repeated after a second.
 	for h.hold == first {
@@ -143,8 +174,9 @@
 	if h.hold == nil {
 		t.Fatal("no Hold follows at once")
 	}
+	ran := h.now - startedAt
 	h.end()
-	if crashes := h.crashesOf(session); len(crashes) != 1 {
-		t.Errorf("crashes %+v, want one", crashes)
+	if crashes := h.afterLease()[session]; len(crashes) != 1 || crashes[0].Runs[0].RanMS != ran.Milliseconds() {
+		t.Errorf("crashes %+v, want one, with the run time until the worker was found gone (%v)", crashes, ran)
 	}
 }
--- a/core/runner/evacuation_test.go
+++ b/core/runner/evacuation_test.go
@@ -55,8 +55,7 @@
 func TestEvacuation_DrainOutlastsARestartOfTheWorker(t *testing.T) {
 	h := newHarness(t)
 	h.core.SetDrained(true)
-	h.core.Announced(h.now, announcement(2))
-	h.step(0)
+	h.restart(announcement(2))
 	h.answerHold()
 	id := h.offer("a.0.0.0", 1000)
 	if len(h.starts) != 0 || len(h.frame.Refused) != 1 || h.frame.Refused[0].RunID != id {
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -21,6 +21,7 @@
 // Reported handles the answer to a Hold.
 func (r *Runner) Reported(now time.Duration, report *Report) {
 	w := &r.worker
+	w.openHolds = max(0, w.openHolds-1)
 	if report.Number <= w.answeredHold {
 		// The answer to a later Hold has overtaken this one.
 		return
@@ -33,8 +34,7 @@
 		w.lostRuns = nil
 		r.clearSuspect()
 	case ConnectionRefused:
-		w.nextHold = now + holdRetryDelay
-		r.markGone(now)
+		r.holdRefused(now)
 		return
 	case Fenced:
 		r.raiseFence()
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -95,6 +95,8 @@
 	sessions map[Session]*session
 	runs     map[string]*taskRun
 	worker   worker
+	// candidate is an incarnation that was announced and is being verified.
+	candidate *candidate
 	// draining is true once this process is shutting down.
 	draining bool
 	// drained is true while an operator has drained the worker or evacuated its data centre.
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -17,6 +17,7 @@
 	starts  []runner.Start
 	stops   []runner.Stop
 	hold    *runner.Hold
+	verify  *runner.Order
 	frame   work.ToEntry
 	closed  []runner.Session
 	clockMS int64
@@ -63,6 +64,9 @@
 	if effects.Hold != nil {
 		h.hold = effects.Hold
 	}
+	if effects.Verify != nil {
+		h.verify = effects.Verify
+	}
 	for _, frame := range effects.Frames {
 		if frame.Probe != 0 {
 			h.frame.Probe = frame.Probe
@@ -77,6 +81,25 @@
 	}
 }
 
+// restart replaces the worker by the announced incarnation, which confirms that it is there.
+func (h *harness) restart(announced runner.Announcement) {
+	h.t.Helper()
+	h.core.Announced(h.now, announced)
+	h.step(0)
+	h.answerVerify(announced.Incarnation, runner.Accepted)
+}
+
+// answerVerify answers the call to an announced incarnation.
+func (h *harness) answerVerify(incarnation string, answer runner.Answer) {
+	h.t.Helper()
+	if h.verify == nil || h.verify.Incarnation != incarnation || h.verify.LeaseUntilMS != 0 {
+		h.t.Fatalf("verify %+v, want a call to %s without a lease", h.verify, incarnation)
+	}
+	h.verify = nil
+	h.core.Verified(h.now, incarnation, answer)
+	h.step(0)
+}
+
 func (h *harness) reading() runner.ClockReading { return runner.ClockReading{ClockMS: h.clockMS} }
 
 // answerHold answers the pending Hold.
@@ -324,8 +347,7 @@
 	h := newHarness(t)
 	h.run("a.0.0.0", 1000)
 	fence := h.starts[0].Fence
-	h.core.Announced(h.now, announcement(2))
-	h.step(0)
+	h.restart(announcement(2))
 	if len(h.frame.Ended) != 1 || h.frame.Ended[0].Outcome != work.Lost {
 		t.Errorf("ended %v", h.frame.Ended)
 	}
@@ -336,17 +358,73 @@
 
 func TestRunner_LateAnnouncementOfAnEarlierIncarnationIsIgnored(t *testing.T) {
 	h := newHarness(t)
-	h.core.Announced(h.now, announcement(2))
-	h.step(0)
+	h.restart(announcement(2))
 	h.answerHold()
-	h.run("a.0.0.0", 1000)
+	id := h.run("a.0.0.0", 1000)
 	h.core.Announced(h.now, announcement(1))
 	h.step(0)
+	h.answerVerify("w@1", runner.WrongIncarnation)
+	h.answerHold(runner.ReportedRun{RunID: id})
 	if len(h.frame.Ended) != 0 {
 		t.Errorf("ended %v", h.frame.Ended)
 	}
 }
 
+// TestRunner_AnnouncementOfAnotherWorkerLosesNoRun guards against tasks that ran twice: anyone's announcement took the worker's place,
+// its runs were reported as lost and started elsewhere while they went on.
+func TestRunner_AnnouncementOfAnotherWorkerLosesNoRun(t *testing.T) {
+	for name, answer := range map[string]runner.Answer{
+		"another is there": runner.WrongIncarnation, "no answer": runner.NoAnswer, "refused": runner.ConnectionRefused, "unhealthy": runner.Unhealthy,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			id := h.run("a.0.0.0", 1000)
+			stranger := announcement(1 << 62)
+			stranger.Sequence = 1<<64 - 1
+			h.core.Announced(h.now, stranger)
+			h.step(0)
+			for range 5 {
+				if h.verify != nil {
+					h.answerVerify(stranger.Incarnation, answer)
+				}
+				h.answerHold(runner.ReportedRun{RunID: id})
+				h.step(60 * time.Millisecond)
+			}
+			next := announcement(1)
+			next.Sequence, next.Capacity.MilliCores = 2, 9000
+			h.core.Announced(h.now, next)
+			h.offer("b.0.0.0", 1000)
+			if len(h.frame.Ended) != 0 || !h.hasStarted("b.0.0.0") || h.hold.Incarnation != "w@1" {
+				t.Errorf("ended %v, starts %+v, hold %+v; want the worker to go on", h.frame.Ended, h.starts, h.hold)
+			}
+		})
+	}
+}
+
+// TestRunner_UnansweredStartIsRevokedAtTheNextIncarnationToo guards against a task that runs twice: its Start, which had no answer
+// when the worker restarted under its ID, is carried out by the new process.
+func TestRunner_UnansweredStartIsRevokedAtTheNextIncarnationToo(t *testing.T) {
+	h := newHarness(t)
+	id := h.offer("a.0.0.0", 1000)
+	h.core.Started(h.now, id, runner.NoAnswer, runner.ClockReading{})
+	h.step(0)
+	h.core.Stopped(h.now, id, runner.WrongIncarnation, runner.ClockReading{})
+	h.restart(announcement(2))
+	h.answerHold(runner.ReportedRun{RunID: id})
+	if len(h.frame.Ended)+len(h.frame.Refused) != 0 {
+		t.Fatalf("ended %v, refused %v while the run goes on", h.frame.Ended, h.frame.Refused)
+	}
+	if last := h.stops[len(h.stops)-1]; last.Incarnation != "w@2" || last.RunID != id {
+		t.Fatalf("stops %+v, want one at the new incarnation", h.stops)
+	}
+	h.core.Stopped(h.now, id, runner.Accepted, h.reading())
+	h.step(0)
+	h.report(&runner.Report{Answer: runner.Accepted, Ended: []runner.ReportedEnd{{RunID: id, Number: 1, Outcome: work.Stopped}}})
+	if len(h.frame.Ended) != 1 || h.frame.Ended[0].Outcome != work.Lost {
+		t.Errorf("ended %v, want the run lost", h.frame.Ended)
+	}
+}
+
 func TestRunner_LeavingWorkerFinishesRunsAndAcceptsNoOffers(t *testing.T) {
 	h := newHarness(t)
 	h.run("a.0.0.0", 8000)
@@ -360,12 +438,101 @@
 	}
 }
 
-func TestRunner_RefusedConnectionMeansThatNothingRuns(t *testing.T) {
+// refuseHolds refuses the connections of all holds for the given time.
+func (h *harness) refuseHolds(during time.Duration) {
+	h.t.Helper()
+	for until := h.now + during; h.now < until; h.step(5 * time.Millisecond) {
+		if hold := h.hold; hold != nil {
+			if hold.LeaseUntilMS != 0 && h.frame.Load != nil && !h.frame.Load.Accepts {
+				h.t.Fatalf("hold %+v renews the lease of a worker that is gone", hold)
+			}
+			h.hold = nil
+			h.core.Reported(h.now, &runner.Report{Answer: runner.ConnectionRefused, Number: hold.Number})
+		}
+		h.echo()
+	}
+}
+
+// TestRunner_RefusedConnectionAloneEndsNoRun guards against tasks that ran twice: one refused connection counted as the end of the
+// worker and of all its runs, which were started elsewhere while they went on.
+func TestRunner_RefusedConnectionAloneEndsNoRun(t *testing.T) {
+	for name, refuse := range map[string]func(h *harness, id work.RunID){
+		"one hold":  func(h *harness, _ work.RunID) { h.refuseHolds(20 * time.Millisecond) },
+		"one start": func(h *harness, id work.RunID) { h.core.Started(h.now, id, runner.ConnectionRefused, runner.ClockReading{}) },
+		"one stop": func(h *harness, id work.RunID) {
+			h.core.Take(h.now, session, &work.ToSidecar{Stops: []work.RunID{id}})
+			h.step(0)
+			h.core.Stopped(h.now, id, runner.ConnectionRefused, runner.ClockReading{})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			first := h.run("a.0.0.0", 1000)
+			second := h.offer("b.0.0.0", 1000)
+			refuse(h, second)
+			h.step(10 * time.Millisecond)
+			h.answerHold(runner.ReportedRun{RunID: first}, runner.ReportedRun{RunID: second})
+			h.step(100 * time.Millisecond)
+			if len(h.frame.Ended) != 0 {
+				t.Errorf("ended %v", h.frame.Ended)
+			}
+		})
+	}
+}
+
+// TestRunner_WorkerThatStaysGoneHasEnded covers the end of the worker's process: its runs are lost once a process that ends has had
+// the time for it, long before their lease expires.
+func TestRunner_WorkerThatStaysGoneHasEnded(t *testing.T) {
+	h := newHarness(t)
+	h.run("a.0.0.0", 1000)
+	h.offer("b.0.0.0", 8000)
+	h.step(0)
+	h.refuseHolds(40 * time.Millisecond)
+	if len(h.frame.Ended) != 0 || h.frame.Load.Accepts || len(h.frame.Refused) != 1 {
+		t.Fatalf("ended %v, refused %v, load %+v; want no more tasks and the run to count", h.frame.Ended, h.frame.Refused, h.frame.Load)
+	}
+	h.refuseHolds(60 * time.Millisecond)
+	if len(h.frame.Ended) != 1 || h.frame.Ended[0].Outcome != work.Lost {
+		t.Errorf("ended %v, want the run lost", h.frame.Ended)
+	}
+}
+
+// TestRunner_WorkerWithAnOpenCallHasNotEnded guards against tasks that ran twice: a worker that only stopped listening, and went on
+// with its runs and its open connections, counted as one that had ended.
+func TestRunner_WorkerWithAnOpenCallHasNotEnded(t *testing.T) {
 	h := newHarness(t)
 	h.run("a.0.0.0", 1000)
-	h.report(&runner.Report{Answer: runner.ConnectionRefused})
-	if len(h.frame.Ended) != 1 || h.frame.Ended[0].Outcome != work.Lost || h.frame.Load.Accepts {
-		t.Errorf("ended %v, load %+v", h.frame.Ended, h.frame.Load)
+	open := h.hold
+	// A Hold is repeated while the first one is open.
+	for h.hold == open {
+		h.step(10 * time.Millisecond)
+		h.echo()
+	}
+	lease := h.hold.LeaseUntilMS
+	for len(h.frame.Ended) == 0 && h.clockMS < lease+200 {
+		h.refuseHolds(10 * time.Millisecond)
+	}
+	if len(h.frame.Ended) != 1 || h.clockMS <= lease {
+		t.Errorf("at %d: ended %v, want the run lost after its lease until %d", h.clockMS, h.frame.Ended, lease)
+	}
+}
+
+// TestRunner_WorkerThatRefusedConnectionsKeepsItsRuns covers a worker that listens again before the lease has expired.
+func TestRunner_WorkerThatRefusedConnectionsKeepsItsRuns(t *testing.T) {
+	h := newHarness(t)
+	id := h.run("a.0.0.0", 1000)
+	h.refuseHolds(40 * time.Millisecond)
+	h.step(30 * time.Millisecond)
+	h.answerHold(runner.ReportedRun{RunID: id})
+	for range 20 {
+		h.step(100 * time.Millisecond)
+		h.echo()
+		if h.hold != nil {
+			h.answerHold(runner.ReportedRun{RunID: id})
+		}
+	}
+	if len(h.frame.Ended) != 0 || !h.frame.Load.Accepts {
+		t.Errorf("ended %v, load %+v; want the run to go on under a new lease", h.frame.Ended, h.frame.Load)
 	}
 }
 
@@ -578,8 +745,7 @@
 		t.Fatalf("starts %+v", h.starts)
 	}
 	h.core.Recover(h.now, announcement(7))
-	h.core.Announced(h.now, announcement(2))
-	h.step(0)
+	h.restart(announcement(2))
 	if h.hold == nil || h.hold.Incarnation != "w@2" {
 		t.Errorf("hold %+v, want the incarnation that the worker announced", h.hold)
 	}
--- a/core/runner/scarcity_test.go
+++ b/core/runner/scarcity_test.go
@@ -60,7 +60,7 @@
 	}
 	h.core.Take(h.now, session, &work.ToSidecar{Backlog: &work.Backlog{MilliCoresPerSecond: 100}})
 	restarted := announcement(2)
-	h.core.Announced(h.now, restarted)
+	h.restart(restarted)
 	h.step(20 * time.Millisecond)
 	if got := h.frame.Load.SpeedPercent; got != 0 {
 		t.Errorf("speed %d%% of a worker that has just restarted, want none", got)
--- a/core/runner/types.go
+++ b/core/runner/types.go
@@ -59,6 +59,8 @@
 	Stops  []Stop
 	// Hold is the next Hold to send, nil for none.
 	Hold *Hold
+	// Verify is a call to the incarnation that an announcement names; nil for none. Its answer goes to Runner.Verified.
+	Verify *Order
 	// Close lists the sessions to close because their entry stopped answering.
 	Close []Session
 	// Record is the announcement to store for a successor of this process; nil if it has not changed.
@@ -208,6 +210,8 @@
 	GrantEnded
 	// WorkerChanged means that the worker restarted, left or became available again.
 	WorkerChanged
+	// AnnouncementIgnored means that another incarnation was announced than the one at the worker's address. Reason names it.
+	AnnouncementIgnored
 	// WorkerEnded means that the worker ended while it had runs, without having said that it leaves.
 	WorkerEnded
 	// ReservationMade means that a queued run got the reservation of the worker.
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -20,8 +20,11 @@
 	holdRepeatAfter = 35 * time.Millisecond
 	// suspectAfter is how long, beyond holdWait, the worker may be silent before it gets no more tasks.
 	suspectAfter = 200 * time.Millisecond
-	// holdRetryDelay is the delay after a failed Hold.
-	holdRetryDelay = 50 * time.Millisecond
+	// holdRetryDelay is the delay after a failed Hold, refusedHoldDelay that after one whose connection was refused.
+	holdRetryDelay   = 50 * time.Millisecond
+	refusedHoldDelay = 25 * time.Millisecond
+	// endTime is how long a process that ends may take to end its runs after it has stopped listening: as long as a stop.
+	endTime = 50 * time.Millisecond
 	// fenceStep is added when the worker has seen a higher fence. Fences start at a Unix time in milliseconds; the step
 	// is larger than any clock error.
 	fenceStep = 1 << 33
@@ -34,8 +37,11 @@
 	work.Worker
 	known   bool
 	leaving bool
-	// gone is true while nothing listens at the worker's address.
-	gone      bool
+	// gone is true while nothing listens at the worker's address, since goneAt.
+	gone   bool
+	goneAt time.Duration
+	// openHolds is the number of Holds without an answer.
+	openHolds int
 	sequence  uint64
 	startedAt int64
 	fence     uint64
@@ -65,7 +71,8 @@
 	failedHolds int
 	// backoffUntil is when an unhealthy worker gets new tasks again.
 	backoffUntil time.Duration
-	// lostRuns are the runs that ended with the lease. The worker ended under them if it does not answer again.
+	// lostRuns are the runs that the worker had when it was found gone, or that ended with the lease. The worker ended under them if
+	// it does not answer again.
 	lostRuns []work.CrashedRun
 	// unorderedRuns is the number of runs in the last report that this process did not order. Their resources are unknown.
 	unorderedRuns int
@@ -82,14 +89,20 @@
 // Announced handles an announcement of the worker.
 func (r *Runner) Announced(now time.Duration, announced Announcement) {
 	w := &r.worker
-	isNew := !w.known || w.Incarnation != announced.Incarnation
-	if !isNew && announced.Sequence < w.sequence {
+	if w.known && w.Incarnation != announced.Incarnation {
+		r.announcedOther(now, announced)
 		return
 	}
-	if isNew && w.known && announced.StartedAt < w.startedAt && now-w.heardAt < idleHoldInterval {
-		// A delayed announcement of an earlier incarnation.
+	if w.known && announced.Sequence < w.sequence {
 		return
 	}
+	r.apply(now, announced)
+}
+
+// apply makes an announcement that comes from the worker the description of the worker.
+func (r *Runner) apply(now time.Duration, announced Announcement) {
+	w := &r.worker
+	isNew := !w.known || w.Incarnation != announced.Incarnation
 	changed := isNew || w.leaving != announced.Leaving
 	if isNew {
 		r.reset(now, announced)
@@ -153,16 +166,26 @@
 	return "ready"
 }
 
-// reset starts a new incarnation of the worker. All runs of the previous one are lost.
+// reset starts a new incarnation of the worker. All runs of the previous one are lost. A Start that has no answer yet may be carried
+// out by the new one, if it has the ID of the old one, and is revoked there.
 func (r *Runner) reset(now time.Duration, announced Announcement) {
-	r.loseAll(now, "worker restarted")
+	r.reportCrash(now, "worker restarted")
+	var leaseEnd time.Duration
+	for _, run := range r.sorted() {
+		if run.usesCapacity() && !run.wasStarted {
+			r.revokeAgain(now, run)
+			leaseEnd = now + r.limits.Lease
+		} else {
+			r.lose(now, run, "worker restarted")
+		}
+	}
 	fence := r.worker.fence
 	if r.worker.known {
 		fence++
 	}
 	r.worker = worker{
-		Worker: announced.Worker, known: true, startedAt: announced.StartedAt, fence: fence, heardAt: now,
-		holdNumber: r.worker.holdNumber, answeredHold: r.worker.holdNumber,
+		Worker: announced.Worker, known: true, startedAt: announced.StartedAt, fence: fence, heardAt: now, leaseEnd: leaseEnd,
+		holdNumber: r.worker.holdNumber, answeredHold: r.worker.holdNumber, openHolds: r.worker.openHolds,
 	}
 	r.runTimeRatio, r.speed, r.unconfirmed = runTimeRatio{}, measuredSpeed{}, nil
 	for _, s := range r.sessions {
@@ -178,23 +201,33 @@
 	}
 }
 
-func (r *Runner) markGone(now time.Duration) {
-	if r.worker.gone {
+// holdRefused handles that nothing listens at the worker's address. The worker has ended if that lasts and no earlier call to it is
+// open: a process that ends takes some time for its runs, and one that only stops listening keeps its connections. Otherwise its runs
+// count until their lease, which isn't renewed, has expired.
+func (r *Runner) holdRefused(now time.Duration) {
+	w := &r.worker
+	w.nextHold = now + refusedHoldDelay
+	if !w.gone {
+		w.gone, w.goneAt = true, now
+		r.refuseQueued()
+		if r.isBusy() {
+			w.lostRuns = r.crashedRuns(now)
+		}
+		r.note(Note{Kind: WorkerChanged, Reason: r.describe()})
 		return
 	}
-	r.worker.gone = true
-	r.loseAll(now, "worker ended")
-	r.note(Note{Kind: WorkerChanged, Reason: r.describe()})
-}
-
-// loseAll ends all runs of a worker that has ended or restarted.
-func (r *Runner) loseAll(now time.Duration, reason string) {
-	r.reportCrash(now, reason)
+	if now-w.goneAt < endTime || w.openHolds > 0 {
+		return
+	}
+	r.reportCrash(now, workerEnded)
 	for _, run := range r.sorted() {
-		r.lose(now, run, reason)
+		r.lose(now, run, workerEnded)
 	}
 }
 
+// workerEnded is the reason of the loss of runs whose worker has ended.
+const workerEnded = "worker ended"
+
 func (r *Runner) lose(now time.Duration, run *taskRun, reason string) {
 	if run.state == queued {
 		r.refuseRun(run, work.Unavailable)
@@ -237,7 +270,7 @@
 	w := &r.worker
 	order := Order{Incarnation: w.Incarnation, Fence: w.fence}
 	end := r.lease(now)
-	if w.clockAt == 0 || end <= now || w.suspect || (r.leaseMustExpire() || w.unorderedRuns > 0) && !r.isBusy() {
+	if w.clockAt == 0 || end <= now || w.suspect || w.gone || (r.leaseMustExpire() || w.unorderedRuns > 0) && !r.isBusy() {
 		// The runs of a worker that does not answer, and those that a predecessor of this process ordered, must end at a known
 		// time, so their lease is not renewed.
 		return order
@@ -280,8 +313,9 @@
 		r.worker.backoffUntil = now + unhealthyBackoff
 		r.refuseRun(run, work.Unavailable)
 	case ConnectionRefused:
+		// Nothing was sent. Whether the worker has ended is decided by a Hold, which may find an open connection.
 		r.refuseRun(run, work.Unavailable)
-		r.markGone(now)
+		r.worker.backoffUntil, r.worker.nextHold = now+refusedHoldDelay, now
 	case WrongIncarnation:
 		r.refuseRun(run, work.Unavailable)
 	case Superseded:
@@ -299,6 +333,15 @@
 	}
 }
 
+// revokeAgain stops a run whose start was not confirmed at the incarnation that the worker has now.
+func (r *Runner) revokeAgain(now time.Duration, run *taskRun) {
+	if run.state == ordered {
+		r.revoke(now, run)
+		return
+	}
+	run.state, run.changedAt, run.retryAt = stopping, now, now
+}
+
 // revoke stops a run whose start was not confirmed.
 func (r *Runner) revoke(now time.Duration, run *taskRun) {
 	r.note(Note{Kind: RunRevoked, RunID: run.RunID, Session: run.session})
@@ -359,7 +402,7 @@
 		r.raiseFence()
 		run.retryAt = now
 	case ConnectionRefused:
-		r.markGone(now)
+		run.retryAt, r.worker.nextHold = now+holdRetryDelay, now
 	case NoAnswer, LeaseExpired, NoCapacity, Unreadable, Unhealthy, WrongIncarnation:
 		run.retryAt = now + holdRetryDelay
 	}
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -254,6 +254,9 @@
 	if effects.Hold != nil {
 		a.hold(effects.Hold)
 	}
+	if effects.Verify != nil {
+		a.verify(effects.Verify)
+	}
 	if effects.Record != nil {
 		a.publishRecord(effects.Record)
 	}
@@ -299,6 +302,14 @@
 	})
 }
 
+// verify calls an incarnation of the worker that has been announced.
+func (a *Agent) verify(order *runner.Order) {
+	a.call(runner.HoldTimeout, func(ctx context.Context) func(time.Duration) {
+		report := a.options.Worker.Hold(ctx, &runner.Hold{Order: *order})
+		return func(now time.Duration) { a.core.Verified(now, order.Incarnation, report.Answer) }
+	})
+}
+
 // call runs a request to the worker in a separate goroutine, and queues the input that it returns for the loop.
 func (a *Agent) call(timeout time.Duration, request func(ctx context.Context) (input func(now time.Duration))) {
 	a.calls.Go(func() {
--- a/node/agent/report.go
+++ b/node/agent/report.go
@@ -71,6 +71,8 @@
 		events.GrantEnded.Log(logger, "entry", note.Reason, "age_ms", age)
 	case runner.WorkerChanged:
 		events.WorkerChanged.Log(logger, "state", note.Reason, "millicores", note.MilliCores, "age_ms", age)
+	case runner.AnnouncementIgnored:
+		events.AnnouncementIgnored.Log(logger, "incarnation", note.Reason)
 	case runner.WorkerEnded:
 		a.counters.workerEnds.Add(1)
 		events.WorkerEnded.Log(logger, "reason", note.Reason, "runs", len(note.Tasks), "tasks", note.Tasks, "age_ms", age)
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -22,6 +22,8 @@
 	ReservationGivenUp = define(3212, Debug, "reservation given up",
 		"the reservation was not met in time, or its task no longer waits at this worker",
 		"if most are not met in time, switch the pool's reservations off")
+	AnnouncementIgnored = define(3213, Warn, "announcement ignored", "another worker, or another start of this one, was announced than the one that listens at the worker's address",
+		"find out who announces it, if this continues")
 	WorkerChanged = define(3207, Info, "worker changed", "the worker started, is leaving, ended or is reachable again", "none")
 )
 
@@ -46,7 +48,7 @@
 	StoredJobCancelled = define(2316, Info, "stored job cancelled", "a caller cancelled the job", "none")
 	HolderRenamed      = define(2317, Warn, "holder renamed", "control assigned all stored jobs of this entry to others; the entry continues under another holder name",
 		"look for an earlier loss of the job lease")
-	StoredJobMissing    = define(2318, Info, "stored job missing", "control stores a job of this entry that it has no answer about; it is requested and run",
+	StoredJobMissing = define(2318, Info, "stored job missing", "control stores a job of this entry that it has no answer about; it is requested and run",
 		"none; an answer of control was lost or arrives late")
 	StoredJobUnreadable = define(2319, Error, "stored job unreadable", "a job assigned to this entry can't be decoded", "upgrade all entries to one version")
 	TaskGivenUp         = define(2320, Warn, "task given up", "workers have ended under the task, the last of them with no other job's task; its job fails",
