Let one odd entry of another writer spoil nothing else

Cause, here: a worker's ID that isn't UTF-8 ended the session of each frame that named it, since the decoder refuses a text that the encoder takes; the same text in a caller's request ID made a stored job unreadable to its next holder. One row that could not be read hid all others of a worker's lists, so that the worker counted as silent. Lists that are cut at 500 ends made the runs beyond them count as lost.

--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -131,11 +131,12 @@
 		r.applyProgress(now, reportedRun)
 	}
 	for _, run := range r.sorted() {
-		if reported[run.RunID] {
+		switch {
+		case reported[run.RunID]:
 			run.missedReports = 0
-			continue
+		case !report.IsPartial:
+			r.handleMissing(now, run, report)
 		}
-		r.handleMissing(now, run, report)
 	}
 }
 
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -457,8 +457,10 @@
 // worker and of all its runs, which were started elsewhere while they went on.
 func TestRunner_RefusedConnectionAloneEndsNoRun(t *testing.T) {
 	for name, refuse := range map[string]func(h *harness, id work.RunID){
-		"one hold":  func(h *harness, _ work.RunID) { h.refuseHolds(20 * time.Millisecond) },
-		"one start": func(h *harness, id work.RunID) { h.core.Started(h.now, id, runner.ConnectionRefused, runner.ClockReading{}) },
+		"one hold": func(h *harness, _ work.RunID) { h.refuseHolds(20 * time.Millisecond) },
+		"one start": func(h *harness, id work.RunID) {
+			h.core.Started(h.now, id, runner.ConnectionRefused, runner.ClockReading{})
+		},
 		"one stop": func(h *harness, id work.RunID) {
 			h.core.Take(h.now, session, &work.ToSidecar{Stops: []work.RunID{id}})
 			h.step(0)
@@ -536,6 +538,23 @@
 	}
 }
 
+// TestRunner_PartialReportEndsNoRun guards against runs that counted as lost, since a worker's lists could not be read as a whole.
+func TestRunner_PartialReportEndsNoRun(t *testing.T) {
+	for _, isPartial := range []bool{true, false} {
+		h := newHarness(t)
+		h.run("a.0.0.0", 1000)
+		for range 3 {
+			h.step(20 * time.Millisecond)
+			if h.hold != nil {
+				h.report(&runner.Report{Answer: runner.Accepted, IsPartial: isPartial})
+			}
+		}
+		if isLost := len(h.frame.Ended) == 1; isLost == isPartial {
+			t.Errorf("partial %v: ended %v", isPartial, h.frame.Ended)
+		}
+	}
+}
+
 // newSlowHarness returns a harness whose worker has four runs with a progress of 20% after 200 ms, a fifth of the
 // expected speed.
 func newSlowHarness(t *testing.T) (*harness, []runner.ReportedRun) {
--- a/core/runner/types.go
+++ b/core/runner/types.go
@@ -171,6 +171,8 @@
 	Answer  Answer
 	Running []ReportedRun
 	Ended   []ReportedEnd
+	// IsPartial means that the lists may lack runs and ends. A run that is missing isn't over.
+	IsPartial bool
 }
 
 // Note is one decision to log.
--- a/node/workwire/workwire.go
+++ b/node/workwire/workwire.go
@@ -32,7 +32,11 @@
 }
 
 func mustDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{MaxArrayElements: maxListElements, MaxNestedLevels: maxNesting}.DecMode()
+	// The encoder takes any string. If the decoder refused one that isn't UTF-8, that one string, which may come from outside the
+	// system, would end the session of its frame, or make a stored job unreadable to its next holder.
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxListElements, MaxNestedLevels: maxNesting, UTF8: cbor.UTF8DecodeInvalid,
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
