Close the sessions of sidecars whose grant has ended

Cause: an entry learned of the end of a session only from the other side, or from control's registry. That the runs of the session must have ended, 1.1 s after the last answered probe, was looked at only then.

Fix: the entry closes a session 0.2 s after its grant has ended.

Two tests of stored jobs let runs end in sessions without any probe, which are closed now; they open them again.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -160,7 +160,7 @@
 		d.sortedWorkers = append(d.sortedWorkers, w)
 		slices.SortFunc(d.sortedWorkers, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
 	}
-	w.isUp, w.sequence, w.pending, w.answeredAt = true, 0, nil, now
+	w.isUp, w.sequence, w.pending, w.answeredAt, w.overdueSince = true, 0, nil, now, 0
 	w.frame, w.load, w.sameDataCentre = work.ToSidecar{}, work.Load{}, dataCentre == d.localDataCentre
 	w.reportsAccepting, w.drained = false, d.drained[id]
 	d.note(Note{Kind: SessionEstablished, Worker: id})
@@ -180,15 +180,36 @@
 		return
 	}
 	w.isUp = false
-	lost := 0
 	for _, t := range d.tasksAt(id) {
-		t.state, t.run.endsBy = uncertain, w.answeredAt+d.limits.Grant
-		d.waiting = append(d.waiting, t)
-		lost++
+		if t.state != uncertain {
+			t.state = uncertain
+			d.waiting = append(d.waiting, t)
+		}
+		t.run.endsBy = w.answeredAt + d.limits.Grant
 	}
 	d.note(Note{Kind: SessionLost, Worker: id, Age: now - w.answeredAt})
 }
 
+// overdueTime is how long the end of a grant is known before its session is closed. After a suspension of this process, the
+// frames of its sidecars may still wait in its sockets.
+const overdueTime = 200 * time.Millisecond
+
+// endGrants closes the sessions of sidecars that have been unreachable for so long that no offer of this entry runs there any more.
+// The connection alone doesn't show that: a VM without power doesn't end it, and a session outlives its connections.
+func (d *Dispatcher) endGrants(now time.Duration) {
+	for _, w := range d.sortedWorkers {
+		switch {
+		case !w.isUp || now < w.answeredAt+d.limits.Grant:
+			w.overdueSince = 0
+		case w.overdueSince == 0:
+			w.overdueSince = now
+		case now >= w.overdueSince+overdueTime:
+			d.Closed(now, w.id)
+			d.effects.Close = append(d.effects.Close, w.id)
+		}
+	}
+}
+
 // Removed forgets a worker that is no longer registered.
 func (d *Dispatcher) Removed(now time.Duration, id string) {
 	d.Closed(now, id)
@@ -197,10 +218,11 @@
 	d.detector.Forget(id)
 }
 
+// tasksAt returns the tasks whose runs belong to the worker's session.
 func (d *Dispatcher) tasksAt(id string) []*task {
 	var atWorker []*task
 	for _, t := range d.tasks {
-		if t.run.worker == id && (t.state == offered || t.state == started) {
+		if t.run.worker == id && (t.state == offered || t.state == started || t.state == uncertain && t.run.endsBy == 0) {
 			atWorker = append(atWorker, t)
 		}
 	}
@@ -271,6 +293,7 @@
 	}
 	d.containmentChanged(d.crashes.Advance(now))
 	d.checkJobLease(now)
+	d.endGrants(now)
 	d.endExpired(now)
 	d.endHopeless(now)
 	d.endHopelessLate(now)
@@ -304,7 +327,7 @@
 	clear(d.noLateOffers)
 	slices.SortStableFunc(d.waiting, func(a, b *task) int { return compareWaiting(now, a, b) })
 	d.waiting = slices.DeleteFunc(d.waiting, func(t *task) bool {
-		if t.state == uncertain && now >= t.run.endsBy {
+		if t.state == uncertain && t.mustHaveEnded(now) {
 			d.resolveUncertain(t)
 		}
 		return t.state == waiting && now >= t.retryAt && (d.holdsJobLease || !t.job.IsStored) && !d.isHeldBack(now, t) && d.offer(now, t)
@@ -322,6 +345,11 @@
 	t.job.stepOf(t).perWorker[t.run.worker]--
 }
 
+// mustHaveEnded reports whether the run of an uncertain task is certainly over.
+func (t *task) mustHaveEnded(now time.Duration) bool {
+	return t.run.endsBy != 0 && now >= t.run.endsBy
+}
+
 func (t *task) needsOffer() bool {
 	return t.state == waiting || t.state == uncertain
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -63,7 +63,8 @@
 	// loadAge is the age of the worker's load report when the offer was made.
 	loadAge   time.Duration
 	startedAt time.Duration
-	// endsBy is when the run of an uncertain task must have ended; 0 if it isn't uncertain.
+	// endsBy is when the run of an uncertain task must have ended. It is 0 while the session in which the run was offered lasts: as
+	// long as its sidecar gets answers, it keeps the run's lease, and reports its end.
 	endsBy time.Duration
 	// progressRequest is the number of the ProgressRequest that was made once the run must have ended; 0 before.
 	progressRequest uint64
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -19,6 +19,9 @@
 	answers          map[string]dispatch.Answer
 	progressRequests []dispatch.ProgressRequest
 	shared           []dispatch.AnsweredJob
+	// closed are the workers whose sessions are to be closed, probes is the number of the last probe.
+	closed []string
+	probes uint64
 }
 
 // newHarness returns a dispatcher with idle workers of 32 cores.
@@ -55,6 +58,7 @@
 	}
 	h.progressRequests = append(h.progressRequests, effects.ProgressRequests...)
 	h.shared = append(h.shared, effects.Answered...)
+	h.closed = append(h.closed, effects.Close...)
 	for _, answer := range effects.Answers {
 		h.answers[answer.Job] = answer
 	}
--- a/core/dispatch/progress_test.go
+++ b/core/dispatch/progress_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,11 +9,27 @@
 	"flamingohall.example/core/work"
 )
 
-// loseLease lets the job lease expire and the runs of the open jobs with it, and returns the number of progress requests.
-func (h *harness) loseLease() int {
-	h.step(dispatch.DefaultLimits.JobLease)
-	h.step(dispatch.DefaultLimits.Grant)
-	return len(h.progressRequests)
+// loseLease lets the job lease expire while all sidecars but the lost ones get answers.
+func (h *harness) loseLease(lost ...string) {
+	const period = 100 * time.Millisecond
+	for range (dispatch.DefaultLimits.JobLease + period) / period {
+		h.step(period)
+		for _, id := range []string{"s0", "s1"} {
+			if !slices.Contains(lost, id) {
+				h.probe(id)
+			}
+		}
+	}
+}
+
+// reopen opens a new session with a worker's sidecar.
+func (h *harness) reopen(id string) {
+	h.core.Opened(h.now, id, "a")
+	h.core.Attached(h.now, id, true)
+	h.core.Take(h.now, id, &work.ToEntry{
+		Worker: &work.Worker{Incarnation: id, Pool: "p", Capacity: work.Needs{MilliCores: 32000}}, Load: &work.Load{Accepts: true},
+	})
+	h.step(0)
 }
 
 func (h *harness) renewLease() {
@@ -40,10 +57,13 @@
 	t.Helper()
 	h := newStoredHarness(t, 2)
 	h.accept("j", 1)
-	if requests := h.loseLease(); requests != 1 {
+	first := h.workerOf(1)
+	h.loseLease(first)
+	if requests := len(h.progressRequests); requests != 1 {
 		t.Fatalf("%d progress requests, want 1", requests)
 	}
-	h.reportEnd(h.workerOf(1), work.RunID{Task: "j.0.0.0", Run: 1}, work.Failed)
+	h.reopen(first)
+	h.reportEnd(first, work.RunID{Task: "j.0.0.0", Run: 1}, work.Failed)
 	return h
 }
 
@@ -55,7 +75,7 @@
 	if h.total() != 2 {
 		t.Fatalf("%d offers, want a second run", h.total())
 	}
-	h.step(dispatch.DefaultLimits.JobLease)
+	h.loseLease()
 	h.core.ProgressReported(h.now, h.progressRequests[0], dispatch.StoredOpen, nil)
 	h.renewLease()
 	if h.total() != 2 {
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -294,6 +294,14 @@
 	if sim.observe != nil {
 		sim.observe(i, &effects)
 	}
+	for _, worker := range effects.Close {
+		var sidecar int
+		_, _ = fmt.Sscanf(worker, "s%d", &sidecar)
+		if l := sim.linkOf(i, sidecar); l != nil {
+			sim.endedAtEntry(l)
+			sim.after(max(sim.delay(), l.cutUntil-sim.now), func() { sim.endedAtSidecar(l) })
+		}
+	}
 	for _, frame := range effects.Frames {
 		var sidecar int
 		_, _ = fmt.Sscanf(frame.Worker, "s%d", &sidecar)
--- a/core/dispatch/stored.go
+++ b/core/dispatch/stored.go
@@ -161,7 +161,7 @@
 	d.progressRequestNumber++
 	d.effects.ProgressRequests = append(d.effects.ProgressRequests, ProgressRequest{Job: t.job.ID, Number: d.progressRequestNumber})
 	for _, other := range t.job.tasks {
-		if other.state == uncertain && other.run.progressRequest == 0 && other.run.endsBy <= t.run.endsBy {
+		if other.state == uncertain && other.run.progressRequest == 0 && other.run.endsBy != 0 && other.run.endsBy <= t.run.endsBy {
 			other.run.progressRequest = d.progressRequestNumber
 		}
 	}
--- a/core/dispatch/stored_test.go
+++ b/core/dispatch/stored_test.go
@@ -84,12 +84,18 @@
 	if len(h.stops["s0"]) != 1 {
 		t.Fatal("not stopped when the job lease expired")
 	}
+	h.probe("s0")
+	h.core.Closed(h.now, "s0")
+	h.reopen("s0")
 	h.core.JobLeaseRenewed(h.now, h.now)
 	h.step(0)
 	if h.total() != 1 {
 		t.Fatal("offered again while the first run may go on")
 	}
-	h.step(dispatch.DefaultLimits.Grant)
+	for range dispatch.DefaultLimits.Grant / (100 * time.Millisecond) {
+		h.step(100 * time.Millisecond)
+		h.probe("s0")
+	}
 	if h.total() != 1 || len(h.progressRequests) != 1 {
 		t.Fatalf("%d offers, progress requests %v; want control to be asked whether the run was done", h.total(), h.progressRequests)
 	}
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -224,6 +224,8 @@
 	// ProgressRequests are jobs whose recorded progress is needed. The caller passes it to ProgressReported.
 	ProgressRequests []ProgressRequest
 	Notes            []Note
+	// Close lists the workers whose sessions have ended and are to be closed.
+	Close []string
 	// Answered are the answers of this entry that the other entries have to know, so that none runs these jobs again.
 	Answered []AnsweredJob
 }
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -29,7 +29,9 @@
 	pending  []pendingOffer
 	// answeredAt is when the last probe was answered.
 	answeredAt time.Duration
-	frame      work.ToSidecar
+	// overdueSince is since when the grant of the session is known to have ended; 0 while it lasts.
+	overdueSince time.Duration
+	frame        work.ToSidecar
 	// speed is the ratio of expected to actual run times on the worker: the one that the sidecar has measured, if it tells one,
 	// or else learned from the runs of this entry.
 	speed float64
--- a/node/gateway/gateway.go
+++ b/node/gateway/gateway.go
@@ -377,6 +377,12 @@
 			}
 		}
 	}
+	for _, id := range effects.Close {
+		if peer := g.peers[id]; peer != nil {
+			peer.Close()
+			delete(g.peers, id)
+		}
+	}
 	for i := range effects.Answers {
 		answer := effects.Answers[i]
 		for _, caller := range g.callers[answer.Job] {
