Count a run that the loss of the job lease stops as long as its session lasts

Its sidecar keeps the run's lease as long as the entry answers its probes, and a worker that doesn't answer the stop runs on until that lease expires, up to 1.3 s after it fell silent. The task could start elsewhere meanwhile.

Evidence: TestGrant_StoppedRunCountsAsLongAsItsSidecarGetsAnswers fails without the change: control is asked, and the task offered again, while the sidecar still keeps the run. Found by reading; not seen in a run.

Fix: such a run is over when its sidecar says so, or when its session has ended and the grant after it.

--- a/core/dispatch/grant_test.go
+++ b/core/dispatch/grant_test.go
@@ -41,6 +41,30 @@
 	}
 }
 
+// TestGrant_StoppedRunCountsAsLongAsItsSidecarGetsAnswers guards against two runs of a task at the same time: after the loss of the job
+// lease, a run was offered again at a fixed time, while its sidecar still waited for a worker that didn't answer the stop.
+func TestGrant_StoppedRunCountsAsLongAsItsSidecarGetsAnswers(t *testing.T) {
+	h := newStoredHarness(t, 2)
+	h.accept("j", 1)
+	worker := h.workerOf(1)
+	for range 50 {
+		h.step(100 * time.Millisecond)
+		h.probe("s0")
+		h.probe("s1")
+	}
+	if len(h.stops[worker]) != 1 || len(h.progressRequests) != 0 {
+		t.Fatalf("stops %v, progress requests %v; want the run stopped, and its end awaited", h.stops, h.progressRequests)
+	}
+	h.renewLease()
+	if h.total() != 1 {
+		t.Fatalf("%d offers while the sidecar keeps the run", h.total())
+	}
+	h.reportEnd(worker, work.RunID{Task: "j.0.0.0", Run: 1}, work.Stopped)
+	if h.total() != 2 {
+		t.Errorf("%d offers, want a second run after the end of the first", h.total())
+	}
+}
+
 // TestGrant_EntryThatWasSuspendedReadsItsSocketsFirst guards against tasks that run again although their ends wait in the sockets of an
 // entry that goes on after a suspension.
 func TestGrant_EntryThatWasSuspendedReadsItsSocketsFirst(t *testing.T) {
--- a/core/dispatch/stored.go
+++ b/core/dispatch/stored.go
@@ -92,7 +92,8 @@
 		d.stopTasks(j)
 		for _, t := range j.tasks {
 			if t.state == offered || t.state == started {
-				t.state, t.run.endsBy = uncertain, now+d.limits.Grant
+				// The sidecar may need long to stop it, and keeps its lease meanwhile.
+				t.state = uncertain
 				d.waiting = append(d.waiting, t)
 			}
 		}
