--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -194,8 +194,8 @@
 // frames of its sidecars may still wait in its sockets.
 const overdueTime = 200 * time.Millisecond
 
-// endGrants closes the sessions of sidecars that have been unreachable for so long that no offer of this entry runs there any more.
-// The connection alone doesn't show that: a VM without power doesn't end it, and a session outlives its connections.
+// endGrants closes the sessions with tasks of sidecars that have been unreachable for so long that no offer of this entry runs there any
+// more. The connection alone doesn't show that: a VM without power doesn't end it, and a session outlives its connections.
 func (d *Dispatcher) endGrants(now time.Duration) {
 	for _, w := range d.sortedWorkers {
 		switch {
@@ -203,7 +203,7 @@
 			w.overdueSince = 0
 		case w.overdueSince == 0:
 			w.overdueSince = now
-		case now >= w.overdueSince+overdueTime:
+		case now >= w.overdueSince+overdueTime && len(d.tasksAt(w.id)) > 0:
 			d.Closed(now, w.id)
 			d.effects.Close = append(d.effects.Close, w.id)
 		}
--- a/core/runner/doc.go
+++ b/core/runner/doc.go
@@ -13,5 +13,9 @@
 //     that the entry has answered. An entry that receives nothing therefore knows when all its offers are over:
 //     Limits.Grant after its last answer, plus a margin for the drift of the worker's clock.
 //   - An order without an answer is revoked. Its offer is refused only after the worker has confirmed the stop and
-//     reported its ends; only then may the entry offer the task elsewhere.
+//     reported its ends; only then may the entry offer the task elsewhere. If the worker starts again meanwhile, the order is
+//     revoked at the new process, which may have the ID of the old one and carry it out.
+//   - A run is over by the worker's word, with its lease, or with the end of the worker's process. That a connection is refused
+//     doesn't show that end unless it lasts and no earlier call is open, and an announcement of another incarnation doesn't
+//     unless the process at the worker's address confirms it.
 package runner
