Count failed runs by their numbers

The entry kept the number of the last run that it had counted as failed, and control told only how many runs have failed.

What callers could see: a job that never ends, as the entry counts a failure twice and waits for one that control doesn't have; or a start after all attempts have failed, as the late failure of an earlier run doesn't count.

Evidence: TestFailures_RunThatControlHasRecordedCountsOnce and TestFailures_LateEndOfAnEarlierRunCounts failed before, with 2 offers for 3 and 3 offers for 2.

Fix: control tells the numbers of the failed runs, and entries keep them. The branch that finishes an uncertain task at the end of an earlier run also takes it off its worker's count, which limits the tasks of a step on one worker.

--- a/core/dispatch/control_test.go
+++ b/core/dispatch/control_test.go
@@ -245,7 +245,7 @@
 	for step, count := range j.Steps {
 		for index := range count {
 			p := j.Progress(step, int(index))
-			progress = append(progress, dispatch.TaskProgress{Step: step, Index: int(index), IsDone: p.IsDone, Failures: p.Failures, Crashes: p.Crashes})
+			progress = append(progress, dispatch.TaskProgress{Step: step, Index: int(index), IsDone: p.IsDone, Failures: len(p.FailedRuns), FailedRuns: p.FailedRuns, Crashes: p.Crashes})
 		}
 	}
 	return progress
--- a/core/dispatch/ended.go
+++ b/core/dispatch/ended.go
@@ -37,10 +37,10 @@
 		Kind: RunUnsuccessful, RunID: ended.RunID, Worker: w.id, Reason: ended.Outcome.String(), Age: t.run.loadAge,
 	})
 	if ended.Outcome == work.Failed {
-		t.failures, t.countedRun = t.failures+1, ended.Run
+		t.addFailure(ended.Run)
 		j.trace.Failures++
 		switch {
-		case t.failures < max(1, j.Queue.Attempts):
+		case t.hasAttempts():
 		case j.IsStored:
 			// The job fails once control has recorded this failure.
 			t.state = exhausted
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -38,10 +39,11 @@
 	run run
 	// firstOfferedAt is when the task was first offered; 0 before.
 	firstOfferedAt time.Duration
-	failures       int
-	// countedRun is the last run that is counted in failures.
-	countedRun uint32
-	checkpoint string
+	// failedRuns are the numbers of the runs that have failed, as reported here or recorded by control. unnamedFailures is the number of
+	// those that a version of control has recorded that doesn't tell their numbers.
+	failedRuns      []uint32
+	unnamedFailures int
+	checkpoint      string
 	// retryAt is when a rejected task is offered again.
 	retryAt time.Duration
 	// moves counts how often the task was moved off a slow worker.
@@ -128,7 +130,7 @@
 		}
 	}
 	for t, recorded := range j.progressByTask(j.Progress) {
-		t.failures = recorded.Failures
+		t.learnFailures(recorded)
 		if recorded.IsDone {
 			t.state = finished
 			j.stepOf(t).left--
@@ -136,6 +138,26 @@
 	}
 }
 
+// addFailure counts a failed run once, however often and by whom it is reported.
+func (t *task) addFailure(run uint32) {
+	if !slices.Contains(t.failedRuns, run) {
+		t.failedRuns = append(t.failedRuns, run)
+	}
+}
+
+// learnFailures counts the failed runs that control has recorded.
+func (t *task) learnFailures(recorded TaskProgress) {
+	t.unnamedFailures = max(t.unnamedFailures, recorded.Failures-len(recorded.FailedRuns))
+	for _, run := range recorded.FailedRuns {
+		t.addFailure(run)
+	}
+}
+
+// hasAttempts reports whether the task may be tried again.
+func (t *task) hasAttempts() bool {
+	return t.unnamedFailures+len(t.failedRuns) < max(1, t.job.Queue.Attempts)
+}
+
 // progressByTask maps tasks to their recorded progress.
 func (j *job) progressByTask(progress []TaskProgress) map[*task]TaskProgress {
 	recorded := map[*task]TaskProgress{}
--- a/core/dispatch/stored.go
+++ b/core/dispatch/stored.go
@@ -183,12 +183,16 @@
 			continue
 		}
 		j.stepOf(t).perWorker[t.run.worker]--
-		t.failures = max(t.failures, recorded[t].Failures)
-		if recorded[t].IsDone {
+		t.learnFailures(recorded[t])
+		switch {
+		case recorded[t].IsDone:
 			d.finish(t)
-			continue
+		case t.hasAttempts():
+			d.requeue(t, now)
+		default:
+			// The job fails once control has recorded the last failure.
+			t.state = exhausted
 		}
-		d.requeue(t, now)
 	}
 }
 
@@ -208,14 +212,17 @@
 	}
 	j := t.job
 	if ended.Outcome == work.Failed {
-		if ended.Run > t.countedRun {
-			t.failures, t.countedRun = t.failures+1, ended.Run
+		t.addFailure(ended.Run)
+		if t.state == waiting && !t.hasAttempts() {
+			t.state = exhausted
 		}
 		return
 	}
 	if t.state == offered || t.state == started {
 		w := d.workers[t.run.worker]
 		w.frame.Stops = append(w.frame.Stops, t.id())
+	}
+	if t.isOutstanding() {
 		j.stepOf(t).perWorker[t.run.worker]--
 	}
 	if t.state != blocked {
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -51,7 +51,10 @@
 type TaskProgress struct {
 	Step, Index int
 	IsDone      bool
-	Failures    int
+	// Failures is the number of failed runs, FailedRuns are their numbers. A version of control that tells only the first may run
+	// during an upgrade.
+	Failures   int
+	FailedRuns []uint32
 	// Crashes is the number of workers that have ended under the task.
 	Crashes int
 }
--- a/core/jobstore/job.go
+++ b/core/jobstore/job.go
@@ -199,8 +199,9 @@
 
 // Progress is the recorded progress of a task.
 type Progress struct {
-	IsDone   bool
-	Failures int
+	IsDone bool
+	// FailedRuns are the numbers of the failed runs.
+	FailedRuns []uint32
 	// Crashes is the number of workers that have ended under the task.
 	Crashes int
 }
@@ -211,7 +212,13 @@
 	if !found {
 		return Progress{}
 	}
-	return Progress{IsDone: j.hasDone(task), Failures: j.failures(task), Crashes: countOf(task, j.Crashes)}
+	progress := Progress{IsDone: j.hasDone(task), Crashes: countOf(task, j.Crashes)}
+	for _, failure := range j.Failures {
+		if failure.Task == task {
+			progress.FailedRuns = append(progress.FailedRuns, failure.Run)
+		}
+	}
+	return progress
 }
 
 // parseTask splits the name of a task, JOB.OCCURRENCE.STEP.INDEX, into the job's id and the task's position in the job.
--- a/core/jobstore/table_test.go
+++ b/core/jobstore/table_test.go
@@ -69,7 +69,7 @@
 			t.Fatalf("answer %+v", answer)
 		}
 	}
-	if got := table.Find("j").Progress(0, 0); got.Crashes != 3 || got.Failures != 0 {
+	if got := table.Find("j").Progress(0, 0); got.Crashes != 3 || len(got.FailedRuns) != 0 {
 		t.Errorf("progress %+v, want three crashes", got)
 	}
 	if got := table.Find("j").Progress(0, 1); got.Crashes != 0 {
--- a/node/control/jobs.go
+++ b/node/control/jobs.go
@@ -239,10 +239,10 @@
 	for step, count := range job.Steps {
 		for index := range count {
 			progress := job.Progress(step, int(index))
-			if progress.IsDone || progress.Failures > 0 || progress.Crashes > 0 {
+			if progress.IsDone || len(progress.FailedRuns) > 0 || progress.Crashes > 0 {
 				tasks = append(tasks, &rpc.TaskProgress{
 					Step: uint32(step), Index: index, Done: progress.IsDone,
-					Failures: uint32(progress.Failures), Crashes: uint32(progress.Crashes),
+					Failures: uint32(len(progress.FailedRuns)), Crashes: uint32(progress.Crashes), FailedRuns: progress.FailedRuns,
 				})
 			}
 		}
--- a/node/gateway/lease_renewer.go
+++ b/node/gateway/lease_renewer.go
@@ -188,7 +188,7 @@
 	for _, task := range recorded {
 		progress = append(progress, dispatch.TaskProgress{
 			Step: int(task.GetStep()), Index: int(task.GetIndex()), IsDone: task.GetDone(), Failures: int(task.GetFailures()),
-			Crashes: int(task.GetCrashes()),
+			Crashes: int(task.GetCrashes()), FailedRuns: task.GetFailedRuns(),
 		})
 	}
 	return progress
