Give the call that verifies an incarnation a short limit

A worker that has restarted gets no tasks until it has confirmed its incarnation. Where calls are left unanswered, the call was repeated after 450 ms; it is short and repeatable, so that 150 ms suffice.

Result: tests of core/runner and node/agent pass.

--- a/core/runner/verify.go
+++ b/core/runner/verify.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// verifyRetryDelay is the delay after a call that did not show which incarnation is at the worker's address.
-const verifyRetryDelay = 50 * time.Millisecond
+const (
+	// VerifyTimeout is how long the worker may take to answer the call that verifies its incarnation. The call is short and can be
+	// repeated, and until it is answered the worker gets no tasks.
+	VerifyTimeout = 100 * time.Millisecond
+	// verifyRetryDelay is the delay after a call that did not show which incarnation is at the worker's address.
+	verifyRetryDelay = 50 * time.Millisecond
+)
 
 // candidate is an announced incarnation other than the known one.
 type candidate struct {
@@ -31,7 +36,7 @@
 	if c == nil || now < c.retryAt {
 		return
 	}
-	c.retryAt = now + HoldTimeout + verifyRetryDelay
+	c.retryAt = now + VerifyTimeout + verifyRetryDelay
 	r.effects.Verify = &Order{Incarnation: c.Incarnation, Fence: r.worker.fence + 1}
 }
 
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -304,7 +304,7 @@
 
 // verify calls an incarnation of the worker that has been announced.
 func (a *Agent) verify(order *runner.Order) {
-	a.call(runner.HoldTimeout, func(ctx context.Context) func(time.Duration) {
+	a.call(runner.VerifyTimeout, func(ctx context.Context) func(time.Duration) {
 		report := a.options.Worker.Hold(ctx, &runner.Hold{Order: *order})
 		return func(now time.Duration) { a.core.Verified(now, order.Incarnation, report.Answer) }
 	})
