Log what a decision about a worker's end is based on

What tells the hypotheses apart now: - (a) connections refused while the worker runs on: 3214 with the error of the call, then 3215 of the same incarnation, with the number of runs that it went on with. - (b) a strange announcement: 3213 names the announced incarnation and the known one; no 3214. - (c) a stop or restart of the sidecar: 1003 or 1001, 2304 at the entries, and 3202 for the runs of the predecessor; no 3203. - (d) a restart under the same ID: 3207 and 3203 name the incarnations before and after. 3203 and 3209 carry the same evidence as 3214. The entry's 2303 has the cause, since the sidecar's log may be missing, as in the record. One line a decision: a worker that flaps logs two lines for each change, not one for each call.

Ended gets an optional field (7); an entry of an earlier version ignores it. No decision changes. New test: TestRunner_RefusedConnectionsAreLoggedWithTheirEvidence.

--- a/core/dispatch/ended.go
+++ b/core/dispatch/ended.go
@@ -34,7 +34,7 @@
 		return
 	}
 	d.note(Note{
-		Kind: RunUnsuccessful, RunID: ended.RunID, Worker: w.id, Reason: ended.Outcome.String(), Age: t.run.loadAge,
+		Kind: RunUnsuccessful, RunID: ended.RunID, Worker: w.id, Reason: ended.Outcome.String(), Cause: ended.Cause, Age: t.run.loadAge,
 	})
 	if ended.Outcome == work.Failed {
 		t.addFailure(ended.Run)
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -278,6 +278,8 @@
 	work.RunID
 	Worker string
 	Reason string
+	// Cause says how the sidecar knows that a lost run is over.
+	Cause string
 	// Age depends on the kind: for runs, the age of the load report that the offer or move was based on; for a lost
 	// session, the time since the last answered probe; for the job lease, the time since the sending of the last call
 	// that control answered.
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"time"
 
 	"flamingohall.example/core/work"
@@ -29,8 +30,10 @@
 	if report.Number == w.holdNumber {
 		w.holdPending, w.nextHold = false, now
 	}
+	w.failure = cmp.Or(report.Failure, w.failure)
 	switch report.Answer {
 	case Accepted:
+		r.noteAccepted(len(report.Running))
 		w.lostRuns = nil
 		r.clearSuspect()
 	case ConnectionRefused:
@@ -57,7 +60,7 @@
 	case Superseded, LeaseExpired, NoCapacity:
 		return
 	}
-	w.answeredHold, w.gone, w.failedHolds = report.Number, false, 0
+	w.answeredHold, w.gone, w.failedHolds, w.failure = report.Number, false, 0, ""
 	r.updateClock(now, report.ClockReading)
 	r.applyEnds(now, report)
 	r.applyRunning(now, report)
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -47,6 +47,8 @@
 	startOverdueHold uint64
 	// missedReports counts consecutive reports that should have listed the run but did not.
 	missedReports int
+	// lostBy says how a lost run is known to be over.
+	lostBy string
 	// outcome is the one that a stopped run is reported with.
 	outcome    work.Outcome
 	checkpoint string
@@ -322,7 +324,7 @@
 	if s == nil {
 		return
 	}
-	ended := work.Ended{RunID: run.RunID, Outcome: outcome, Checkpoint: run.checkpoint}
+	ended := work.Ended{RunID: run.RunID, Outcome: outcome, Checkpoint: run.checkpoint, Cause: run.lostBy}
 	ended.AwaitsConfirmation = run.IsStored && (outcome == work.Done || outcome == work.Failed)
 	if run.wasStarted {
 		ended.RanMS = (now - run.startedAt).Milliseconds()
@@ -335,8 +337,13 @@
 
 func (r *Runner) note(n Note) {
 	n.Age = r.worker.silence
-	if n.Kind == WorkerChanged {
+	switch n.Kind {
+	case WorkerChanged:
 		n.MilliCores = r.worker.Capacity.MilliCores
+		n.Evidence = r.evidence(0)
+	case RunLost, WorkerEnded, AnnouncementIgnored, ConnectionsRefused:
+		n.Evidence = r.evidence(0)
+	default:
 	}
 	r.effects.Notes = append(r.effects.Notes, n)
 }
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -872,3 +872,34 @@
 		t.Error("a session with a run was not probed within 200 ms")
 	}
 }
+
+// TestRunner_RefusedConnectionsAreLoggedWithTheirEvidence covers what tells a worker that refuses connections and goes on with its runs
+// from one that has ended, and from one that has started again.
+func TestRunner_RefusedConnectionsAreLoggedWithTheirEvidence(t *testing.T) {
+	h := newHarness(t)
+	id := h.run("a.0.0.0", 1000)
+	h.step(20 * time.Millisecond)
+	h.core.Reported(h.now, &runner.Report{Answer: runner.ConnectionRefused, Number: h.hold.Number, Failure: "dial: connection refused"})
+	for range 3 {
+		h.step(10 * time.Millisecond)
+	}
+	h.answerHold(runner.ReportedRun{RunID: id})
+	var found []runner.Note
+	for _, note := range h.notes {
+		if note.Kind == runner.ConnectionsRefused || note.Kind == runner.ConnectionsAccepted {
+			found = append(found, note)
+		}
+	}
+	if len(found) != 2 {
+		t.Fatalf("notes %+v, want one of the refusal and one of the answer", h.notes)
+	}
+	for _, note := range found {
+		e := note.Evidence
+		if e.Incarnation != "w@1" || e.Failure != "dial: connection refused" || e.AnsweredHold == 0 || e.LeaseLeft < 900*time.Millisecond || e.Runs != 1 {
+			t.Errorf("evidence %+v of note %d", e, note.Kind)
+		}
+	}
+	if e := found[1].Evidence; e.Listed != 1 || e.RefusedFor < 20*time.Millisecond {
+		t.Errorf("evidence %+v of the answer, want the run that went on and the time of the refusals", e)
+	}
+}
--- a/core/runner/types.go
+++ b/core/runner/types.go
@@ -173,6 +173,26 @@
 	Ended   []ReportedEnd
 	// IsPartial means that the lists may lack runs and ends. A run that is missing isn't over.
 	IsPartial bool
+	// Failure is the error of a call without an answer, for the log.
+	Failure string
+}
+
+// Evidence is what is known about the worker when a decision about it or its runs is made.
+type Evidence struct {
+	// Incarnation is the one that the decision is about.
+	Incarnation string
+	// Hold is the number of the last Hold that was sent, AnsweredHold that of the last one that the worker answered.
+	Hold, AnsweredHold uint64
+	// OpenHolds is the number of Holds that have neither an answer nor an error.
+	OpenHolds int
+	// Failure is the error of the last Hold without an answer since the worker last answered one.
+	Failure string
+	// RefusedFor is how long the worker has refused connections, 0 if it doesn't.
+	RefusedFor time.Duration
+	// LeaseLeft is the time until the lease has certainly expired; below 0 if it has.
+	LeaseLeft time.Duration
+	// Runs is the number of runs that may use the worker, Listed that of runs in the answer that led to the decision.
+	Runs, Listed int
 }
 
 // Note is one decision to log.
@@ -191,6 +211,8 @@
 	MilliCores int64
 	// Tasks are those under which the worker ended.
 	Tasks []string
+	// Evidence is set for the kinds RunLost, WorkerChanged, WorkerEnded, AnnouncementIgnored, ConnectionsRefused and ConnectionsAccepted.
+	Evidence Evidence
 }
 
 // NoteKind is the kind of a decision.
@@ -216,6 +238,10 @@
 	AnnouncementIgnored
 	// WorkerEnded means that the worker ended while it had runs, without having said that it leaves.
 	WorkerEnded
+	// ConnectionsRefused means that the worker's address has begun to refuse connections.
+	ConnectionsRefused
+	// ConnectionsAccepted means that the worker has answered after it had refused connections.
+	ConnectionsAccepted
 	// ReservationMade means that a queued run got the reservation of the worker.
 	ReservationMade
 	// ReservationKept means that the run with the reservation is started.
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -61,6 +61,8 @@
 	nextHold    time.Duration
 	// answeredHold is the number of the last Hold whose answer was handled.
 	answeredHold uint64
+	// failure is the error of the last Hold without an answer since the worker last answered one.
+	failure string
 	// unansweredSince is the sending time of the first Hold since the worker last answered any call; 0 if there is none.
 	unansweredSince time.Duration
 	// suspect is true while an answer is overdue.
@@ -213,6 +215,7 @@
 		if r.isBusy() {
 			w.lostRuns = r.crashedRuns(now)
 		}
+		r.note(Note{Kind: ConnectionsRefused})
 		r.note(Note{Kind: WorkerChanged, Reason: r.describe()})
 		return
 	}
@@ -238,6 +241,7 @@
 		note.Ran = now - run.startedAt
 	}
 	r.note(note)
+	run.lostBy = reason
 	r.end(now, run, work.Lost)
 }
 
@@ -282,9 +286,13 @@
 
 // leaseExpired reports whether the lease of all runs at the worker has certainly ended.
 func (r *Runner) leaseExpired(now time.Duration) bool {
-	// The worker's clock was read at most idleHoldInterval before the lease was granted.
-	drift := time.Duration(clockDriftRatio * float64(r.limits.Lease+idleHoldInterval))
-	return now > r.worker.leaseEnd+drift
+	return now > r.worker.leaseEnd+r.drift()
+}
+
+// drift returns how much later than by this machine's clock a lease may end. The worker's clock was read at most idleHoldInterval
+// before the lease was granted.
+func (r *Runner) drift() time.Duration {
+	return time.Duration(clockDriftRatio * float64(r.limits.Lease+idleHoldInterval))
 }
 
 // Started handles the answer to a Start.
--- a/core/work/message.go
+++ b/core/work/message.go
@@ -237,6 +237,8 @@
 	// AwaitsConfirmation means that the end is reported again until it is confirmed. The run may have been offered by
 	// another entry, or by an earlier process.
 	AwaitsConfirmation bool `cbor:"6,keyasint,omitempty"`
+	// Cause says how the sidecar knows that a lost run is over, for the log.
+	Cause string `cbor:"7,keyasint,omitempty"`
 }
 
 // Reason says why an offer was rejected.
--- a/node/agent/report.go
+++ b/node/agent/report.go
@@ -60,8 +60,10 @@
 	case runner.RunUnknown:
 		events.RunUnknown.Log(logger, "task", note.Task, "run", note.Run, "age_ms", age)
 	case runner.RunLost:
-		events.RunLost.Log(logger, "task", note.Task, "run", note.Run, "entry", a.entryName(note.Session),
-			"reason", note.Reason, "ran_ms", note.Ran.Milliseconds(), "age_ms", age)
+		events.RunLost.Log(logger, append([]any{
+			"task", note.Task, "run", note.Run, "entry", a.entryName(note.Session),
+			"reason", note.Reason, "ran_ms", note.Ran.Milliseconds(), "age_ms", age,
+		}, evidence(&note)...)...)
 	case runner.RunStalled:
 		events.RunStalled.Log(logger, "task", note.Task, "run", note.Run, "entry", a.entryName(note.Session), "age_ms", age)
 	case runner.OfferRefused:
@@ -70,13 +72,29 @@
 	case runner.GrantEnded:
 		events.GrantEnded.Log(logger, "entry", note.Reason, "age_ms", age)
 	case runner.WorkerChanged:
-		events.WorkerChanged.Log(logger, "state", note.Reason, "millicores", note.MilliCores, "age_ms", age)
+		events.WorkerChanged.Log(logger, "state", note.Reason, "incarnation", note.Evidence.Incarnation,
+			"millicores", note.MilliCores, "age_ms", age, "error", note.Evidence.Failure)
 	case runner.AnnouncementIgnored:
-		events.AnnouncementIgnored.Log(logger, "incarnation", note.Reason)
+		events.AnnouncementIgnored.Log(logger, "incarnation", note.Reason, "known", note.Evidence.Incarnation, "age_ms", age)
+	case runner.ConnectionsRefused:
+		events.ConnectionsRefused.Log(logger, append([]any{"age_ms", age}, evidence(&note)...)...)
+	case runner.ConnectionsAccepted:
+		events.ConnectionsAccepted.Log(logger, append([]any{"age_ms", age}, evidence(&note)...)...)
 	case runner.WorkerEnded:
 		a.counters.workerEnds.Add(1)
-		events.WorkerEnded.Log(logger, "reason", note.Reason, "runs", len(note.Tasks), "tasks", note.Tasks, "age_ms", age)
+		events.WorkerEnded.Log(logger, append([]any{"reason", note.Reason, "runs", len(note.Tasks), "tasks", note.Tasks, "age_ms", age}, evidence(&note)...)...)
 	case runner.ReservationMade, runner.ReservationKept, runner.ReservationGivenUp:
 		a.counters.reservations.log(logger, &note)
 	}
 }
+
+// evidence returns the fields that tell apart a worker that has ended, one that refuses connections and goes on with its runs, and
+// one that has started again.
+func evidence(note *runner.Note) []any {
+	known := &note.Evidence
+	return []any{
+		"incarnation", known.Incarnation, "hold", known.Hold, "answered_hold", known.AnsweredHold, "open_holds", known.OpenHolds,
+		"refused_ms", known.RefusedFor.Milliseconds(), "lease_left_ms", known.LeaseLeft.Milliseconds(),
+		"known_runs", known.Runs, "listed", known.Listed, "error", known.Failure,
+	}
+}
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -24,6 +24,13 @@
 		"if most are not met in time, switch the pool's reservations off")
 	AnnouncementIgnored = define(3213, Warn, "announcement ignored", "another worker, or another start of this one, was announced than the one that listens at the worker's address",
 		"find out who announces it, if this continues")
+	ConnectionsRefused = define(3214, Warn, "worker refuses connections",
+		"nothing listens at the worker's address; the worker gets no tasks, and its lease isn't renewed. It may have ended, or go on with its runs: "+
+			"see the answer that follows (3215, 3209, 3207), the error of the call, the open calls, and the age of the last answer",
+		"check the worker if no answer follows")
+	ConnectionsAccepted = define(3215, Info, "worker answers again",
+		"the incarnation that had refused connections has answered; listed is the number of runs that it went on with",
+		"if this continues, look for what closes the worker's port while it runs")
 	WorkerChanged = define(3207, Info, "worker changed", "the worker started, is leaving, ended or is reachable again", "none")
 )
 
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -136,7 +136,7 @@
 			"reason", note.Reason, "load_age_ms", age)
 	case dispatch.RunUnsuccessful:
 		events.RunUnsuccessful.Log(logger, "task", note.Task, "run", note.Run, "worker", note.Worker,
-			"outcome", note.Reason, "load_age_ms", age)
+			"outcome", note.Reason, "cause", note.Cause, "load_age_ms", age)
 	case dispatch.RunMoved:
 		events.RunMoved.Log(logger, "task", note.Task, "run", note.Run, "worker", note.Worker,
 			"remaining", note.Reason, "load_age_ms", age)
