Count no run as over because its worker refuses connections

Cause: the sidecar reported its worker's runs as lost once the worker's address had refused connections for 50 ms and no call was open. That is hearsay: a worker that has lost its listener, or whose connections are reset on the way, runs on until its lease ends.

The design has two facts now, with a type and a file each: - proof (over.go): a run is over because the worker's whole reports don't list it, a later incarnation has answered at its address, or its lease has expired on the worker's clock, which may be 2% slow. lose takes nothing else. - suspicion (suspicion.go): the worker seems to have ended. It acts at once on what can't start a task twice: no tasks, no lease, and a message to all entries (work.Suspicion, a new optional field of ToEntry), which count it towards containment only. A task's own count of crashes changes with the Crash, once its run is over. An answer under the same incarnation withdraws the suspicion, and the crash that was reported when the lease of a worker that still refused connections expired; entries then release a queue that was contained for it. Versions: an entry that ignores the field learns the crash with the ends, as of a worker that fell silent.

TestRunner_WorkerThatStaysGoneHasEnded demanded the old rule (runs lost after 50 to 100 ms of refusals).

--- a/core/crash/containment.go
+++ b/core/crash/containment.go
@@ -42,6 +42,8 @@
 	share float64
 	// ranMS is how long the task had run for which the queue is contained, when it ended its worker.
 	ranMS int64
+	// incarnation is the worker's whose end led to it.
+	incarnation string
 }
 
 type release struct {
@@ -51,9 +53,10 @@
 
 // ended is the end of a worker under runs.
 type ended struct {
-	worker string
-	at     time.Duration
-	runs   []work.CrashedRun
+	worker      string
+	incarnation string
+	at          time.Duration
+	runs        []work.CrashedRun
 	// hasReturned is true once the worker was back.
 	hasReturned bool
 }
@@ -177,17 +180,31 @@
 }
 
 // contain contains the queue of a task that has ended its workers.
-func (p *pool) contain(now time.Duration, limits Limits, found culprit) Change {
+func (p *pool) contain(now time.Duration, limits Limits, found culprit, incarnation string) Change {
 	queue, period := found.queue, limits.Containment
 	if last, wasContained := p.released[queue]; wasContained && now-last.at < limits.MaxContainment {
 		period = min(2*last.period, limits.MaxContainment)
 	}
 	share := p.share(queue)
-	p.contained[queue] = &containment{since: now, disturbedAt: now, period: period, share: share, ranMS: found.ranMS}
+	p.contained[queue] = &containment{since: now, disturbedAt: now, period: period, share: share, ranMS: found.ranMS, incarnation: incarnation}
 	p.isStale = true
 	return Change{Pool: p.name, Queue: queue, IsContained: true, Share: share, Task: found.task}
 }
 
+// withdraw forgets the end of a worker that has answered again, and releases the queue that was contained for it.
+func (p *pool) withdraw(incarnation string) []Change {
+	var changes []Change
+	p.crashed = slices.DeleteFunc(p.crashed, func(e ended) bool { return e.incarnation == incarnation })
+	p.isStale = true
+	for _, queue := range slices.Sorted(maps.Keys(p.contained)) {
+		if p.contained[queue].incarnation == incarnation {
+			delete(p.contained, queue)
+			changes = append(changes, Change{Pool: p.name, Queue: queue})
+		}
+	}
+	return changes
+}
+
 func (p *pool) advance(now time.Duration, limits Limits) []Change {
 	var changes []Change
 	for _, queue := range slices.Sorted(maps.Keys(p.contained)) {
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -215,3 +215,29 @@
 		t.Errorf("changes %+v, want none", c.changes)
 	}
 }
+
+// TestContainment_SuspicionContainsAndItsWithdrawalReleases covers workers that refuse connections and answer again: no task is counted as one
+// that has ended a worker, and its queue is not kept contained.
+func TestContainment_SuspicionContainsAndItsWithdrawalReleases(t *testing.T) {
+	c := newCrashes()
+	suspect := func(worker string, runs ...work.CrashedRun) []Change {
+		c.now += 10 * time.Millisecond
+		return c.monitor.Suspect(c.now, "p", worker, &work.Suspicion{Incarnation: worker + "@1", Runs: runs})
+	}
+	suspect("w0", run("short", "t.0.0.0", 8, 60), run("plain", "a.0.0.0", 120, 200))
+	suspect("w1", run("short", "t.0.0.0", 9, 60), run("plain", "a.0.0.0", 10, 200))
+	if !c.monitor.IsContained("p", "short") {
+		t.Fatal("the queue is not contained")
+	}
+	if got := c.monitor.Task("t.0.0.0"); got.Crashes != 0 || got.MustRunAlone() {
+		t.Errorf("history %+v after suspicions alone", got)
+	}
+	c.monitor.Observe(c.now, "p", "w1", &work.Crash{Incarnation: "w1@1", Runs: []work.CrashedRun{run("short", "t.0.0.0", 9, 60)}})
+	if got := c.monitor.Task("t.0.0.0"); got.Crashes != 1 {
+		t.Errorf("history %+v after a crash", got)
+	}
+	c.monitor.Suspect(c.now, "p", "w1", &work.Suspicion{Incarnation: "w1@1", IsWithdrawn: true})
+	if got := c.monitor.Task("t.0.0.0"); got.Crashes != 0 || c.monitor.IsContained("p", "short") {
+		t.Errorf("history %+v after the crash is withdrawn, or the queue is still contained", got)
+	}
+}
--- a/core/crash/monitor.go
+++ b/core/crash/monitor.go
@@ -46,6 +46,8 @@
 	IsRepeated bool
 	ranMS      int64
 	at         time.Duration
+	// incarnation is the worker's in the last of these crashes.
+	incarnation string
 }
 
 const (
@@ -72,12 +74,14 @@
 	tasks  map[string]History
 	// counted holds the incarnations of workers whose end was counted, and when.
 	counted map[string]time.Duration
-	pools   map[string]*pool
+	// suspected holds the incarnations that seem to have ended, and since when.
+	suspected map[string]time.Duration
+	pools     map[string]*pool
 }
 
 // NewMonitor returns a monitor that knows of no crash.
 func NewMonitor(limits Limits) *Monitor {
-	return &Monitor{limits: limits, tasks: map[string]History{}, counted: map[string]time.Duration{}, pools: map[string]*pool{}}
+	return &Monitor{limits: limits, tasks: map[string]History{}, counted: map[string]time.Duration{}, suspected: map[string]time.Duration{}, pools: map[string]*pool{}}
 }
 
 // Task returns the crashes under a task.
@@ -103,6 +107,48 @@
 	Task string
 }
 
+// Suspect counts the seeming end of a worker towards the containment of queues, which a false suspicion harms little. What is known of
+// the tasks changes only with Observe.
+func (m *Monitor) Suspect(now time.Duration, poolName, worker string, s *work.Suspicion) []Change {
+	if s.IsWithdrawn {
+		return m.withdraw(poolName, s.Incarnation)
+	}
+	if m.knows(s.Incarnation) || len(s.Runs) == 0 || s.AgeMS > maxSuspicionAge.Milliseconds() {
+		return nil
+	}
+	m.forget(now)
+	m.suspected[s.Incarnation] = now
+	changes := m.blame(now, poolName, worker, &work.Crash{Incarnation: s.Incarnation, Runs: s.Runs})
+	return append(changes, m.pool(poolName).acquit()...)
+}
+
+// maxSuspicionAge is the age from which a suspicion tells nothing about what happens now. A new session may be told of it.
+const maxSuspicionAge = time.Second
+
+func (m *Monitor) knows(incarnation string) bool {
+	_, isCounted := m.counted[incarnation]
+	_, isSuspected := m.suspected[incarnation]
+	return isCounted || isSuspected
+}
+
+// withdraw undoes what was concluded from the seeming end of a worker that has answered again.
+func (m *Monitor) withdraw(poolName, incarnation string) []Change {
+	if _, isCounted := m.counted[incarnation]; isCounted {
+		maps.DeleteFunc(m.tasks, func(_ string, h History) bool { return h.incarnation == incarnation && h.Crashes == 1 })
+		for name, h := range m.tasks {
+			if h.incarnation == incarnation {
+				m.tasks[name] = History{Crashes: h.Crashes - 1, at: h.at}
+			}
+		}
+	}
+	delete(m.suspected, incarnation)
+	delete(m.counted, incarnation)
+	if p := m.pools[poolName]; p != nil {
+		return p.withdraw(incarnation)
+	}
+	return nil
+}
+
 // Observe counts the end of a worker. A crash that was counted before changes nothing.
 func (m *Monitor) Observe(now time.Duration, poolName, worker string, c *work.Crash) []Change {
 	if _, isCounted := m.counted[c.Incarnation]; isCounted || len(c.Runs) == 0 {
@@ -116,20 +162,30 @@
 		m.count(now-milliseconds(c.AgeMS), c, nil)
 		return nil
 	}
+	var changes []Change
+	if _, isSuspected := m.suspected[c.Incarnation]; !isSuspected {
+		changes = m.blame(now, poolName, worker, c)
+	}
+	m.count(now, c, p.suspects(c))
+	return append(changes, p.acquit()...)
+}
+
+// blame looks for the queue whose tasks have ended a worker.
+func (m *Monitor) blame(now time.Duration, poolName, worker string, c *work.Crash) []Change {
+	p := m.pool(poolName)
 	isMember := p.isMember(worker)
 	p.disturb(now, c.Runs)
-	p.crashed = append(p.crashed, ended{worker: worker, at: now, runs: c.Runs})
+	p.crashed = append(p.crashed, ended{worker: worker, incarnation: c.Incarnation, at: now, runs: c.Runs})
 	p.isStale = true
-	var changes []Change
 	suspects := p.suspects(c)
-	if m.limits.Contains && (!isMember || len(suspects) == 0) {
-		if found, isFound := p.findOther(now, len(suspects) > 0); isFound {
-			changes = append(changes, p.contain(now, m.limits, found))
-			suspects = p.suspects(c)
-		}
+	if !m.limits.Contains || isMember && len(suspects) > 0 {
+		return nil
 	}
-	m.count(now, c, suspects)
-	return append(changes, p.acquit()...)
+	found, isFound := p.findOther(now, len(suspects) > 0)
+	if !isFound {
+		return nil
+	}
+	return []Change{p.contain(now, m.limits, found, c.Incarnation)}
 }
 
 // count adds a crash to the histories of its tasks.
@@ -140,7 +196,7 @@
 		known := m.tasks[run.Task]
 		m.tasks[run.Task] = History{
 			Crashes: max(known.Crashes+1, int(run.Crashes)), WasAlone: wasAlone, IsSuspect: suspects[run.Task],
-			IsRepeated: known.Crashes > 0 && isSimilar(known.ranMS, run.RanMS), ranMS: run.RanMS, at: at,
+			IsRepeated: known.Crashes > 0 && isSimilar(known.ranMS, run.RanMS), ranMS: run.RanMS, at: at, incarnation: c.Incarnation,
 		}
 	}
 }
@@ -170,6 +226,7 @@
 // forget removes what is older than the retention, and the oldest tasks beyond the limit.
 func (m *Monitor) forget(now time.Duration) {
 	maps.DeleteFunc(m.counted, func(_ string, at time.Duration) bool { return now-at > m.limits.Retention })
+	maps.DeleteFunc(m.suspected, func(_ string, at time.Duration) bool { return now-at > m.limits.Retention })
 	maps.DeleteFunc(m.tasks, func(_ string, h History) bool { return now-h.at > m.limits.Retention })
 	if excess := len(m.tasks) - m.limits.Tasks; excess > 0 {
 		oldest := slices.SortedFunc(maps.Keys(m.tasks), func(a, b string) int { return int(m.tasks[a].at - m.tasks[b].at) })
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -13,6 +13,21 @@
 	d.containmentChanged(d.crashes.Observe(now, w.Pool, w.id, c))
 }
 
+// takeCrashes handles what a frame says of the worker's end.
+func (d *Dispatcher) takeCrashes(now time.Duration, w *worker, frame *work.ToEntry) {
+	for i := range frame.Suspicions {
+		d.suspected(now, w, &frame.Suspicions[i])
+	}
+	for i := range frame.Crashes {
+		d.crashed(now, w, &frame.Crashes[i])
+	}
+}
+
+// suspected handles the report that a worker seems to have ended under runs, or that it has not. Its runs may go on.
+func (d *Dispatcher) suspected(now time.Duration, w *worker, s *work.Suspicion) {
+	d.containmentChanged(d.crashes.Suspect(now, w.Pool, w.id, s))
+}
+
 func (d *Dispatcher) containmentChanged(changes []crash.Change) {
 	for _, change := range changes {
 		note := Note{Kind: QueueReleased, Reason: change.Queue}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -253,9 +253,7 @@
 			t.job.trace.Waited = max(t.job.trace.Waited, now-t.job.arrivedAt)
 		}
 	}
-	for i := range frame.Crashes {
-		d.crashed(now, w, &frame.Crashes[i])
-	}
+	d.takeCrashes(now, w, frame)
 	for i := range frame.Ended {
 		d.ended(now, w, &frame.Ended[i])
 	}
--- a/core/dispatch/history_test.go
+++ b/core/dispatch/history_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"flamingohall.example/core/dispatch"
 )
 
 // TestHistory_NoTwoRunsAtATimeAndEveryJobAnswered injects random faults. A job whose entry has ended is submitted again
@@ -50,6 +52,33 @@
 	t.Errorf("no two runs overlapped in %d histories", safeguardHistories)
 }
 
+// TestHistory_TasksOfWorkersThatRefuseConnectionsRunOnceAtATime guards against tasks that ran twice: a worker that refused connections
+// for over 50 ms and ran on counted as one that had ended.
+func TestHistory_TasksOfWorkersThatRefuseConnectionsRunOnceAtATime(t *testing.T) {
+	for seed := range uint64(50) {
+		sim := newSimulation(t, seed, defaultLimits, 2, 3)
+		open := map[string]submittedAt{}
+		for n := range 120 {
+			sim.after(time.Second+time.Duration(sim.random.Int64N(int64(6*time.Second))), func() { sim.submitWithRetry(jobID(n), open) })
+		}
+		for range 8 {
+			worker, length := sim.workers[sim.random.IntN(3)], time.Duration(sim.random.Int64N(int64(1500*time.Millisecond)))
+			sim.after(time.Second+time.Duration(sim.random.Int64N(int64(6*time.Second))), func() { worker.refusesUntil = sim.now + length })
+		}
+		sim.run(12 * time.Second)
+		for _, overlap := range sim.overlaps {
+			t.Errorf("seed %d: %s", seed, overlap)
+		}
+		for job, answers := range sim.answers {
+			for _, answer := range answers {
+				if answer.Result == dispatch.JobFailed {
+					t.Errorf("seed %d: job %s failed, but no worker has ended", seed, job)
+				}
+			}
+		}
+	}
+}
+
 // submittedAt says which entry process has a job; incarnation is 0 if none accepted it.
 type submittedAt struct {
 	entry       int
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -432,7 +432,7 @@
 	began, incarnation := len(worker.ends), worker.incarnation
 	var poll func()
 	poll = func() {
-		if accepted == runner.Accepted && (!worker.up || worker.incarnation != incarnation) {
+		if accepted == runner.Accepted && (!worker.up || worker.isRefusing() || worker.incarnation != incarnation) {
 			reply(func() { n.core.Reported(sim.now, &runner.Report{Answer: runner.NoAnswer, Number: hold.Number}) })
 			return
 		}
@@ -478,11 +478,13 @@
 	up          bool
 	incarnation int
 	rate        float64
-	startedAt   time.Duration
-	lease       float64 // on the worker's clock, in ms
-	fence       uint64
-	runs        map[string]*fakeRun
-	ends        []runner.ReportedEnd
+	// refusesUntil is until when the worker refuses connections, while it goes on with its runs. It has broken those that were open.
+	refusesUntil time.Duration
+	startedAt    time.Duration
+	lease        float64 // on the worker's clock, in ms
+	fence        uint64
+	runs         map[string]*fakeRun
+	ends         []runner.ReportedEnd
 	// endedRuns holds the highest run of each task that was stopped or has ended.
 	endedRuns map[string]uint32
 	// lapses counts how often the lease has lapsed; endedIn holds that count at the time of each end.
@@ -518,6 +520,10 @@
 	f.runs, f.ends, f.endedIn, f.endedRuns = map[string]*fakeRun{}, nil, nil, map[string]uint32{}
 }
 
+func (f *fakeWorker) isRefusing() bool {
+	return f.simulation.now < f.refusesUntil
+}
+
 func (f *fakeWorker) record() work.Worker {
 	return work.Worker{
 		Incarnation: fmt.Sprintf("w%d@%d", f.index, f.incarnation), Pool: "p",
@@ -557,7 +563,7 @@
 
 func (f *fakeWorker) admit(order *runner.Order) runner.Answer {
 	switch {
-	case !f.up:
+	case !f.up || f.isRefusing():
 		return runner.ConnectionRefused
 	case order.Incarnation != f.record().Incarnation:
 		return runner.WrongIncarnation
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -50,7 +50,7 @@
 		r.advanceRun(now, run)
 	}
 	if r.isBusy() && r.leaseExpired(now) {
-		r.loseStarted(now)
+		r.loseLapsed(now)
 	}
 	r.dropLate(now)
 	r.updateRunTimeRatio(now)
@@ -73,22 +73,6 @@
 	return false
 }
 
-// loseStarted ends, as lost, every run that the worker may have been running. It is called once the lease has expired.
-func (r *Runner) loseStarted(now time.Duration) {
-	reason := "lease expired"
-	if r.worker.gone {
-		reason = workerEnded
-		r.reportCrash(now, reason)
-	} else {
-		r.worker.lostRuns = r.crashedRuns(now)
-	}
-	for _, run := range r.sorted() {
-		if run.usesCapacity() {
-			r.lose(now, run, reason)
-		}
-	}
-}
-
 func (r *Runner) advanceRun(now time.Duration, run *taskRun) {
 	if run.state == queued && now-run.arrivedAt > time.Duration(run.StartWithinMS)*time.Millisecond {
 		r.refuseRun(run, work.Expired)
@@ -294,7 +278,7 @@
 func isEmpty(frame *work.ToEntry) bool {
 	return frame.Probe == 0 && frame.Worker == nil && frame.Load == nil && len(frame.Started) == 0 &&
 		len(frame.Ended) == 0 && len(frame.Refused) == 0 && len(frame.Overdue) == 0 && len(frame.CancelledJobs) == 0 &&
-		len(frame.Crashes) == 0
+		len(frame.Crashes) == 0 && len(frame.Suspicions) == 0
 }
 
 // load returns the worker's current load.
--- a/core/runner/crash.go
+++ b/core/runner/crash.go
@@ -39,30 +39,36 @@
 	return runs
 }
 
-// reportCrash informs all entries if the worker has ended under runs: those that it had when it was first found gone or when its lease
-// expired, or else those that it has now. All
-// of them must know: a caller whose entry has ended submits its job to another one. The end of a worker that has said that it
-// leaves is no crash.
-func (r *Runner) reportCrash(now time.Duration, reason string) {
-	runs := r.worker.lostRuns
+// reportCrash informs all entries if the worker has ended under runs: those that it had when it was suspected or when its lease
+// expired, or else those that it has now. All of them must know: a caller whose entry has ended submits its job to another one. The end
+// of a worker that has said that it leaves is no crash.
+func (r *Runner) reportCrash(now time.Duration, by proof) {
+	w := &r.worker
+	runs := w.suspicion.runs
+	if len(runs) == 0 {
+		runs = w.lapsedRuns
+	}
 	if len(runs) == 0 {
 		runs = r.crashedRuns(now)
 	}
-	r.worker.lostRuns = nil
-	if len(runs) == 0 || r.worker.leaving {
+	isReported := slices.ContainsFunc(r.crashes, func(c crash) bool { return c.Incarnation == w.Incarnation })
+	if len(runs) == 0 || w.leaving || isReported {
 		return
 	}
-	ended := crash{Crash: work.Crash{Incarnation: r.worker.Incarnation, Runs: runs}, at: now}
+	ended := crash{Crash: work.Crash{Incarnation: w.Incarnation, Runs: runs}, at: now}
 	r.crashes = append(r.crashes, ended)
 	r.crashes = slices.Delete(r.crashes, 0, max(0, len(r.crashes)-maxCrashes))
 	for _, s := range r.sessions {
 		s.frame.Crashes = append(s.frame.Crashes, ended.Crash)
 	}
-	tasks := make([]string, len(runs))
-	for i := range runs {
-		tasks[i] = runs[i].Task
-	}
-	r.note(Note{Kind: WorkerEnded, Reason: reason, Tasks: tasks})
+	r.note(Note{Kind: WorkerEnded, Reason: by.String(), Tasks: namesOf(runs)})
+}
+
+// withdrawCrash forgets the crash of an incarnation that has answered after its lease had expired, and reports whether there was one.
+func (r *Runner) withdrawCrash(incarnation string) bool {
+	before := len(r.crashes)
+	r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return c.Incarnation == incarnation })
+	return len(r.crashes) < before
 }
 
 // sendRecentCrashes informs a new session, whose entry may have restarted.
--- a/core/runner/crash_test.go
+++ b/core/runner/crash_test.go
@@ -180,3 +180,54 @@
 		t.Errorf("crashes %+v, want one, with the run time until the worker was found gone (%v)", crashes, ran)
 	}
 }
+
+// toldOf gathers what a session is told of the worker's end while its address refuses connections for the given time.
+func (h *harness) toldOf(id runner.Session, during time.Duration) (suspicions []work.Suspicion, crashes []work.Crash) {
+	for until := h.now + during; h.now < until; h.now, h.clockMS = h.now+10*time.Millisecond, h.clockMS+10 {
+		h.core.Advance(h.now)
+		effects := h.core.Effects()
+		for _, frame := range effects.Frames {
+			if frame.Session == id {
+				suspicions, crashes = append(suspicions, frame.Suspicions...), append(crashes, frame.Crashes...)
+			}
+			if frame.Probe != 0 {
+				h.core.Take(h.now, frame.Session, &work.ToSidecar{Echo: frame.Probe})
+			}
+		}
+		if h.hold = effects.Hold; h.hold != nil {
+			h.end()
+		}
+	}
+	return suspicions, crashes
+}
+
+// TestCrash_SuspicionIsReportedAtOnceAndWithdrawnIfTheWorkerAnswers covers a worker that refuses connections and answers again, before
+// or after its lease has expired: it has not crashed, and entries must not count it against its tasks.
+func TestCrash_SuspicionIsReportedAtOnceAndWithdrawnIfTheWorkerAnswers(t *testing.T) {
+	for name, refused := range map[string]time.Duration{"before": 300 * time.Millisecond, "after": 1500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.run("a.0.0.0", 1000)
+			h.end()
+			suspicions, crashes := h.toldOf(session, 100*time.Millisecond)
+			if len(suspicions) != 1 || len(suspicions[0].Runs) != 1 || suspicions[0].OverInMS < 800 || len(crashes) != 0 {
+				t.Fatalf("suspicions %+v, crashes %+v; want one suspicion with the run and the rest of the lease", suspicions, crashes)
+			}
+			h.toldOf(session, refused)
+			for h.hold == nil {
+				h.now += 10 * time.Millisecond
+				h.core.Advance(h.now)
+				h.hold = h.core.Effects().Hold
+			}
+			h.core.Reported(h.now, &runner.Report{Answer: runner.Accepted, Number: h.hold.Number, ClockReading: h.reading()})
+			suspicions, crashes = h.toldOf(session, 10*time.Millisecond)
+			if len(suspicions) != 1 || !suspicions[0].IsWithdrawn || len(crashes) != 0 {
+				t.Errorf("suspicions %+v, crashes %+v; want the suspicion withdrawn", suspicions, crashes)
+			}
+			later := h.openAnother()
+			if crashes := h.crashesOf(later); len(crashes) != 0 {
+				t.Errorf("a later session is told of %+v", crashes)
+			}
+		})
+	}
+}
--- a/core/runner/doc.go
+++ b/core/runner/doc.go
@@ -15,7 +15,12 @@
 //   - An order without an answer is revoked. Its offer is refused only after the worker has confirmed the stop and
 //     reported its ends; only then may the entry offer the task elsewhere. If the worker starts again meanwhile, the order is
 //     revoked at the new process, which may have the ID of the old one and carry it out.
-//   - A run is over by the worker's word, with its lease, or with the end of the worker's process. That a connection is refused
-//     doesn't show that end unless it lasts and no earlier call is open, and an announcement of another incarnation doesn't
-//     unless the process at the worker's address confirms it.
+//   - A run is over by the worker's word, with its lease on the worker's clock, or once a later incarnation has answered at the
+//     worker's address (type proof). Nothing else shows it: a worker that refuses connections, for however long, may have lost only
+//     its listener, and anyone can announce another incarnation.
+//
+// # Suspicions
+//
+// That the worker seems to have ended (type suspicion) is another fact. It acts at once on what can't start a task twice: the worker
+// gets no tasks and no lease, and entries are told under which tasks it may have ended. It is withdrawn once the worker answers.
 package runner
--- a/core/runner/evidence.go
+++ b/core/runner/evidence.go
@@ -7,8 +7,8 @@
 		Incarnation: w.Incarnation, Hold: w.holdNumber, AnsweredHold: w.answeredHold, OpenHolds: w.openHolds, Failure: w.failure,
 		LeaseLeft: w.leaseEnd + r.drift() - r.advancedAt, Listed: listed,
 	}
-	if w.gone {
-		known.RefusedFor = r.advancedAt - w.goneAt
+	if w.suspicion.stands {
+		known.RefusedFor = r.advancedAt - w.suspicion.since
 	}
 	for _, run := range r.runs {
 		if run.usesCapacity() {
@@ -17,10 +17,3 @@
 	}
 	return known
 }
-
-// noteAccepted notes that the worker has answered after it had refused connections.
-func (r *Runner) noteAccepted(listed int) {
-	if r.worker.gone {
-		r.note(Note{Kind: ConnectionsAccepted, Evidence: r.evidence(listed)})
-	}
-}
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -33,8 +33,7 @@
 	w.failure = cmp.Or(report.Failure, w.failure)
 	switch report.Answer {
 	case Accepted:
-		r.noteAccepted(len(report.Running))
-		w.lostRuns = nil
+		r.answered(len(report.Running))
 		r.clearSuspect()
 	case ConnectionRefused:
 		r.holdRefused(now)
@@ -60,7 +59,7 @@
 	case Superseded, LeaseExpired, NoCapacity:
 		return
 	}
-	w.answeredHold, w.gone, w.failedHolds, w.failure = report.Number, false, 0, ""
+	w.answeredHold, w.failedHolds, w.failure = report.Number, 0, ""
 	r.updateClock(now, report.ClockReading)
 	r.applyEnds(now, report)
 	r.applyRunning(now, report)
@@ -181,7 +180,7 @@
 		}
 		run.missedReports++
 		if run.missedReports >= lostAfterReports {
-			r.lose(now, run, "not reported")
+			r.lose(now, run, notReported)
 		}
 	case stopped:
 		if report.Number < run.confirmingHold {
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -48,7 +48,7 @@
 	// missedReports counts consecutive reports that should have listed the run but did not.
 	missedReports int
 	// lostBy says how a lost run is known to be over.
-	lostBy string
+	lostBy proof
 	// outcome is the one that a stopped run is reported with.
 	outcome    work.Outcome
 	checkpoint string
@@ -131,6 +131,7 @@
 func (r *Runner) Open(now time.Duration, id Session, hello work.Hello) {
 	r.sessions[id] = &session{entry: hello.Entry, probes: map[uint64]time.Duration{}, answeredAt: now}
 	r.sendRecentCrashes(now, r.sessions[id])
+	r.sendSuspicion(now, r.sessions[id])
 }
 
 // Closed ends a session whose connection broke. Its tasks are stopped, because nothing waits for their results any more.
@@ -324,8 +325,11 @@
 	if s == nil {
 		return
 	}
-	ended := work.Ended{RunID: run.RunID, Outcome: outcome, Checkpoint: run.checkpoint, Cause: run.lostBy}
+	ended := work.Ended{RunID: run.RunID, Outcome: outcome, Checkpoint: run.checkpoint}
 	ended.AwaitsConfirmation = run.IsStored && (outcome == work.Done || outcome == work.Failed)
+	if run.lostBy != 0 {
+		ended.Cause = run.lostBy.String()
+	}
 	if run.wasStarted {
 		ended.RanMS = (now - run.startedAt).Milliseconds()
 		if outcome == work.Done && run.startedAt >= r.coldUntil {
@@ -341,7 +345,7 @@
 	case WorkerChanged:
 		n.MilliCores = r.worker.Capacity.MilliCores
 		n.Evidence = r.evidence(0)
-	case RunLost, WorkerEnded, AnnouncementIgnored, ConnectionsRefused:
+	case RunLost, WorkerEnded, WorkerSuspected, AnnouncementIgnored, ConnectionsRefused:
 		n.Evidence = r.evidence(0)
 	default:
 	}
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -482,18 +482,38 @@
 	}
 }
 
-// TestRunner_WorkerThatStaysGoneHasEnded covers the end of the worker's process: its runs are lost once a process that ends has had
-// the time for it, long before their lease expires.
-func TestRunner_WorkerThatStaysGoneHasEnded(t *testing.T) {
+// TestRunner_WorkerThatRefusesConnectionsKeepsItsRunsUntilTheLeaseEnds guards against tasks that ran twice: a worker that had refused
+// connections for 50 ms counted as ended, and its tasks were started elsewhere while it went on with them.
+func TestRunner_WorkerThatRefusesConnectionsKeepsItsRunsUntilTheLeaseEnds(t *testing.T) {
 	h := newHarness(t)
 	h.run("a.0.0.0", 1000)
 	h.offer("b.0.0.0", 8000)
 	h.step(0)
+	lease, heard := h.hold.LeaseUntilMS, h.clockMS
 	h.refuseHolds(40 * time.Millisecond)
 	if len(h.frame.Ended) != 0 || h.frame.Load.Accepts || len(h.frame.Refused) != 1 {
 		t.Fatalf("ended %v, refused %v, load %+v; want no more tasks and the run to count", h.frame.Ended, h.frame.Refused, h.frame.Load)
 	}
-	h.refuseHolds(60 * time.Millisecond)
+	// The worker's clock may run 2% slower.
+	slowest := heard + (lease-heard)*100/98
+	for h.clockMS < slowest {
+		h.refuseHolds(5 * time.Millisecond)
+		if len(h.frame.Ended) != 0 {
+			t.Fatalf("at %d: ended %v, before the lease until %d has ended on a slow clock at %d", h.clockMS, h.frame.Ended, lease, slowest)
+		}
+	}
+	h.refuseHolds(100 * time.Millisecond)
+	if len(h.frame.Ended) != 1 || h.frame.Ended[0].Outcome != work.Lost {
+		t.Errorf("ended %v, want the run lost", h.frame.Ended)
+	}
+}
+
+// TestRunner_ReplacedWorkerLosesItsRunsAtOnce covers the end of a worker that is replaced before its lease has expired.
+func TestRunner_ReplacedWorkerLosesItsRunsAtOnce(t *testing.T) {
+	h := newHarness(t)
+	h.run("a.0.0.0", 1000)
+	h.refuseHolds(100 * time.Millisecond)
+	h.restart(announcement(2))
 	if len(h.frame.Ended) != 1 || h.frame.Ended[0].Outcome != work.Lost {
 		t.Errorf("ended %v, want the run lost", h.frame.Ended)
 	}
--- a/core/runner/types.go
+++ b/core/runner/types.go
@@ -211,7 +211,7 @@
 	MilliCores int64
 	// Tasks are those under which the worker ended.
 	Tasks []string
-	// Evidence is set for the kinds RunLost, WorkerChanged, WorkerEnded, AnnouncementIgnored, ConnectionsRefused and ConnectionsAccepted.
+	// Evidence is set for the kinds RunLost, WorkerChanged, WorkerSuspected, WorkerEnded, AnnouncementIgnored, ConnectionsRefused and ConnectionsAccepted.
 	Evidence Evidence
 }
 
@@ -236,6 +236,8 @@
 	WorkerChanged
 	// AnnouncementIgnored means that another incarnation was announced than the one at the worker's address. Reason names it.
 	AnnouncementIgnored
+	// WorkerSuspected means that the worker seems to have ended while it had runs, which still count.
+	WorkerSuspected
 	// WorkerEnded means that the worker ended while it had runs, without having said that it leaves.
 	WorkerEnded
 	// ConnectionsRefused means that the worker's address has begun to refuse connections.
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -23,8 +23,6 @@
 	// holdRetryDelay is the delay after a failed Hold, refusedHoldDelay that after one whose connection was refused.
 	holdRetryDelay   = 50 * time.Millisecond
 	refusedHoldDelay = 25 * time.Millisecond
-	// endTime is how long a process that ends may take to end its runs after it has stopped listening: as long as a stop.
-	endTime = 50 * time.Millisecond
 	// fenceStep is added when the worker has seen a higher fence. Fences start at a Unix time in milliseconds; the step
 	// is larger than any clock error.
 	fenceStep = 1 << 33
@@ -37,9 +35,8 @@
 	work.Worker
 	known   bool
 	leaving bool
-	// gone is true while nothing listens at the worker's address, since goneAt.
-	gone   bool
-	goneAt time.Duration
+	// suspicion is that the worker has ended.
+	suspicion suspicion
 	// openHolds is the number of Holds without an answer.
 	openHolds int
 	sequence  uint64
@@ -73,9 +70,8 @@
 	failedHolds int
 	// backoffUntil is when an unhealthy worker gets new tasks again.
 	backoffUntil time.Duration
-	// lostRuns are the runs that the worker had when it was found gone, or that ended with the lease. The worker ended under them if
-	// it does not answer again.
-	lostRuns []work.CrashedRun
+	// lapsedRuns are those that ended with the lease of a worker that had not answered. It ended under them if it does not answer again.
+	lapsedRuns []work.CrashedRun
 	// unorderedRuns is the number of runs in the last report that this process did not order. Their resources are unknown.
 	unorderedRuns int
 	// heardAt is when the worker last answered; silence is the time since then at the last Advance.
@@ -85,7 +81,7 @@
 
 // accepts reports whether new tasks may be offered.
 func (w *worker) accepts() bool {
-	return w.known && !w.leaving && !w.gone && !w.suspect && w.clockAt != 0
+	return w.known && !w.leaving && !w.suspicion.stands && !w.suspect && w.clockAt != 0
 }
 
 // Announced handles an announcement of the worker.
@@ -158,7 +154,7 @@
 
 func (r *Runner) describe() string {
 	switch {
-	case r.worker.gone:
+	case r.worker.suspicion.stands:
 		return "gone"
 	case r.worker.leaving:
 		return "leaving"
@@ -171,14 +167,14 @@
 // reset starts a new incarnation of the worker. All runs of the previous one are lost. A Start that has no answer yet may be carried
 // out by the new one, if it has the ID of the old one, and is revoked there.
 func (r *Runner) reset(now time.Duration, announced Announcement) {
-	r.reportCrash(now, "worker restarted")
+	r.reportCrash(now, workerReplaced)
 	var leaseEnd time.Duration
 	for _, run := range r.sorted() {
 		if run.usesCapacity() && !run.wasStarted {
 			r.revokeAgain(now, run)
 			leaseEnd = now + r.limits.Lease
 		} else {
-			r.lose(now, run, "worker restarted")
+			r.lose(now, run, workerReplaced)
 		}
 	}
 	fence := r.worker.fence
@@ -203,48 +199,6 @@
 	}
 }
 
-// holdRefused handles that nothing listens at the worker's address. The worker has ended if that lasts and no earlier call to it is
-// open: a process that ends takes some time for its runs, and one that only stops listening keeps its connections. Otherwise its runs
-// count until their lease, which isn't renewed, has expired.
-func (r *Runner) holdRefused(now time.Duration) {
-	w := &r.worker
-	w.nextHold = now + refusedHoldDelay
-	if !w.gone {
-		w.gone, w.goneAt = true, now
-		r.refuseQueued()
-		if r.isBusy() {
-			w.lostRuns = r.crashedRuns(now)
-		}
-		r.note(Note{Kind: ConnectionsRefused})
-		r.note(Note{Kind: WorkerChanged, Reason: r.describe()})
-		return
-	}
-	if now-w.goneAt < endTime || w.openHolds > 0 {
-		return
-	}
-	r.reportCrash(now, workerEnded)
-	for _, run := range r.sorted() {
-		r.lose(now, run, workerEnded)
-	}
-}
-
-// workerEnded is the reason of the loss of runs whose worker has ended.
-const workerEnded = "worker ended"
-
-func (r *Runner) lose(now time.Duration, run *taskRun, reason string) {
-	if run.state == queued {
-		r.refuseRun(run, work.Unavailable)
-		return
-	}
-	note := Note{Kind: RunLost, RunID: run.RunID, Session: run.session, Reason: reason}
-	if run.wasStarted {
-		note.Ran = now - run.startedAt
-	}
-	r.note(note)
-	run.lostBy = reason
-	r.end(now, run, work.Lost)
-}
-
 // updateClock stores a reading of the worker's clock, which also shows that the worker has answered.
 func (r *Runner) updateClock(now time.Duration, reading ClockReading) {
 	if reading.ClockMS == 0 {
@@ -274,7 +228,7 @@
 	w := &r.worker
 	order := Order{Incarnation: w.Incarnation, Fence: w.fence}
 	end := r.lease(now)
-	if w.clockAt == 0 || end <= now || w.suspect || w.gone || (r.leaseMustExpire() || w.unorderedRuns > 0) && !r.isBusy() {
+	if w.clockAt == 0 || end <= now || w.suspect || w.suspicion.stands || (r.leaseMustExpire() || w.unorderedRuns > 0) && !r.isBusy() {
 		// The runs of a worker that does not answer, and those that a predecessor of this process ordered, must end at a known
 		// time, so their lease is not renewed.
 		return order
--- a/core/work/message.go
+++ b/core/work/message.go
@@ -102,6 +102,22 @@
 	Overdue []Overdue `cbor:"8,keyasint,omitempty"`
 	// Crashes go to every entry. One precedes, in the same frame or an earlier one, the ends of its runs.
 	Crashes []Crash `cbor:"9,keyasint,omitempty"`
+	// Suspicions go to every entry. They precede a Crash of the same incarnation. An entry that ignores them learns the Crash.
+	Suspicions []Suspicion `cbor:"10,keyasint,omitempty"`
+}
+
+// Suspicion reports that a worker seems to have ended under runs, or that it has not. The runs may go on: they are over only when
+// their ends are reported.
+type Suspicion struct {
+	// Incarnation of the worker.
+	Incarnation string       `cbor:"1,keyasint"`
+	Runs        []CrashedRun `cbor:"2,keyasint,omitempty"`
+	// AgeMS is how long ago the worker seemed to end.
+	AgeMS int64 `cbor:"3,keyasint,omitempty"`
+	// OverInMS is the time until the lease of the runs has expired. The worker gets no other lease before it has answered.
+	OverInMS int64 `cbor:"4,keyasint,omitempty"`
+	// IsWithdrawn means that the worker has answered. A Crash of the same incarnation, if there was one, is void as well.
+	IsWithdrawn bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Crash reports that a worker ended under runs, without having said that it leaves.
--- a/node/agent/report.go
+++ b/node/agent/report.go
@@ -80,6 +80,8 @@
 		events.ConnectionsRefused.Log(logger, append([]any{"age_ms", age}, evidence(&note)...)...)
 	case runner.ConnectionsAccepted:
 		events.ConnectionsAccepted.Log(logger, append([]any{"age_ms", age}, evidence(&note)...)...)
+	case runner.WorkerSuspected:
+		events.WorkerSuspected.Log(logger, append([]any{"tasks", note.Tasks, "age_ms", age}, evidence(&note)...)...)
 	case runner.WorkerEnded:
 		a.counters.workerEnds.Add(1)
 		events.WorkerEnded.Log(logger, append([]any{"reason", note.Reason, "runs", len(note.Tasks), "tasks", note.Tasks, "age_ms", age}, evidence(&note)...)...)
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -24,6 +24,9 @@
 		"if most are not met in time, switch the pool's reservations off")
 	AnnouncementIgnored = define(3213, Warn, "announcement ignored", "another worker, or another start of this one, was announced than the one that listens at the worker's address",
 		"find out who announces it, if this continues")
+	WorkerSuspected = define(3216, Warn, "worker seems to have ended under runs",
+		"the worker has refused connections for a while; its runs count as running until its lease has expired, another incarnation answers, or it answers itself (3215)",
+		"compare with 3209, which follows if the worker has ended")
 	ConnectionsRefused = define(3214, Warn, "worker refuses connections",
 		"nothing listens at the worker's address; the worker gets no tasks, and its lease isn't renewed. It may have ended, or go on with its runs: "+
 			"see the answer that follows (3215, 3209, 3207), the error of the call, the open calls, and the age of the last answer",
--- a/node/workwire/fuzz_test.go
+++ b/node/workwire/fuzz_test.go
@@ -55,6 +55,7 @@
 		Refused: []work.Refused{{RunID: id, Reason: work.Full}}, Overdue: []work.Overdue{{RunID: id, RemainingMS: -1}},
 		CancelledJobs: []string{"j"},
 		Crashes:       []work.Crash{{Incarnation: "w", AgeMS: -1, Runs: []work.CrashedRun{{Task: id.Task, Queue: "q", Crashes: 2, WasStarted: true, RanMS: -5}}}},
+		Suspicions:    []work.Suspicion{{Incarnation: "w", OverInMS: -1, Runs: []work.CrashedRun{{Task: id.Task, Queue: "q"}}}, {IsWithdrawn: true}},
 	}))
 	f.Add([]byte{0xa1, 0x05, 0x81, 0xa0})
 	f.Fuzz(func(_ *testing.T, encoded []byte) {
