Hold a given-up job until its runs are known to be over

Callers that submit a job again after it was given up (their deadline had passed, or they had left) could have its tasks run twice at the same time.

Cause: the entry assumed that the runs of such a job are over 500 ms after their stops, as long as it has sessions with their sidecars. A worker that refuses connections, or doesn't answer its sidecar, gets no stop, and goes on for the rest of its lease, or longer if it answers holds and leaves stops unanswered.

The entry now keeps the runs of such a job until their sidecars report their ends or refusals, or the session ends and its grant has passed. In calm a copy starts sooner than before: after the stop instead of 500 ms.

TestInProgress_GivenUpJobIsHeldUntilItsRunsHaveEnded demanded the old rule (a second offer 510 ms after the stops, without any report). It now demands none for 3 s without a report, and one at once after the report of the end, the refusal, or the grant of an ended session. TestAnswered_JobThatWasNotRunMayBeSubmittedAgain waited 500 ms for the same reason; there the sidecar reports the end instead.

--- a/core/dispatch/answered_test.go
+++ b/core/dispatch/answered_test.go
@@ -100,8 +100,9 @@
 		t.Fatalf("answers %+v, want one refused and one given up", h.answers)
 	}
 	before := h.total()
-	// The stops of the job whose caller has left take a moment; see TestInProgress_GivenUpJobIsHeldUntilItsRunsHaveEnded.
-	h.step(500 * time.Millisecond)
+	// The run of the job whose caller has left ends first; see TestInProgress_GivenUpJobIsHeldUntilItsRunsHaveEnded.
+	worker, offer := h.lastOffer("left.0.0.0")
+	h.ended(worker, offer.RunID, work.Stopped)
 	for _, job := range []string{"refused", "left"} {
 		delete(h.answers, job)
 		h.submit(job, 1, 60*time.Millisecond)
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -187,6 +187,7 @@
 		}
 		t.run.endsBy = w.answeredAt + d.limits.Grant
 	}
+	d.inProgress.sessionEnded(id, w.answeredAt+d.limits.Grant)
 	d.note(Note{Kind: SessionLost, Worker: id, Age: now - w.answeredAt})
 }
 
@@ -203,7 +204,7 @@
 			w.overdueSince = 0
 		case w.overdueSince == 0:
 			w.overdueSince = now
-		case now >= w.overdueSince+overdueTime && len(d.tasksAt(w.id)) > 0:
+		case now >= w.overdueSince+overdueTime && (len(d.tasksAt(w.id)) > 0 || d.inProgress.hasRunsAt(w.id)):
 			d.Closed(now, w.id)
 			d.effects.Close = append(d.effects.Close, w.id)
 		}
--- a/core/dispatch/ended.go
+++ b/core/dispatch/ended.go
@@ -12,6 +12,7 @@
 	if ended.AwaitsConfirmation {
 		d.record(w, ended)
 	}
+	d.inProgress.runOver(w.id, ended.RunID)
 	t := d.taskAt(w.id, ended.RunID)
 	if t == nil || !t.isOutstanding() {
 		d.earlierRunEnded(ended)
@@ -111,6 +112,7 @@
 
 // refused handles the rejection of an offer: the run has not started and never will.
 func (d *Dispatcher) refused(now time.Duration, w *worker, refused work.Refused) {
+	d.inProgress.runOver(w.id, refused.RunID)
 	t := d.taskAt(w.id, refused.RunID)
 	if t == nil || !t.isOutstanding() || t.state == started {
 		return
--- a/core/dispatch/history_test.go
+++ b/core/dispatch/history_test.go
@@ -79,6 +79,35 @@
 	}
 }
 
+// TestHistory_GivenUpJobThatIsSubmittedAgainRunsOnceAtATime guards against tasks that ran twice: the runs of a job that was given up counted
+// as over 500 ms later, though their worker couldn't be reached and went on with them.
+func TestHistory_GivenUpJobThatIsSubmittedAgainRunsOnceAtATime(t *testing.T) {
+	for seed := range uint64(20) {
+		sim := newSimulation(t, seed, defaultLimits, 1, 3)
+		var submit func(job string, left int)
+		submit = func(job string, left int) {
+			known := len(sim.answers[job])
+			sim.submit(0, job, 1, 100*time.Millisecond, 300*time.Millisecond)
+			sim.after(350*time.Millisecond, func() {
+				if answers := sim.answers[job]; len(answers) > known && answers[known].Result == dispatch.GivenUp && left > 0 {
+					submit(job, left-1)
+				}
+			})
+		}
+		for n := range 60 {
+			sim.after(time.Second+time.Duration(sim.random.Int64N(int64(6*time.Second))), func() { submit(jobID(n), 6) })
+		}
+		for range 8 {
+			worker, length := sim.workers[sim.random.IntN(3)], time.Duration(sim.random.Int64N(int64(1500*time.Millisecond)))
+			sim.after(time.Second+time.Duration(sim.random.Int64N(int64(6*time.Second))), func() { worker.refusesUntil = sim.now + length })
+		}
+		sim.run(12 * time.Second)
+		for _, overlap := range sim.overlaps {
+			t.Errorf("seed %d: %s", seed, overlap)
+		}
+	}
+}
+
 // submittedAt says which entry process has a job; incarnation is 0 if none accepted it.
 type submittedAt struct {
 	entry       int
--- a/core/dispatch/inprogress.go
+++ b/core/dispatch/inprogress.go
@@ -1,21 +1,33 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
-)
 
-// stopTime is how long the stops of a job's tasks take at most while their sessions have connections.
-const stopTime = 500 * time.Millisecond
+	"flamingohall.example/core/work"
+)
 
 // inProgress holds what this entry knows of jobs whose callers wait and whose tasks may run now, beside its own jobs.
 // A caller that gets no answer in time submits its job again, maybe at another entry, while the first one still runs it.
 type inProgress struct {
 	// byEntry holds what other entries have reported, by the entry's ID.
 	byEntry map[string]reportedJobs
-	// ending holds until when tasks of jobs that this entry has given up may still run, by the job's key.
-	ending map[uint64]time.Duration
+	// ending holds the runs of jobs that this entry has given up, by the job's key.
+	ending map[uint64]*endingRuns
+	// keys holds the job's key of each of these runs.
+	keys map[work.RunID]uint64
+}
+
+// endingRuns are the runs of a job that has been given up, until their ends are known.
+type endingRuns struct {
+	// workers are those of the runs whose ends or refusals their sidecars have not reported.
+	workers map[work.RunID]string
+	// until is when the runs of ended sessions are over.
+	until time.Duration
+}
+
+func (e *endingRuns) isOver(now time.Duration) bool {
+	return len(e.workers) == 0 && now >= e.until
 }
 
 // reportedJobs are the keys of jobs in progress at another entry. They count until then.
@@ -25,12 +37,12 @@
 }
 
 func newInProgress() inProgress {
-	return inProgress{byEntry: map[string]reportedJobs{}, ending: map[uint64]time.Duration{}}
+	return inProgress{byEntry: map[string]reportedJobs{}, ending: map[uint64]*endingRuns{}, keys: map[work.RunID]uint64{}}
 }
 
 // holds reports whether tasks of the job with the key may run now.
 func (p *inProgress) holds(now time.Duration, key uint64) bool {
-	if now < p.ending[key] {
+	if ending := p.ending[key]; ending != nil && !ending.isOver(now) {
 		return true
 	}
 	for _, reported := range p.byEntry {
@@ -50,12 +62,53 @@
 		}
 	}
 	d.inProgress.dropEnded(now)
-	return slices.AppendSeq(keys, maps.Keys(d.inProgress.ending))
+	for key := range d.inProgress.ending {
+		keys = append(keys, key)
+	}
+	return keys
 }
 
 // dropEnded forgets the jobs whose runs have ended.
 func (p *inProgress) dropEnded(now time.Duration) {
-	maps.DeleteFunc(p.ending, func(_ uint64, until time.Duration) bool { return now >= until })
+	for key, ending := range p.ending {
+		if ending.isOver(now) {
+			delete(p.ending, key)
+		}
+	}
+}
+
+// runOver handles the report of a worker's sidecar that a run has ended, or has not started and never will.
+func (p *inProgress) runOver(worker string, run work.RunID) {
+	ending := p.ending[p.keys[run]]
+	if ending == nil || ending.workers[run] != worker {
+		return
+	}
+	delete(ending.workers, run)
+	delete(p.keys, run)
+}
+
+// sessionEnded handles the end of a session, after which no ends are reported. Its runs are over at the given time.
+func (p *inProgress) sessionEnded(worker string, overAt time.Duration) {
+	for _, ending := range p.ending {
+		for run, at := range ending.workers {
+			if at == worker {
+				ending.until = max(ending.until, overAt)
+				p.runOver(worker, run)
+			}
+		}
+	}
+}
+
+// hasRunsAt reports whether the end of any run at a worker is awaited.
+func (p *inProgress) hasRunsAt(worker string) bool {
+	for _, ending := range p.ending {
+		for _, at := range ending.workers {
+			if at == worker {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // InProgressElsewhere handles the report of another entry, which replaces the one before. It counts for the given time: an
@@ -94,23 +147,26 @@
 	}
 }
 
-// noteEnding remembers until when tasks of a job that is given up may still run.
+// noteEnding remembers the runs of a job that is given up. Their stops may take as long as their sidecars get no answers from the
+// workers, which hold leases meanwhile.
 func (d *Dispatcher) noteEnding(now time.Duration, j *job) {
 	if j.IsStored || !j.wasOffered() {
 		return
 	}
-	until := now + stopTime
+	d.inProgress.dropEnded(now)
+	ending := d.inProgress.ending[j.key]
+	if ending == nil {
+		ending = &endingRuns{workers: map[work.RunID]string{}}
+		d.inProgress.ending[j.key] = ending
+	}
 	for _, t := range j.tasks {
 		switch t.state {
 		case uncertain:
-			until = max(until, t.run.endsBy)
+			ending.until = max(ending.until, t.run.endsBy)
 		case offered, started:
-			if w := d.workers[t.run.worker]; !w.isAttached {
-				until = max(until, w.answeredAt+d.limits.Grant)
-			}
+			ending.workers[t.id()] = t.run.worker
+			d.inProgress.keys[t.id()] = j.key
 		case blocked, waiting, finished, exhausted:
 		}
 	}
-	d.inProgress.dropEnded(now)
-	d.inProgress.ending[j.key] = until
 }
--- a/core/dispatch/inprogress_test.go
+++ b/core/dispatch/inprogress_test.go
@@ -108,30 +108,59 @@
 	}
 }
 
-// TestInProgress_GivenUpJobIsHeldUntilItsRunsHaveEnded guards against a caller that submits its job again while stops are on their way.
+// TestInProgress_GivenUpJobIsHeldUntilItsRunsHaveEnded guards against tasks that ran twice: a caller submits its job again while the runs of
+// the first submission go on. They counted as over 500 ms after the stops, though a worker that can't be reached goes on for its lease.
 func TestInProgress_GivenUpJobIsHeldUntilItsRunsHaveEnded(t *testing.T) {
-	h := newHarness(t, 2)
-	s := submission("j", 1, 60*time.Millisecond)
-	s.Timeout = time.Second
-	h.core.Submit(h.now, s)
-	h.step(0)
-	h.step(time.Second)
-	if got := h.answers["j"]; got.Result != dispatch.GivenUp || h.total() != 1 {
-		t.Fatalf("answer %+v after %d offers, want the job given up after 1", got, h.total())
-	}
-	if keys := h.core.InProgress(h.now); len(keys) != 1 {
-		t.Errorf("keys %v in progress, want that of the job whose stops are on their way", keys)
-	}
-	h.core.Submit(h.now, s)
-	h.step(400 * time.Millisecond)
-	if h.total() != 1 {
-		t.Errorf("%d offers while the stops are on their way, want 1", h.total())
-	}
-	h.step(110 * time.Millisecond)
-	if h.total() != 2 {
-		t.Errorf("%d offers after the stops, want 2", h.total())
-	}
-	if keys := h.core.InProgress(h.now); len(keys) != 1 {
-		t.Errorf("keys %v in progress, want that of the job in progress", keys)
+	for name, end := range map[string]func(h *harness, worker string, run work.RunID){
+		"the sidecar reports the end": func(h *harness, worker string, run work.RunID) { h.ended(worker, run, work.Stopped) },
+		"the sidecar reports that it never started": func(h *harness, worker string, run work.RunID) {
+			h.core.Take(h.now, worker, &work.ToEntry{Refused: []work.Refused{{RunID: run, Reason: work.Unanswered}}})
+			h.step(0)
+		},
+		"the session ends": func(h *harness, worker string, _ work.RunID) {
+			h.core.Closed(h.now, worker)
+			h.step(dispatch.DefaultLimits.Grant - 10*time.Millisecond)
+			if h.total() != 1 {
+				h.t.Errorf("%d offers before the grant has ended, want 1", h.total())
+			}
+			h.step(10 * time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			s := submission("j", 1, 60*time.Millisecond)
+			s.Timeout = time.Second
+			h.core.Submit(h.now, s)
+			h.step(0)
+			worker, offer := h.lastOffer("j.0.0.0")
+			h.step(900 * time.Millisecond)
+			h.probe("s0")
+			h.probe("s1")
+			h.step(100 * time.Millisecond)
+			if got := h.answers["j"]; got.Result != dispatch.GivenUp || h.total() != 1 {
+				t.Fatalf("answer %+v after %d offers, want the job given up after 1", got, h.total())
+			}
+			if keys := h.core.InProgress(h.now); len(keys) != 1 {
+				t.Errorf("keys %v in progress, want that of the job whose runs have not ended", keys)
+			}
+			s.Timeout = time.Minute
+			h.core.Submit(h.now, s)
+			for range 30 {
+				h.step(100 * time.Millisecond)
+				h.probe("s0")
+				h.probe("s1")
+			}
+			if h.total() != 1 {
+				t.Fatalf("%d offers while the first run has not ended, want 1", h.total())
+			}
+			end(h, worker, offer.RunID)
+			h.step(0)
+			if h.total() != 2 {
+				t.Errorf("%d offers after the end, want 2", h.total())
+			}
+			if keys := h.core.InProgress(h.now); len(keys) != 1 {
+				t.Errorf("keys %v in progress, want that of the job in progress", keys)
+			}
+		})
 	}
 }
