Look through the tasks once for all unreachable sidecars

What callers saw: jobs served late or refused with 503 for as long as sidecars that were gone stayed registered, 30 s.

Why it works: one pass serves all overdue sidecars, and those without tasks are looked at again only after overdueTime. A session with tasks is closed at the same time as before; one that gets its first task after its grant has ended is closed up to overdueTime later.

TestGrant_TasksOfferedAfterTheGrantRunElsewhere passes before and after; it guards the second look. go test ./core/dispatch passes.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -198,17 +198,42 @@
 // endGrants closes the sessions with tasks of sidecars that have been unreachable for so long that no offer of this entry runs there any
 // more. The connection alone doesn't show that: a VM without power doesn't end it, and a session outlives its connections.
 func (d *Dispatcher) endGrants(now time.Duration) {
+	var overdue []*worker
 	for _, w := range d.sortedWorkers {
 		switch {
 		case !w.isUp || now < w.answeredAt+d.limits.Grant:
 			w.overdueSince = 0
 		case w.overdueSince == 0:
 			w.overdueSince = now
-		case now >= w.overdueSince+overdueTime && (len(d.tasksAt(w.id)) > 0 || d.inProgress.hasRunsAt(w.id)):
-			d.Closed(now, w.id)
-			d.effects.Close = append(d.effects.Close, w.id)
+		case now >= w.overdueSince+overdueTime:
+			overdue = append(overdue, w)
 		}
 	}
+	if len(overdue) == 0 {
+		return
+	}
+	// Those without runs, which may stay registered for long, are looked at again only after overdueTime.
+	withRuns := d.workersWithRuns()
+	for _, w := range overdue {
+		if !withRuns[w.id] {
+			w.overdueSince = now
+			continue
+		}
+		d.Closed(now, w.id)
+		d.effects.Close = append(d.effects.Close, w.id)
+	}
+}
+
+// workersWithRuns returns the workers whose sessions have runs of this entry, in one pass over the tasks for all of them.
+func (d *Dispatcher) workersWithRuns() map[string]bool {
+	withRuns := map[string]bool{}
+	for _, t := range d.tasks {
+		if t.belongsToSession() {
+			withRuns[t.run.worker] = true
+		}
+	}
+	d.inProgress.addWorkers(withRuns)
+	return withRuns
 }
 
 // Removed forgets a worker that is no longer registered.
@@ -223,7 +248,7 @@
 func (d *Dispatcher) tasksAt(id string) []*task {
 	var atWorker []*task
 	for _, t := range d.tasks {
-		if t.run.worker == id && (t.state == offered || t.state == started || t.state == uncertain && t.run.endsBy == 0) {
+		if t.run.worker == id && t.belongsToSession() {
 			atWorker = append(atWorker, t)
 		}
 	}
@@ -231,6 +256,11 @@
 	return atWorker
 }
 
+// belongsToSession reports whether the task has a run that belongs to its worker's session.
+func (t *task) belongsToSession() bool {
+	return t.state == offered || t.state == started || t.state == uncertain && t.run.endsBy == 0
+}
+
 // Take handles one frame from a sidecar.
 func (d *Dispatcher) Take(now time.Duration, id string, frame *work.ToEntry) {
 	w := d.workers[id]
--- a/core/dispatch/grant_test.go
+++ b/core/dispatch/grant_test.go
@@ -79,3 +79,24 @@
 		t.Errorf("answer %+v after %d offers", got, h.total())
 	}
 }
+
+// TestGrant_TasksOfferedAfterTheGrantRunElsewhere guards against a session that is found overdue without tasks, and then never looked at
+// again.
+func TestGrant_TasksOfferedAfterTheGrantRunElsewhere(t *testing.T) {
+	h := newHarness(t, 1)
+	for range 20 {
+		h.step(100 * time.Millisecond)
+	}
+	if len(h.closed) != 0 {
+		t.Fatalf("closed %v without tasks", h.closed)
+	}
+	s := submission("j", 1, 60*time.Millisecond)
+	s.Timeout = time.Minute
+	h.core.Submit(h.now, s)
+	for range 4 {
+		h.step(100 * time.Millisecond)
+	}
+	if h.total() != 1 || !slices.Equal(h.closed, []string{"s0"}) {
+		t.Errorf("%d offers, closed %v; want the session closed", h.total(), h.closed)
+	}
+}
--- a/core/dispatch/inprogress.go
+++ b/core/dispatch/inprogress.go
@@ -99,16 +99,13 @@
 	}
 }
 
-// hasRunsAt reports whether the end of any run at a worker is awaited.
-func (p *inProgress) hasRunsAt(worker string) bool {
+// addWorkers adds the workers at which the end of any run is awaited.
+func (p *inProgress) addWorkers(workers map[string]bool) {
 	for _, ending := range p.ending {
 		for _, at := range ending.workers {
-			if at == worker {
-				return true
-			}
+			workers[at] = true
 		}
 	}
-	return false
 }
 
 // InProgressElsewhere handles the report of another entry, which replaces the one before. It counts for the given time: an
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -11,7 +11,7 @@
 
 // harness runs a dispatcher; the test acts as its workers.
 type harness struct {
-	t                *testing.T
+	t                testing.TB
 	core             *dispatch.Dispatcher
 	now              time.Duration
 	offers           map[string][]work.Offer
@@ -25,12 +25,12 @@
 }
 
 // newHarness returns a dispatcher with idle workers of 32 cores.
-func newHarness(t *testing.T, workers int) *harness {
+func newHarness(t testing.TB, workers int) *harness {
 	t.Helper()
 	return newHarnessOf(t, dispatch.DefaultLimits, workers)
 }
 
-func newHarnessOf(t *testing.T, limits dispatch.Limits, workers int) *harness {
+func newHarnessOf(t testing.TB, limits dispatch.Limits, workers int) *harness {
 	t.Helper()
 	h := &harness{
 		t: t, core: dispatch.New(limits, "a", 1), now: time.Minute,
