Count only tasks that may take the capacity as ahead of a job

Callers of healthy queues were refused as overloaded although workers were free, while another queue was contained after crashes.

Cause: admission counts the tasks of this entry that wait for a worker as ahead of a new job. It included those of contained queues, which wait for their own workers and may use no others, and those held back as suspects. Since lost runs count until their lease has expired, more of them wait: with 2 or 3 of 11 workers up, up to 20 such tasks were ahead of jobs for which there was room.

Without a contained queue nothing changes.

--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -82,6 +82,27 @@
 	return crash.Allowance{}
 }
 
+// competitors returns which waiting tasks of the pool may take capacity that a queue may use. While queues are contained, those of
+// another queue may be confined to other workers, or held back.
+func (d *Dispatcher) competitors(now time.Duration, queue *Queue) func(t *task) bool {
+	if !d.crashes.HasContained(queue.Pool) {
+		return func(*task) bool { return true }
+	}
+	own, known := d.allowance(queue), map[string]bool{queue.Name: true}
+	return func(t *task) bool {
+		other := &t.job.Queue
+		competes, isKnown := known[other.Name]
+		if !isKnown {
+			allowance := d.allowance(other)
+			competes = slices.ContainsFunc(d.sortedWorkers, func(w *worker) bool {
+				return w.Pool == queue.Pool && w.isUp && w.isAttached && w.load.Accepts && own.Allows(w.id) && allowance.Allows(w.id)
+			})
+			known[other.Name] = competes
+		}
+		return competes && (other.Name == queue.Name || !d.isHeldBack(now, t))
+	}
+}
+
 // isExclusive reports whether a task may run only beside tasks of its own job, which shows whether it ends its workers or was
 // beside a task that did.
 func (d *Dispatcher) isExclusive(t *task) bool {
--- a/core/dispatch/deadly_test.go
+++ b/core/dispatch/deadly_test.go
@@ -449,3 +449,29 @@
 		t.Errorf("answer %+v, want the job given up", got)
 	}
 }
+
+// TestDeadly_WaitingTasksOfAContainedQueueTakeNoRoomOfOthers covers jobs that were refused although workers were free: the tasks of a
+// contained queue waited for its own workers, and were expected to start before the others on those that it must not use.
+func TestDeadly_WaitingTasksOfAContainedQueueTakeNoRoomOfOthers(t *testing.T) {
+	h := newHarness(t, 4)
+	h.submit("j", 8, 300*time.Millisecond)
+	for n, worker := range []string{"s0", "s1"} {
+		h.crash(worker, n, work.CrashedRun{Task: "deadly.0.0.0", Queue: "q", Crashes: uint32(n + 1), WasStarted: true, RanMS: 8, ExpectedMS: 300})
+	}
+	h.down("s0", "s1")
+	for n := range 8 {
+		worker, offer := h.lastOffer(fmt.Sprintf("j.0.0.%d", n))
+		h.ended(worker, offer.RunID, work.Lost)
+	}
+	for _, worker := range []string{"s2", "s3"} {
+		h.load(worker, work.Load{Committed: work.Needs{MilliCores: 24000}, WaitMS: [work.SlackLevels]int64{200, 200, 200}})
+	}
+	before := h.total()
+	s := submission("other", 4, 60*time.Millisecond)
+	s.Queue.Name = "other"
+	h.core.Submit(h.now, s)
+	h.step(0)
+	if got, isAnswered := h.answers["other"]; isAnswered || h.total() != before+4 {
+		t.Errorf("answer %+v after %d offers, want the four tasks of the other queue offered", got, h.total()-before)
+	}
+}
--- a/core/dispatch/sharing.go
+++ b/core/dispatch/sharing.go
@@ -171,7 +171,7 @@
 // hasCapacity reports whether more than maxFreeShare of the places that the pool has for tasks of the job's first steps are free, on
 // workers that the job may use and on which it would be in time, less the places that this entry's waiting tasks take.
 func (d *Dispatcher) hasCapacity(now time.Duration, j *job) bool {
-	ahead := d.unreported(j)
+	ahead := d.unreported(now, j)
 	allowance := d.allowance(&j.Queue)
 	for i := range j.Steps {
 		step := &j.Steps[i]
--- a/core/dispatch/submit.go
+++ b/core/dispatch/submit.go
@@ -94,7 +94,7 @@
 // expectedWait returns how long the job's first tasks are expected to wait, and the reason if that is too long. During
 // bursts, a job that cannot end in time is refused at once, so that it does not delay jobs that can.
 func (d *Dispatcher) expectedWait(now time.Duration, j *job) (time.Duration, Cause) {
-	ahead := d.unreported(j)
+	ahead := d.unreported(now, j)
 	late := &d.limits.Policy.Late
 	if j.isLate(now) && (late.DrainShare > 0 || d.usedShare(j.Queue.Pool, ahead) > late.MaxLateUsedShare) {
 		return 0, Overloaded
@@ -121,10 +121,11 @@
 // unreported returns what accepted tasks need that neither a load report nor a pending offer counts: the tasks of this
 // entry that are not offered yet. For a job that waited for the startup of this process, it includes an estimate for the
 // other entries: after a loss of everything, each of them accepts at the same moment as much as this one.
-func (d *Dispatcher) unreported(j *job) work.Needs {
+func (d *Dispatcher) unreported(now time.Duration, j *job) work.Needs {
 	var waits work.Needs
+	competes := d.competitors(now, &j.Queue)
 	for _, t := range d.waiting {
-		if t.job.Queue.Pool == j.Queue.Pool && t.state == waiting && !t.job.isLateWork {
+		if t.job.Queue.Pool == j.Queue.Pool && t.state == waiting && !t.job.isLateWork && competes(t) {
 			waits = waits.Plus(t.step.Needs)
 		}
 	}
