Fail a job for crashes under its task only once they are confirmed

Callers could be told that their job failed because workers had ended under its task, though none had: a worker that refuses connections until its lease has expired was counted as crashed at once, also for giving the task up, and may answer again.

Cause: one report served both uses of a crash, to hold suspects back (now) and to fail their jobs (for good). It is hearsay for the second: the runs are over with the lease, but whether the worker has ended is known only once a later incarnation has answered.

The sidecar marks such a crash as unconfirmed (Crash.IsUnconfirmed, a new optional field), and reports it again once the next incarnation has answered. Entries count it as before, except that a task which would be given up waits while one of its crashes is unconfirmed; it fails once they are confirmed, or after 10 s without an answer, since workers may be lost for good, and goes on if they are withdrawn. An entry that ignores the field behaves as before.

Evidence: TestDeadly_JobFailsOnlyForCrashesThatAreConfirmed failed with the two conditions taken out ("Result:failed Cause:workers crashed under a task ... 2 offers; want the task held back until its crashes are confirmed").

--- a/core/crash/monitor.go
+++ b/core/crash/monitor.go
@@ -44,8 +44,10 @@
 	IsSuspect bool
 	// IsRepeated means that the task had run for about as long in the last of these crashes as in the one before.
 	IsRepeated bool
-	ranMS      int64
-	at         time.Duration
+	// Unconfirmed is the number of these crashes that may have been none: the workers refuse connections, and may answer again.
+	Unconfirmed int
+	ranMS       int64
+	at          time.Duration
 	// incarnation is the worker's in the last of these crashes.
 	incarnation string
 }
@@ -57,9 +59,19 @@
 	maxCrashes = 3
 )
 
-// IsGivenUp reports whether the task must not be started again. A worker may also end by itself while a task is tried alone, but
-// hardly at the point of its work at which another one had ended.
+// IsGivenUp reports whether the task must not be started again.
 func (h History) IsGivenUp() bool {
+	return h.Unconfirmed == 0 && h.endsWorkers()
+}
+
+// AwaitsConfirmation reports whether the task is given up if its crashes are confirmed. It is not started before that is known.
+func (h History) AwaitsConfirmation() bool {
+	return h.Unconfirmed > 0 && h.endsWorkers()
+}
+
+// endsWorkers reports whether the crashes show that the task ends its workers. A worker may also end by itself while a task is tried
+// alone, but hardly at the point of its work at which another one had ended.
+func (h History) endsWorkers() bool {
 	return h.WasAlone && (h.Crashes >= crashesUntilGivenUp && h.IsRepeated || h.Crashes >= maxCrashes)
 }
 
@@ -76,17 +88,38 @@
 	counted map[string]time.Duration
 	// suspected holds the incarnations that seem to have ended, and since when.
 	suspected map[string]time.Duration
-	pools     map[string]*pool
+	// unconfirmed holds the crashes that may have been none, by incarnation.
+	unconfirmed map[string]unconfirmedCrash
+	pools       map[string]*pool
 }
 
+// unconfirmedCrash is a crash of a worker that has not been replaced.
+type unconfirmedCrash struct {
+	at   time.Duration
+	runs []work.CrashedRun
+}
+
+func (c *unconfirmedCrash) has(task string) bool {
+	return slices.ContainsFunc(c.runs, func(r work.CrashedRun) bool { return r.Task == task })
+}
+
+// confirmAfter is the time without an answer of a worker after which its crash counts as confirmed. The worker may be lost for good.
+const confirmAfter = 10 * time.Second
+
 // NewMonitor returns a monitor that knows of no crash.
 func NewMonitor(limits Limits) *Monitor {
-	return &Monitor{limits: limits, tasks: map[string]History{}, counted: map[string]time.Duration{}, suspected: map[string]time.Duration{}, pools: map[string]*pool{}}
+	return &Monitor{limits: limits, tasks: map[string]History{}, counted: map[string]time.Duration{}, suspected: map[string]time.Duration{}, unconfirmed: map[string]unconfirmedCrash{}, pools: map[string]*pool{}}
 }
 
 // Task returns the crashes under a task.
 func (m *Monitor) Task(name string) History {
-	return m.tasks[name]
+	known := m.tasks[name]
+	for _, c := range m.unconfirmed {
+		if c.has(name) {
+			known.Unconfirmed++
+		}
+	}
+	return known
 }
 
 // Learn sets the least number of crashes under a task, as recorded by an earlier holder of its job.
@@ -142,6 +175,7 @@
 		}
 	}
 	delete(m.suspected, incarnation)
+	delete(m.unconfirmed, incarnation)
 	delete(m.counted, incarnation)
 	if p := m.pools[poolName]; p != nil {
 		return p.withdraw(incarnation)
@@ -149,13 +183,19 @@
 	return nil
 }
 
-// Observe counts the end of a worker. A crash that was counted before changes nothing.
+// Observe counts the end of a worker. A crash that was counted before is at most confirmed.
 func (m *Monitor) Observe(now time.Duration, poolName, worker string, c *work.Crash) []Change {
 	if _, isCounted := m.counted[c.Incarnation]; isCounted || len(c.Runs) == 0 {
+		if !c.IsUnconfirmed {
+			delete(m.unconfirmed, c.Incarnation)
+		}
 		return nil
 	}
 	m.forget(now)
 	m.counted[c.Incarnation] = now
+	if c.IsUnconfirmed {
+		m.unconfirmed[c.Incarnation] = unconfirmedCrash{at: now, runs: c.Runs}
+	}
 	p := m.pool(poolName)
 	if c.AgeMS > 0 {
 		// The report reaches a session that opened after the crash. It tells nothing about what happens now.
@@ -238,6 +278,7 @@
 
 // Advance ends containments that are over.
 func (m *Monitor) Advance(now time.Duration) []Change {
+	maps.DeleteFunc(m.unconfirmed, func(_ string, c unconfirmedCrash) bool { return now-c.at >= confirmAfter })
 	var changes []Change
 	for _, name := range slices.Sorted(maps.Keys(m.pools)) {
 		changes = append(changes, m.pools[name].advance(now, m.limits)...)
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -109,9 +109,11 @@
 	return d.crashes.Task(t.name).MustRunAlone()
 }
 
-// isHeldBack reports whether a task waits until no worker that is left to its queue has ended for a while.
+// isHeldBack reports whether a task waits until no worker that is left to its queue has ended for a while, or until the crashes under it
+// are confirmed.
 func (d *Dispatcher) isHeldBack(now time.Duration, t *task) bool {
-	return d.crashes.Task(t.name).IsSuspect && now < d.crashes.CalmAt(t.job.Queue.Pool, t.job.Queue.Name)
+	history := d.crashes.Task(t.name)
+	return history.AwaitsConfirmation() || history.IsSuspect && now < d.crashes.CalmAt(t.job.Queue.Pool, t.job.Queue.Name)
 }
 
 // endedWorker decides about a task whose run was lost, and reports whether it is not to be offered again now. A run that was
@@ -125,12 +127,7 @@
 		d.effects.Records = append(d.effects.Records, Record{RunID: ended.RunID, IsCrash: true})
 	}
 	if history.IsGivenUp() {
-		d.note(Note{Kind: TaskGivenUp, RunID: ended.RunID, Worker: t.run.worker, Count: history.Crashes})
-		if j.IsStored {
-			d.recordGivenUp(t)
-			return true
-		}
-		d.abandon(now, j, JobFailed, WorkersCrashed)
+		d.giveUp(now, t)
 		return true
 	}
 	if d.isHeldBack(now, t) && d.isHopelessUntilCalm(j) {
@@ -140,6 +137,25 @@
 	return false
 }
 
+// giveUp fails the job of a task that has ended its workers.
+func (d *Dispatcher) giveUp(now time.Duration, t *task) {
+	d.note(Note{Kind: TaskGivenUp, RunID: t.id(), Worker: t.run.worker, Count: d.crashes.Task(t.name).Crashes})
+	if t.job.IsStored {
+		d.recordGivenUp(t)
+		return
+	}
+	d.abandon(now, t.job, JobFailed, WorkersCrashed)
+}
+
+// endGivenUp fails the jobs of waiting tasks whose crashes have been confirmed.
+func (d *Dispatcher) endGivenUp(now time.Duration) {
+	for _, t := range slices.Clone(d.waiting) {
+		if t.state == waiting && d.jobs[t.job.ID] == t.job && d.crashes.Task(t.name).IsGivenUp() {
+			d.giveUp(now, t)
+		}
+	}
+}
+
 // recordGivenUp has control record that a stored task has failed as often as its queue allows, under run numbers that are
 // not used. The job fails once that is recorded.
 func (d *Dispatcher) recordGivenUp(t *task) {
--- a/core/dispatch/deadly_test.go
+++ b/core/dispatch/deadly_test.go
@@ -475,3 +475,46 @@
 		t.Errorf("answer %+v after %d offers, want the four tasks of the other queue offered", got, h.total()-before)
 	}
 }
+
+// TestDeadly_JobFailsOnlyForCrashesThatAreConfirmed guards against jobs that were shown as failed for workers that had not ended: they refused
+// connections for longer than their leases, and answered again.
+func TestDeadly_JobFailsOnlyForCrashesThatAreConfirmed(t *testing.T) {
+	for _, isConfirmed := range []bool{true, false} {
+		h := newHarness(t, 4)
+		s := submission("j", 1, 300*time.Millisecond)
+		s.Timeout = time.Minute
+		h.core.Submit(h.now, s)
+		h.step(0)
+		var crashes []work.Crash
+		var workers []string
+		for n := range 2 {
+			worker, offer := h.lastOffer("j.0.0.0")
+			c := work.Crash{Incarnation: fmt.Sprint(worker, "@", n), IsUnconfirmed: true, Runs: []work.CrashedRun{
+				{Task: "j.0.0.0", Queue: "q", Crashes: offer.Crashes + 1, WasStarted: true, RanMS: 8, ExpectedMS: 300},
+			}}
+			h.core.Take(h.now, worker, &work.ToEntry{Crashes: []work.Crash{c}})
+			h.ended(worker, offer.RunID, work.Lost)
+			crashes, workers = append(crashes, c), append(workers, worker)
+		}
+		for range 50 {
+			h.step(100 * time.Millisecond)
+			for n := range 4 {
+				h.probe(fmt.Sprint("s", n))
+			}
+		}
+		if len(h.answers) != 0 || h.total() != 2 {
+			t.Fatalf("answers %+v, %d offers; want the task held back until its crashes are confirmed", h.answers, h.total())
+		}
+		for n := range crashes {
+			frame := &work.ToEntry{Suspicions: []work.Suspicion{{Incarnation: crashes[n].Incarnation, IsWithdrawn: true}}}
+			if crashes[n].IsUnconfirmed = false; isConfirmed {
+				frame = &work.ToEntry{Crashes: crashes[n : n+1]}
+			}
+			h.core.Take(h.now, workers[n], frame)
+		}
+		h.step(0)
+		if got := h.answers["j"]; isConfirmed != (got.Result == dispatch.JobFailed) || isConfirmed != (h.total() == 2) {
+			t.Errorf("confirmed %v: answer %+v after %d offers", isConfirmed, got, h.total())
+		}
+	}
+}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -324,6 +324,7 @@
 	d.checkJobLease(now)
 	d.endGrants(now)
 	d.endExpired(now)
+	d.endGivenUp(now)
 	d.endHopeless(now)
 	d.endHopelessLate(now)
 	d.startHeld(now)
--- a/core/runner/crash.go
+++ b/core/runner/crash.go
@@ -51,11 +51,10 @@
 	if len(runs) == 0 {
 		runs = r.crashedRuns(now)
 	}
-	isReported := slices.ContainsFunc(r.crashes, func(c crash) bool { return c.Incarnation == w.Incarnation })
-	if len(runs) == 0 || w.leaving || isReported {
+	if len(runs) == 0 || w.leaving || r.confirmCrash(by) {
 		return
 	}
-	ended := crash{Crash: work.Crash{Incarnation: w.Incarnation, Runs: runs}, at: now}
+	ended := crash{Crash: work.Crash{Incarnation: w.Incarnation, Runs: runs, IsUnconfirmed: by != workerReplaced}, at: now}
 	r.crashes = append(r.crashes, ended)
 	r.crashes = slices.Delete(r.crashes, 0, max(0, len(r.crashes)-maxCrashes))
 	for _, s := range r.sessions {
@@ -64,6 +63,24 @@
 	r.note(Note{Kind: WorkerEnded, Reason: by.String(), Tasks: namesOf(runs)})
 }
 
+// confirmCrash reports whether the crash of this incarnation was reported before. It tells entries if a later one shows it now.
+func (r *Runner) confirmCrash(by proof) bool {
+	for i := range r.crashes {
+		c := &r.crashes[i]
+		if c.Incarnation != r.worker.Incarnation {
+			continue
+		}
+		if c.IsUnconfirmed && by == workerReplaced {
+			c.IsUnconfirmed = false
+			for _, s := range r.sessions {
+				s.frame.Crashes = append(s.frame.Crashes, c.Crash)
+			}
+		}
+		return true
+	}
+	return false
+}
+
 // withdrawCrash forgets the crash of an incarnation that has answered after its lease had expired, and reports whether there was one.
 func (r *Runner) withdrawCrash(incarnation string) bool {
 	before := len(r.crashes)
--- a/core/runner/crash_test.go
+++ b/core/runner/crash_test.go
@@ -231,3 +231,19 @@
 		})
 	}
 }
+
+// TestCrash_IsConfirmedByTheNextIncarnation covers a worker that refuses connections until its lease has expired: that it has crashed is known
+// once another incarnation has answered.
+func TestCrash_IsConfirmedByTheNextIncarnation(t *testing.T) {
+	h := newHarness(t)
+	h.run("a.0.0.0", 1000)
+	h.end()
+	if _, crashes := h.toldOf(session, 1200*time.Millisecond); len(crashes) != 1 || !crashes[0].IsUnconfirmed {
+		t.Fatalf("crashes %+v, want one that is not confirmed", crashes)
+	}
+	h.core.Announced(h.now, announcement(2))
+	h.core.Verified(h.now, "w@2", runner.Accepted)
+	if crashes := h.crashesOf(session); len(crashes) != 1 || crashes[0].IsUnconfirmed || crashes[0].Incarnation != "w@1" {
+		t.Errorf("crashes %+v, want that of the first incarnation confirmed", crashes)
+	}
+}
--- a/core/work/message.go
+++ b/core/work/message.go
@@ -127,6 +127,9 @@
 	Runs        []CrashedRun `cbor:"2,keyasint"`
 	// AgeMS is how long ago the worker ended.
 	AgeMS int64 `cbor:"3,keyasint,omitempty"`
+	// IsUnconfirmed means that no later incarnation has answered yet: the runs are over with their lease, and the worker still refuses
+	// connections. A Crash that is confirmed follows, or a Suspicion that is withdrawn, or neither if the worker never returns.
+	IsUnconfirmed bool `cbor:"4,keyasint,omitempty"`
 }
 
 // CrashedRun is a run under which a worker ended.
