--- a/node/entry/submission.go
+++ b/node/entry/submission.go
@@ -12,6 +12,7 @@
 	"flamingohall.example/core/catalogue"
 	"flamingohall.example/core/fault"
 	"flamingohall.example/core/job"
+	"flamingohall.example/node/jsonscan"
 )
 
 // Limits of a submission.
@@ -53,6 +54,10 @@
 // *fault.Error.
 func decodeSubmission(body []byte) (submission, error) {
 	var s submission
+	const depthOfTasks = 2
+	if count := jsonscan.LongestList(body, depthOfTasks); count > catalogue.MaxTasksPerJob {
+		return s, tooManyTasks(count)
+	}
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&s); err != nil {
@@ -77,12 +82,15 @@
 	case len(s.Tasks) == 0:
 		return fault.New(fault.Invalid, "send one task or more", "tasks is empty")
 	case len(s.Tasks) > catalogue.MaxTasksPerJob:
-		return fault.New(fault.Invalid, "split the job", "%d tasks exceed the bound of %d",
-			len(s.Tasks), catalogue.MaxTasksPerJob)
+		return tooManyTasks(len(s.Tasks))
 	}
 	return s.checkTimes()
 }
 
+func tooManyTasks(count int) *fault.Error {
+	return fault.New(fault.Invalid, "split the job", "%d tasks exceed the bound of %d", count, catalogue.MaxTasksPerJob)
+}
+
 func (s *submission) checkTimes() error {
 	if s.DeadlineMS != nil && *s.DeadlineMS <= 0 {
 		return fault.New(fault.Expired, "give deadline_ms as milliseconds from now",
