Bound the bytes and connections that a process holds for clients

The listeners bounded each request, but neither the number of connections nor the sum of what they held, and io.ReadAll grew by doubling.

Package node/intake charges connections and bodies to a pool before they are read. Where the budget or the connections are used up, the address with most bytes loses the connection that has waited longest for its client, so that a crowd that stalls doesn't keep others out; requests that are complete are never interrupted.

--- a/node/events/process.go
+++ b/node/events/process.go
@@ -17,6 +17,9 @@
 		"check the disk and the reader of the log")
 	HandlerPanicked = define(1011, Error, "request ended by a defect", "the handler of a request panicked; its connection is closed, and the process goes on",
 		"report the line, which has the stack, as a defect")
+	ClientsRefused = define(1012, Warn, "clients refused",
+		"clients hold so much memory or so many connections that connections were closed or requests refused; the fields count them since the last such line, "+
+			"which is at least 10 s older", "none if it passes; else find the clients, and compare the metrics of the intake with its limits")
 	ProcessFailed = define(1005, Error, "process failed", "a role could not start or continue",
 		"follow the remedy in the error and start the process again")
 	SyncFailed = define(1101, Warn, "control unreachable", "a control VM did not answer; another is tried",
--- /dev/null
+++ b/node/intake/limits.go
@@ -0,0 +1,53 @@
+package intake
+
+// Limits are the resources of a process.
+type Limits struct {
+	// Memory is the memory that the process may use, in bytes.
+	Memory int64
+	// Descriptors is the number of descriptors that the process may open.
+	Descriptors int
+}
+
+// Class is a kind of clients.
+type Class int
+
+// Classes of clients.
+const (
+	// Outside are callers, operators and workers.
+	Outside Class = iota
+	// Inside are the processes of the system.
+	Inside
+)
+
+const (
+	// connectionBytes is charged for each connection: the buffers of net/http (8 KiB), the stack of its goroutine (8 KiB), its
+	// structures, and a short header.
+	connectionBytes = 24 << 10
+	// receiveBuffer bounds the bytes of a connection that the kernel holds unread.
+	receiveBuffer = 32 << 10
+	// reservedDescriptors are for files, logs and the runtime.
+	reservedDescriptors = 200
+	// minConnections lets a process with few descriptors serve at all.
+	minConnections = 8
+)
+
+// Budget returns the bytes that may be held for the clients of a class. A quarter of the memory is for all of them; the rest is for the
+// state of the process, garbage that has not been collected, and the kernel.
+func (l Limits) Budget(class Class) int64 {
+	all := l.Memory / 4
+	if class == Inside {
+		return all / 3
+	}
+	return all - all/3
+}
+
+// Connections returns the number of connections that the clients of a class may have open. Half of the descriptors are for those outside and
+// a quarter for those inside; the rest is for the connections that the process opens itself. The kernel's buffers of connections from
+// outside take no more than a quarter of the memory.
+func (l Limits) Connections(class Class) int {
+	available := l.Descriptors - reservedDescriptors
+	if class == Inside {
+		return max(minConnections, available/4)
+	}
+	return max(minConnections, min(available/2, int(l.Memory/4/receiveBuffer)))
+}
--- /dev/null
+++ b/node/intake/pool.go
@@ -0,0 +1,203 @@
+package intake
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/node/metrics"
+)
+
+// Pool holds the connections of one class of clients and what is charged for them.
+type Pool struct {
+	budget      int64
+	connections int
+	report      *report
+
+	mutex   sync.Mutex
+	used    int64
+	open    int
+	clients map[netip.Addr]*client
+}
+
+// client is what is held for one IP address.
+type client struct {
+	address netip.Addr
+	used    int64
+	open    int
+	// oldest and newest are the ends of the list of connections that wait for the client, in the order in which they began to.
+	oldest, newest *conn
+}
+
+// NewPool returns a pool without connections. The metrics get its gauges and counters.
+func NewPool(limits Limits, class Class, logger logr.Logger, published *metrics.Role) *Pool {
+	p := &Pool{
+		budget: limits.Budget(class), connections: limits.Connections(class), clients: map[netip.Addr]*client{},
+		report: &report{logger: logger, metrics: published},
+	}
+	published.Gauge("budget_bytes", func() any { return p.budget })
+	published.Gauge("connection_limit", func() any { return p.connections })
+	published.Gauge("held_bytes", func() any { used, _ := p.usage(); return used })
+	published.Gauge("open_connections", func() any { _, open := p.usage(); return open })
+	return p
+}
+
+func (p *Pool) usage() (used int64, open int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.used, p.open
+}
+
+// admit returns the pool's connection for an accepted one, or nil if there is no room for it.
+func (p *Pool) admit(inner net.Conn) *conn {
+	address := addressOf(inner)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.makeRoom(connectionBytes, 1, nil) {
+		return nil
+	}
+	owner := p.clients[address]
+	if owner == nil {
+		owner = &client{address: address}
+		p.clients[address] = owner
+	}
+	c := &conn{Conn: inner, pool: p, client: owner}
+	owner.open++
+	p.open++
+	p.charge(c, connectionBytes)
+	owner.push(c)
+	return c
+}
+
+// addressOf returns the client's IP address, the zero value if it is unknown.
+func addressOf(conn net.Conn) netip.Addr {
+	if address, isTCP := conn.RemoteAddr().(*net.TCPAddr); isTCP {
+		return address.AddrPort().Addr().Unmap()
+	}
+	return netip.Addr{}
+}
+
+// take charges bytes for a connection. It returns false if there is no room for them or the connection is closed.
+func (p *Pool) take(c *conn, bytes int64) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if c.isClosed || !p.makeRoom(bytes, 0, c) {
+		return false
+	}
+	p.charge(c, bytes)
+	return true
+}
+
+// give returns bytes that take has charged.
+func (p *Pool) give(c *conn, bytes int64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !c.isClosed {
+		p.charge(c, -bytes)
+	}
+}
+
+func (p *Pool) charge(c *conn, bytes int64) {
+	c.used += bytes
+	c.client.used += bytes
+	p.used += bytes
+}
+
+// makeRoom closes waiting connections until there is room. It returns false if there are no others than asking, or if it is the turn of asking.
+func (p *Pool) makeRoom(bytes int64, connections int, asking *conn) bool {
+	for p.used+bytes > p.budget || p.open+connections > p.connections {
+		victim := p.victim()
+		if victim == nil || victim == asking {
+			return false
+		}
+		p.remove(victim)
+		_ = victim.Conn.Close()
+		p.report.add(closedConnection)
+	}
+	return true
+}
+
+// victim returns the connection that has waited longest for the client with most bytes charged.
+func (p *Pool) victim() *conn {
+	var largest *client
+	for _, candidate := range p.clients {
+		if candidate.oldest != nil && (largest == nil || candidate.used > largest.used) {
+			largest = candidate
+		}
+	}
+	if largest == nil {
+		return nil
+	}
+	return largest.oldest
+}
+
+// leave returns all that is charged for a connection that is being closed.
+func (p *Pool) leave(c *conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.remove(c)
+}
+
+func (p *Pool) remove(c *conn) {
+	if c.isClosed {
+		return
+	}
+	c.isClosed = true
+	p.charge(c, -c.used)
+	p.open--
+	c.client.pull(c)
+	c.client.open--
+	if c.client.open == 0 {
+		delete(p.clients, c.client.address)
+	}
+}
+
+// complete records that a request of the connection has arrived in full. From then on the connection does not wait for its client.
+func (p *Pool) complete(c *conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	c.client.pull(c)
+}
+
+// wait records that the connection's last request has been answered.
+func (p *Pool) wait(c *conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if c.isClosed {
+		return
+	}
+	c.client.pull(c)
+	c.client.push(c)
+}
+
+// push appends a connection to the list.
+func (l *client) push(c *conn) {
+	c.isWaiting, c.older, c.newer = true, l.newest, nil
+	if l.newest != nil {
+		l.newest.newer = c
+	} else {
+		l.oldest = c
+	}
+	l.newest = c
+}
+
+// pull removes a connection from the list if it is there.
+func (l *client) pull(c *conn) {
+	if !c.isWaiting {
+		return
+	}
+	c.isWaiting = false
+	if c.older != nil {
+		c.older.newer = c.newer
+	} else {
+		l.oldest = c.newer
+	}
+	if c.newer != nil {
+		c.newer.older = c.older
+	} else {
+		l.newest = c.older
+	}
+	c.older, c.newer = nil, nil
+}
--- /dev/null
+++ b/node/intake/pool_test.go
@@ -0,0 +1,133 @@
+package intake
+
+import (
+	"net"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/node/metrics"
+)
+
+// remote is a connection from an IP address.
+type remote struct {
+	net.Conn
+	address  string
+	isClosed bool
+}
+
+func (r *remote) RemoteAddr() net.Addr { return &net.TCPAddr{IP: net.ParseIP(r.address), Port: 1} }
+func (r *remote) Close() error         { r.isClosed = true; return nil }
+
+func newTestPool(t *testing.T, budget int64, connections int) *Pool {
+	t.Helper()
+	p := NewPool(Limits{Memory: 1 << 30, Descriptors: 4096}, Outside, logr.Discard(), metrics.NewRole("intake", t.Name()))
+	p.budget, p.connections = budget, connections
+	return p
+}
+
+func admit(t *testing.T, p *Pool, address string) (*conn, *remote) {
+	t.Helper()
+	inner := &remote{address: address}
+	c := p.admit(inner)
+	if c == nil {
+		t.Fatalf("a connection of %s is refused", address)
+	}
+	return c, inner
+}
+
+func TestPool_ConnectionThatWaitsLongestIsClosed(t *testing.T) {
+	p := newTestPool(t, 1<<20, 2)
+	first, firstInner := admit(t, p, "10.0.0.1")
+	_, secondInner := admit(t, p, "10.0.0.1")
+	p.complete(first)
+	p.wait(first)
+	admit(t, p, "10.0.0.1")
+	if firstInner.isClosed || !secondInner.isClosed {
+		t.Errorf("closed: first %v, second %v, want the second, which has not sent a request", firstInner.isClosed, secondInner.isClosed)
+	}
+}
+
+func TestPool_RequestsThatAreCompleteAreNotInterrupted(t *testing.T) {
+	p := newTestPool(t, 1<<20, 2)
+	for range 2 {
+		c, _ := admit(t, p, "10.0.0.1")
+		p.complete(c)
+	}
+	if p.admit(&remote{address: "10.0.0.2"}) != nil {
+		t.Error("a connection is admitted, want it to be refused: the others are being answered")
+	}
+}
+
+func TestPool_ClientThatHoldsMostLosesAConnection(t *testing.T) {
+	p := newTestPool(t, 1<<20, 3)
+	_, honest := admit(t, p, "10.0.0.1")
+	_, crowd := admit(t, p, "10.0.0.2")
+	admit(t, p, "10.0.0.2")
+	admit(t, p, "10.0.0.3")
+	if honest.isClosed || !crowd.isClosed {
+		t.Errorf("closed: connection of the honest client %v, of the crowd %v", honest.isClosed, crowd.isClosed)
+	}
+}
+
+func TestPool_BytesAreFreedByClosingIncompleteRequests(t *testing.T) {
+	p := newTestPool(t, 2*connectionBytes+1000, 100)
+	stalled, stalledInner := admit(t, p, "10.0.0.1")
+	if !p.take(stalled, 800) {
+		t.Fatal("no room in an empty pool")
+	}
+	next, _ := admit(t, p, "10.0.0.1")
+	if !p.take(next, 900) || !stalledInner.isClosed {
+		t.Error("no room for a request, want that of the connection that has waited longest")
+	}
+	p.complete(next)
+	other, _ := admit(t, p, "10.0.0.1")
+	if p.take(other, 200) {
+		t.Error("bytes beyond the budget are charged")
+	}
+}
+
+// TestPool_AllIsReturned guards against charges that remain, which would use up the budget in time.
+func TestPool_AllIsReturned(t *testing.T) {
+	p := newTestPool(t, 8*connectionBytes, 4)
+	for round := range 1000 {
+		c, _ := admit(t, p, "10.0.0.1")
+		b := &body{conn: c}
+		taken, err := b.take(int64(round % 50))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if round%3 == 0 {
+			p.complete(c)
+			b.give(taken)
+			p.wait(c)
+		}
+		if round%2 == 0 {
+			p.leave(c)
+			b.give(taken)
+			p.wait(c)
+		}
+	}
+	for _, held := range p.clients {
+		for held.oldest != nil {
+			p.leave(held.oldest)
+		}
+	}
+	if used, open := p.usage(); used != 0 || open != 0 || len(p.clients) != 0 {
+		t.Errorf("%d bytes, %d connections and %d clients remain", used, open, len(p.clients))
+	}
+}
+
+func TestLimits_LargestRequestFitsTheSmallestMachine(t *testing.T) {
+	cases := []struct {
+		name       string
+		memoryMB   int64
+		largestMiB int64
+	}{{"entry", 284, 1}, {"sidecar", 152, 1}, {"control", 280, 4}}
+	for _, c := range cases {
+		limits := Limits{Memory: c.memoryMB << 20, Descriptors: 4096}
+		if budget := limits.Budget(Outside); budget/2 < c.largestMiB<<20 || limits.Connections(Outside) < 1000 {
+			t.Errorf("%s: budget %d, %d connections", c.name, budget, limits.Connections(Outside))
+		}
+	}
+}
--- a/node/settings/settings.go
+++ b/node/settings/settings.go
@@ -43,6 +43,10 @@
 	// Processors bounds the processors that run Go code at the same time. A low number reduces the CPU time for thread
 	// wake-ups, which a sidecar takes from its target. It defaults to 2, and to all in a process that is an entry.
 	Processors int `json:"processors"`
+	// MemoryMB is the memory that the process may use, in MiB; it defaults to that of the machine.
+	MemoryMB int `json:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may open; it defaults to the limit that the system has set for it.
+	MaxDescriptors int `json:"max_descriptors"`
 }
 
 // StopGrace returns StopGraceMS as a duration.
@@ -78,6 +82,10 @@
 	maxGraceMS             = 10 * 60 * 1000
 	defaultProcessors      = 2
 	maxProcessors          = 1024
+	minMemoryMB            = 64
+	maxMemoryMB            = 1 << 24
+	minDescriptors         = 256
+	maxDescriptors         = 1 << 20
 )
 
 // Read reads and checks the file at path. Its errors are *Problems or *fault.Error.
@@ -117,6 +125,7 @@
 		setDefault(&f.Node.Processors, maxProcessors)
 	}
 	setDefault(&f.Node.Processors, defaultProcessors)
+	f.Node.fillLimits()
 	setDefault(&f.Log.Format, FormatJSON)
 	setDefault(&f.Log.Level, LevelInfo)
 	if f.Entry != nil {
@@ -141,6 +150,8 @@
 	c.between("/node/stop_grace_ms", f.Node.StopGraceMS, 0, maxGraceMS)
 	c.between("/node/balancer_grace_ms", f.Node.BalancerGraceMS, 0, maxGraceMS)
 	c.between("/node/processors", f.Node.Processors, 1, maxProcessors)
+	c.between("/node/memory_mb", f.Node.MemoryMB, minMemoryMB, maxMemoryMB)
+	c.between("/node/max_descriptors", f.Node.MaxDescriptors, minDescriptors, maxDescriptors)
 	c.oneOf("/log/format", f.Log.Format, FormatJSON, FormatText)
 	c.oneOf("/log/level", f.Log.Level, LevelInfo, LevelDebug)
 	hasRole := f.Entry != nil || f.Sidecar != nil || f.Control != nil || f.StandIn != nil
