Charge headers by their lines before net/http makes maps of them

The connection counts the lines as it is read, and charges 128 bytes for each beyond a short header before net/http sees them. While less than half of the budget is left, headers of more than 128 lines are answered with 503 and Retry-After. Lines that were read together with the request before count for the next one.

--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -1,20 +1,37 @@
 package intake
 
 import (
+	"io"
 	"net"
 	"syscall"
+	"time"
 
 	"github.com/go-faster/errors"
 )
 
+// refusal is the answer to a request whose header has not been read in full.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+const (
+	// refusalTimeout is how long a client that is refused has for reading the answer.
+	refusalTimeout = 500 * time.Millisecond
+	// maxDrained bounds what such a client may still send.
+	maxDrained = 64 << 10
+)
+
+var errNoRoom = errors.New("no room for the header")
+
 // conn is a connection that is charged to a pool.
 type conn struct {
 	net.Conn
 	pool   *Pool
 	client *client
+	// header is used by the goroutine that reads the connection.
+	header header
 
 	// The pool's mutex guards the fields below.
 	used         int64
+	inHeader     int64 // part of used
 	isClosed     bool
 	isWaiting    bool
 	older, newer *conn
@@ -41,6 +58,44 @@
 	}
 }
 
+// Read reads from the connection. A header for which there is no room is answered here, before net/http makes a map of it.
+func (c *conn) Read(into []byte) (int, error) {
+	count, err := c.Conn.Read(into)
+	wasRead := c.header.hasEnded
+	c.header.add(into[:count], len(into))
+	if wasRead || c.pool.takeHeader(c, c.header.excess(), c.header.lines-c.header.early) {
+		return count, err
+	}
+	c.refuse(into)
+	return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errNoRoom}
+}
+
+// next prepares for the next request, whose header may have been read in part.
+func (c *conn) next() {
+	c.header.next()
+	if !c.header.hasEnded && !c.pool.takeHeader(c, c.header.excess(), 0) {
+		c.pool.report.add(refusedHeader)
+		_ = c.Close()
+	}
+}
+
+// refuse answers that the request may be sent again later.
+func (c *conn) refuse(buffer []byte) {
+	c.pool.report.add(refusedHeader)
+	_ = c.SetDeadline(time.Now().Add(refusalTimeout))
+	if _, err := io.WriteString(c.Conn, refusal); err != nil || c.CloseWrite() != nil {
+		return
+	}
+	// A client that is still sending when its connection is closed may not see the answer.
+	for drained := 0; drained < maxDrained; {
+		count, err := c.Conn.Read(buffer)
+		if err != nil {
+			return
+		}
+		drained += count
+	}
+}
+
 // Close closes the connection and returns what is charged for it.
 func (c *conn) Close() error {
 	c.pool.leave(c)
--- /dev/null
+++ b/node/intake/header.go
@@ -0,0 +1,91 @@
+package intake
+
+import "bytes"
+
+const (
+	// lineBytes is what a header line takes beyond its text: a name, a list of values, and its part of a map that has just grown.
+	lineBytes = 128
+	// shortHeader is the part of a header that is included in connectionBytes.
+	shortHeader = 6 << 10
+	// manyLines is the number of lines beyond which a header is refused while less than half of the budget is left.
+	manyLines = 128
+	// bufferSize is the size of net/http's buffer, which may hold the beginning of the next request.
+	bufferSize = 4 << 10
+	// streamPreface begins a connection of HTTP/2, whose further bytes have no lines.
+	streamPreface = "PRI "
+)
+
+// header measures the headers of a connection's requests as they are read.
+type header struct {
+	bytes, lines int
+	// early is how many of the lines were read with the previous request. Some of them may be lines of its body.
+	early int
+	// inLine is the number of bytes of the current line.
+	inLine int
+	// preface is the number of bytes that the connection has in common with streamPreface; -1 once they differ.
+	preface int
+	// hasEnded is true from the end of the header until the next one may begin. The tail is what the last read has returned since then.
+	hasEnded             bool
+	tailBytes, tailLines int
+}
+
+// add measures bytes that were read into a buffer of the given size.
+func (h *header) add(text []byte, size int) {
+	for len(text) > 0 && !h.hasEnded {
+		text = h.addLine(text)
+	}
+	if !h.hasEnded {
+		return
+	}
+	if size > 1 {
+		h.tailBytes, h.tailLines = 0, 0
+	}
+	// Only bytes of the body are read past net/http's buffer. A read of one byte leaves the buffer as it is.
+	if size <= bufferSize {
+		h.tailBytes += len(text)
+		h.tailLines += bytes.Count(text, []byte{'\n'})
+	}
+}
+
+// addLine measures the text up to the end of the line and returns the rest.
+func (h *header) addLine(text []byte) []byte {
+	line, rest, ends := bytes.Cut(text, []byte{'\n'})
+	for _, char := range line[:min(len(line), len(streamPreface))] {
+		if h.preface < 0 || h.preface >= len(streamPreface) {
+			break
+		}
+		if char == streamPreface[h.preface] {
+			h.preface++
+		} else {
+			h.preface = -1
+		}
+	}
+	h.bytes += len(text) - len(rest)
+	isEmpty := h.inLine == 0 && (len(line) == 0 || len(line) == 1 && line[0] == '\r') || h.inLine == 1 && len(line) == 0
+	h.inLine += len(line)
+	if !ends {
+		return nil
+	}
+	h.lines++
+	h.hasEnded = isEmpty
+	h.inLine = 0
+	return rest
+}
+
+// isStream reports whether the connection is one of HTTP/2.
+func (h *header) isStream() bool {
+	return h.preface == len(streamPreface)
+}
+
+// next begins the header of the next request, the beginning of which may have been read already.
+func (h *header) next() {
+	if h.isStream() {
+		return
+	}
+	*h = header{bytes: h.tailBytes, lines: h.tailLines, early: h.tailLines, preface: -1}
+}
+
+// excess returns the bytes that the header takes beyond a short one.
+func (h *header) excess() int64 {
+	return int64(max(0, h.bytes+h.lines*lineBytes-shortHeader))
+}
--- a/node/intake/pool.go
+++ b/node/intake/pool.go
@@ -90,6 +90,22 @@
 	return true
 }
 
+// takeHeader charges the bytes that a header takes so far beyond a short one. It returns false if there is no room for them.
+func (p *Pool) takeHeader(c *conn, excess int64, lines int) bool {
+	if excess == 0 {
+		return true
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	more := min(excess, p.budget/2) - c.inHeader
+	if c.isClosed || lines > manyLines && p.used > p.budget/2 || !p.makeRoom(more, 0, c) {
+		return false
+	}
+	p.charge(c, more)
+	c.inHeader += more
+	return true
+}
+
 // give returns bytes that take has charged.
 func (p *Pool) give(c *conn, bytes int64) {
 	p.mutex.Lock()
@@ -168,6 +184,8 @@
 	if c.isClosed {
 		return
 	}
+	p.charge(c, -c.inHeader)
+	c.inHeader = 0
 	c.client.pull(c)
 	c.client.push(c)
 }
--- a/node/intake/report.go
+++ b/node/intake/report.go
@@ -17,11 +17,12 @@
 const (
 	closedConnection  = "connections_closed"
 	refusedConnection = "connections_refused"
+	refusedHeader     = "headers_refused"
 	refusedBody       = "bodies_refused"
 )
 
 // counters lists them in the order of the fields.
-var counters = []string{closedConnection, refusedConnection, refusedBody}
+var counters = []string{closedConnection, refusedConnection, refusedHeader, refusedBody}
 
 // report counts the clients that were refused, and logs the counts from time to time.
 type report struct {
--- a/node/intake/serve.go
+++ b/node/intake/serve.go
@@ -36,6 +36,7 @@
 	server.ConnState = func(inner net.Conn, state http.ConnState) {
 		if c, isCharged := inner.(*conn); isCharged && state == http.StateIdle {
 			p.wait(c)
+			c.next()
 		}
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
