Give the Go runtime a memory limit under that of the process

The heap of an entry may grow to three times what is in use before garbage is collected (GOGC 200), whatever the machine has: no setting knew its memory. The soft limit is now 3/4 of node.memory_mb (limits.memory_mb on the platform, else the machine's), unless GOMEMLIMIT is set.

--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -40,6 +40,7 @@
 	out.publish(metrics.NewRole("process", file.Node.ID))
 	logger := newLogger(file, out)
 	limitProcessors(file.Node.Processors)
+	limitMemory(file.Node)
 	events.ProcessStarting.Log(logger, "version", Version, "settings", c.File, "processors", runtime.GOMAXPROCS(0))
 	return runProcess(logger, func() (*process, error) { return newProcess(file, logger) })
 }
@@ -62,6 +63,17 @@
 // growthVariable is the variable of the Go runtime with which an operator overrides smallHeapGrowthPercent.
 const growthVariable = "GOGC"
 
+// memoryVariable is the variable of the Go runtime with which an operator overrides the limit that limitMemory sets.
+const memoryVariable = "GOMEMLIMIT"
+
+// limitMemory makes the runtime collect garbage more often as the process approaches its memory, unless the environment sets a limit. A quarter
+// of the memory is left for what the runtime doesn't count: the pages of the binary, the C library and the kernel's buffers.
+func limitMemory(node settings.Node) {
+	if os.Getenv(memoryVariable) == "" {
+		debug.SetMemoryLimit(node.Intake().Memory / 4 * 3)
+	}
+}
+
 // readPolicy returns the policy that the command line contains or names, or the default.
 func (c *platformCommand) readPolicy() (policy.Policy, error) {
 	switch {
@@ -92,6 +104,7 @@
 		debug.SetGCPercent(heapGrowthPercent(loaded.ServesCallers()))
 	}
 	file := loaded.File()
+	limitMemory(file.Node)
 	out := newAsyncWriter(os.Stdout)
 	defer out.Close()
 	out.publish(metrics.NewRole("process", file.Node.ID))
