Bound what a process holds for messages of other processes

The listener gets a pool of its own, so that crowds outside don't use up the share of the system's processes. A message is charged twice, as io.ReadAll holds its bytes up to twice while the buffer grows; one of unknown length while it is read. A message that doesn't fit now gets 503 with Retry-After, one over a quarter of the memory 413, and one that stalls loses its connection or stream.

TestMessages_CrowdThatStallsKeepsNobodyOut and TestMessages_OfAnyAllowedSizeAreRead check it. Before, there was neither a pool nor a limit.

--- a/node/daemon/process.go
+++ b/node/daemon/process.go
@@ -15,12 +15,20 @@
 
 	"flamingohall.example/core/fault"
 	"flamingohall.example/node/events"
+	"flamingohall.example/node/intake"
+	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/settings"
 	"flamingohall.example/node/transport"
 )
 
-// headerTimeout bounds how long a client may take to send its request headers.
-const headerTimeout = 10 * time.Second
+// Limits of the internal listener.
+const (
+	// headerTimeout bounds how long a client may take to send its request headers.
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 16 << 10
+	// idleTimeout is longer than clients keep connections that they don't use.
+	idleTimeout = 2 * time.Minute
+)
 
 // process is a flamingohalld process with its roles and its internal listener.
 type process struct {
@@ -29,6 +37,7 @@
 	roles    []namedRole
 	server   *http.Server
 	listener net.Listener
+	clients  *intake.Pool
 	stopping atomic.Bool
 }
 
@@ -40,7 +49,7 @@
 // newProcessOf opens the internal listener and creates the roles with build, which returns them in the order in which they
 // start.
 func newProcessOf(file *settings.File, logger logr.Logger, build func() ([]namedRole, error)) (*process, error) {
-	listener, err := net.Listen("tcp", file.Node.Listen)
+	listener, err := intake.Listen(context.Background(), file.Node.Listen)
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, "free the port or change node.listen", "listen: %v", err)
 	}
@@ -49,8 +58,10 @@
 		return nil, errors.Join(err, listener.Close())
 	}
 	p.server = &http.Server{
-		Handler: p.mux(), ReadHeaderTimeout: headerTimeout, Protocols: transport.ServerProtocols(),
+		Handler: p.mux(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Protocols: transport.ServerProtocols(),
 	}
+	p.clients = intake.NewPool(file.Node.Intake(), intake.Inside, logger, metrics.NewRole("intake_inside", file.Node.ID))
 	return p, nil
 }
 
@@ -98,7 +109,8 @@
 	persistent := transport.Persistent(p.listener, func(err error) {
 		events.AcceptFailed.LogError(p.logger, err, "address", p.listener.Addr().String())
 	})
-	go func() { served <- p.server.Serve(persistent) }()
+	admitted := p.clients.Serve(p.server, persistent)
+	go func() { served <- p.server.Serve(admitted) }()
 	rolesCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	if err := p.start(rolesCtx); err != nil {
--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -23,11 +23,17 @@
 	// conn is nil if the server has no pool.
 	conn    *conn
 	charged int64
+	// message is set where handlers read bodies themselves.
+	message *message
 }
 
 // Read returns the next bytes. The connection no longer waits for its client once all of them have been read.
 func (b *body) Read(into []byte) (int, error) {
-	count, err := b.ReadCloser.Read(into)
+	read := b.ReadCloser.Read
+	if b.message != nil {
+		read = b.readMessage
+	}
+	count, err := read(into)
 	if errors.Is(err, io.EOF) {
 		b.complete()
 	}
--- a/node/intake/limits.go
+++ b/node/intake/limits.go
@@ -15,8 +15,10 @@
 const (
 	// Outside are callers, operators and workers.
 	Outside Class = iota
-	// Inside are the processes of the system.
+	// Inside are the processes of the system, which call each other over HTTP.
 	Inside
+	// Sessions are those that keep a connection of another protocol.
+	Sessions
 )
 
 const (
@@ -34,20 +36,32 @@
 // Budget returns the bytes that may be held for the clients of a class. A quarter of the memory is for all of them; the rest is for the
 // state of the process, garbage that has not been collected, and the kernel.
 func (l Limits) Budget(class Class) int64 {
-	all := l.Memory / 4
-	if class == Inside {
-		return all / 3
+	switch class {
+	case Outside:
+		return l.Memory / 6
+	case Inside:
+		return l.Memory / 16
+	default:
+		return l.Memory / 48
 	}
-	return all - all/3
 }
 
 // Connections returns the number of connections that the clients of a class may have open. Half of the descriptors are for those outside and
-// a quarter for those inside; the rest is for the connections that the process opens itself. The kernel's buffers of connections from
+// a quarter for the others; the rest is for the connections that the process opens itself. The kernel's buffers of connections from
 // outside take no more than a quarter of the memory.
 func (l Limits) Connections(class Class) int {
 	available := l.Descriptors - reservedDescriptors
-	if class == Inside {
-		return max(minConnections, available/4)
+	switch class {
+	case Outside:
+		return max(minConnections, min(available/2, int(l.Memory/4/receiveBuffer)))
+	case Inside:
+		return max(minConnections, available*3/16)
+	default:
+		return max(minConnections, available/16)
 	}
-	return max(minConnections, min(available/2, int(l.Memory/4/receiveBuffer)))
+}
+
+// largestMessage returns the size of the largest body that one process of the system may send to another.
+func (l Limits) largestMessage() int64 {
+	return l.Memory / 4
 }
--- /dev/null
+++ b/node/intake/message_test.go
@@ -0,0 +1,68 @@
+package intake
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/node/metrics"
+)
+
+// startMessages serves a handler that reads whole bodies, as the generated ones do.
+func startMessages(t *testing.T, memoryMB int64) (p *Pool, address string) {
+	t.Helper()
+	p = NewPool(Limits{Memory: memoryMB << 20, Descriptors: 456}, Inside, logr.Discard(), metrics.NewRole("intake", t.Name()))
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text, err := io.ReadAll(r.Body)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		_, _ = fmt.Fprint(w, len(text))
+	})}
+	inner, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(p.Serve(server, inner)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return p, inner.Addr().String()
+}
+
+func TestMessages_OfAnyAllowedSizeAreRead(t *testing.T) {
+	_, address := startMessages(t, 96)
+	const largest = 24 << 20
+	for name, text := range map[string]string{
+		"declared": declared(largest, largest), "chunked": chunked(largest/4, 4) + "0\r\n\r\n",
+	} {
+		if status, answer := ask(t, address, text); status != http.StatusOK || answer != fmt.Sprint(largest) {
+			t.Errorf("%s: status %d, %s", name, status, answer)
+		}
+	}
+	if status, answer := ask(t, address, declared(largest+1, 0)); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("too large: status %d, %s", status, answer)
+	}
+	if status, answer := ask(t, address, chunked(largest/4, 5)+"0\r\n\r\n"); status == http.StatusOK {
+		t.Errorf("too large in chunks: status %d, %s", status, answer)
+	}
+}
+
+func TestMessages_CrowdThatStallsKeepsNobodyOut(t *testing.T) {
+	const size = 4 << 20
+	for name, text := range map[string]string{"declared": declared(size, size/8), "chunked": chunked(size/8, 1), "header": shortLines(3000)} {
+		p, address := startMessages(t, 96)
+		for range 100 {
+			open(t, address, text)
+			if used, connections := p.usage(); used > p.budget || connections > p.connections {
+				t.Fatalf("%s: %d bytes and %d connections are held", name, used, connections)
+			}
+		}
+		if status, answer := ask(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n"+strings.Repeat("x", 100)); status != http.StatusOK {
+			t.Errorf("%s: a message beside the crowd got status %d, %s", name, status, answer)
+		}
+	}
+}
--- a/node/intake/pool.go
+++ b/node/intake/pool.go
@@ -14,7 +14,9 @@
 type Pool struct {
 	budget      int64
 	connections int
-	report      *report
+	// largestMessage is 0 if the handlers read bodies with ReadBody.
+	largestMessage int64
+	report         *report
 
 	mutex   sync.Mutex
 	used    int64
@@ -37,6 +39,9 @@
 		budget: limits.Budget(class), connections: limits.Connections(class), clients: map[netip.Addr]*client{},
 		report: &report{logger: logger, metrics: published},
 	}
+	if class == Inside {
+		p.largestMessage = limits.largestMessage()
+	}
 	published.Gauge("budget_bytes", func() any { return p.budget })
 	published.Gauge("connection_limit", func() any { return p.connections })
 	published.Gauge("held_bytes", func() any { used, _ := p.usage(); return used })
--- a/node/intake/serve.go
+++ b/node/intake/serve.go
@@ -51,7 +51,9 @@
 			charged := &body{ReadCloser: r.Body, conn: c}
 			defer func() { charged.give(charged.charged) }()
 			r.Body = charged
-			handler.ServeHTTP(w, r)
+			if p.largestMessage == 0 || charged.expect(w, r) {
+				handler.ServeHTTP(w, r)
+			}
 		}
 	})
 	return &listener{Listener: inner, pool: p}
