Bound the connections of a sidecar's sessions

The listener gets a pool of its own. A connection that has sent its handshake is kept; where the limit is reached, the one that has waited longest for its handshake is closed.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -19,6 +19,7 @@
 	"flamingohall.example/node/controlclient"
 	"flamingohall.example/node/duty"
 	"flamingohall.example/node/events"
+	"flamingohall.example/node/intake"
 	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/rpc"
 	"flamingohall.example/node/stream"
@@ -40,7 +41,7 @@
 	Hold(ctx context.Context, order *runner.Hold) *runner.Report
 }
 
-// Options configure a sidecar. All fields but Limits are required.
+// Options configure a sidecar. All fields but Limits and Sessions are required.
 type Options struct {
 	// ID is the node's ID, DataCentre the data centre that it is in.
 	ID         string
@@ -52,6 +53,8 @@
 	// ControlHold is the longest time for which a control VM may delay the answer to a long poll.
 	ControlHold time.Duration
 	Worker      Worker
+	// Sessions bounds the connections of the listener; nil for no bound.
+	Sessions *intake.Pool
 	// Limits defaults to runner.DefaultLimits.
 	Limits  runner.Limits
 	Logger  logr.Logger
@@ -123,6 +126,9 @@
 	if err != nil {
 		return fault.New(fault.Unavailable, "free the port", "sidecar: %v", err)
 	}
+	if a.options.Sessions != nil {
+		listener = a.options.Sessions.Sessions(listener, stream.HandshakeBytes)
+	}
 	a.listener = listener
 	context.AfterFunc(ctx, a.cancel)
 	a.duties.Go(func() { a.server.Serve(listener) })
--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -45,6 +45,14 @@
 
 // Accept returns the next connection for which there is room.
 func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.accept()
+	if err != nil {
+		return nil, err
+	}
+	return accepted, nil
+}
+
+func (l *listener) accept() (*conn, error) {
 	for {
 		inner, err := l.Listener.Accept()
 		if err != nil {
--- a/node/stream/dial.go
+++ b/node/stream/dial.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	handshakeBytes = 16 + 8
+	// HandshakeBytes is what the side that opens a session sends first on each connection.
+	HandshakeBytes = 16 + 8
 	replyBytes     = 1 + 8
 	// dialTimeout bounds opening a connection, and separately the handshake on it.
 	dialTimeout = 300 * time.Millisecond
--- a/node/stream/serve.go
+++ b/node/stream/serve.go
@@ -70,7 +70,7 @@
 	reader := bufio.NewReaderSize(conn, readBufferBytes)
 	// This fails only on a closed connection, where the read fails too.
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
-	var request [handshakeBytes]byte
+	var request [HandshakeBytes]byte
 	if _, err := io.ReadFull(reader, request[:]); err != nil {
 		_ = conn.Close()
 		return
--- a/node/stream/stream_test.go
+++ b/node/stream/stream_test.go
@@ -174,7 +174,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = conn.Close() }()
-	if _, err := conn.Write(make([]byte, handshakeBytes)); err != nil {
+	if _, err := conn.Write(make([]byte, HandshakeBytes)); err != nil {
 		t.Fatal(err)
 	}
 	<-opened
@@ -207,7 +207,7 @@
 		Opened:   func(*Peer) { t.Error("a session was opened that its other side does not know") },
 		Received: func(*Peer, []byte) {}, AcceptFailed: func(error) {},
 	})
-	server.serve(&brokenConn{request: make([]byte, handshakeBytes)})
+	server.serve(&brokenConn{request: make([]byte, HandshakeBytes)})
 	if len(server.peers) > 0 {
 		t.Errorf("%d sessions are kept, want none", len(server.peers))
 	}
