Limit the time in which a body must arrive

A client that stalls in the middle of a body kept its connection and what was charged for it for the whole 10 s that a request may take, and for as long as it liked where a listener has no such limit. A body now has 5 s and one second more for each 51 KiB: 10 s for the largest job. What had arrived of it never becomes a job. Bodies that are there at the first read need no timer.

--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -15,6 +15,10 @@
 	firstBuffer = 4 << 10
 	// retryAfter is when a refused client may try again.
 	retryAfter = time.Second
+	// bodyTimeout is how long the shortest body may take to arrive, and slowestBody the bytes a second that longer ones need. A client has
+	// 10 s for 256 KiB.
+	bodyTimeout = 5 * time.Second
+	slowestBody = 256 << 10 / 5
 )
 
 // body is the body of a request whose bytes are charged.
@@ -23,6 +27,9 @@
 	// conn is nil if the server has no pool.
 	conn    *conn
 	charged int64
+	// paced is the size for which the time to arrive is limited, and began when the limit was first set; 0 if it is not limited.
+	paced int
+	began time.Time
 	// message is set where handlers read bodies themselves.
 	message *message
 }
@@ -42,9 +49,35 @@
 
 // complete records that the whole body has been read.
 func (b *body) complete() {
-	if b.conn != nil {
-		b.conn.pool.complete(b.conn)
+	if b.conn == nil {
+		return
+	}
+	if b.paced > 0 {
+		b.paced = 0
+		_ = b.conn.Conn.SetReadDeadline(b.conn.deadline)
+	}
+	b.conn.pool.complete(b.conn)
+}
+
+func (b *body) hasNoDeadline() bool {
+	return b.conn != nil && b.conn.deadline.IsZero()
+}
+
+// pace limits the time until the connection has sent a body of a size.
+func (b *body) pace(size int) {
+	if b.conn == nil || b.paced == size {
+		return
+	}
+	if b.paced == 0 {
+		b.began = time.Now()
 	}
+	b.paced = size
+	limit := b.began.Add(b.conn.pool.bodyTimeout + time.Duration(size)*time.Second/slowestBody)
+	if earlier := b.conn.deadline; !earlier.IsZero() && earlier.Before(limit) {
+		return
+	}
+	// This fails only on a closed connection, where the read fails too.
+	_ = b.conn.Conn.SetReadDeadline(limit)
 }
 
 // take charges bytes and returns how many it has charged. One request uses up to half of the budget, so that the largest one is served
@@ -96,7 +129,7 @@
 		return nil, err
 	}
 	buffer := make([]byte, length)
-	if filled, err := fill(b, buffer); filled < len(buffer) {
+	if filled, err := b.fill(buffer); filled < len(buffer) {
 		return nil, incomplete(err)
 	}
 	b.complete()
@@ -116,7 +149,7 @@
 		copy(grown, buffer[:filled])
 		b.give(charged)
 		buffer, charged = grown, taken
-		count, err := fill(b, buffer[filled:])
+		count, err := b.fill(buffer[filled:])
 		filled += count
 		switch {
 		case int64(filled) > limit:
@@ -130,10 +163,14 @@
 }
 
 // fill reads until the buffer is full. It returns the error of the reader as it is: io.EOF only at the end of the body.
-func fill(from io.Reader, buffer []byte) (filled int, err error) {
+func (b *body) fill(buffer []byte) (filled int, err error) {
 	for filled < len(buffer) && err == nil {
+		// Most bodies are there at the first read, so that they need no timer.
+		if filled > 0 || b.hasNoDeadline() {
+			b.pace(len(buffer))
+		}
 		var count int
-		count, err = from.Read(buffer[filled:])
+		count, err = b.Read(buffer[filled:])
 		filled += count
 	}
 	return filled, err
--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -28,6 +28,8 @@
 	client *client
 	// header is used by the goroutine that reads the connection.
 	header header
+	// deadline is the read deadline that net/http has set. It is used by the goroutine of the request.
+	deadline time.Time
 
 	// The pool's mutex guards the fields below.
 	used         int64
@@ -104,6 +106,12 @@
 	}
 }
 
+// SetReadDeadline sets the deadline that holds while the connection is not paced.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.deadline = deadline
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // Close closes the connection and returns what is charged for it.
 func (c *conn) Close() error {
 	c.pool.leave(c)
--- a/node/intake/pool.go
+++ b/node/intake/pool.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -16,6 +17,7 @@
 	connections int
 	// largestMessage is 0 if the handlers read bodies with ReadBody.
 	largestMessage int64
+	bodyTimeout    time.Duration
 	report         *report
 
 	mutex   sync.Mutex
@@ -37,7 +39,7 @@
 func NewPool(limits Limits, class Class, logger logr.Logger, published *metrics.Role) *Pool {
 	p := &Pool{
 		budget: limits.Budget(class), connections: limits.Connections(class), clients: map[netip.Addr]*client{},
-		report: &report{logger: logger, metrics: published},
+		bodyTimeout: bodyTimeout, report: &report{logger: logger, metrics: published},
 	}
 	if class == Inside {
 		p.largestMessage = limits.largestMessage()
--- a/node/intake/serve_test.go
+++ b/node/intake/serve_test.go
@@ -157,3 +157,35 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestServe_BodyThatStallsIsClosedWithoutAnyOther guards against connections that are held for as long as their clients like.
+func TestServe_BodyThatStallsIsClosedWithoutAnyOther(t *testing.T) {
+	p := newTestPool(t, 16<<20, 50)
+	p.bodyTimeout = 50 * time.Millisecond
+	address := startServer(t, p)
+	for name, text := range map[string]string{"declared": declared(100, 99), "undeclared": chunked(1, 99), "no byte": declared(100, 0)} {
+		if status, answer := ask(t, address, text); status != http.StatusServiceUnavailable || answer != string(fault.Malformed) {
+			t.Errorf("%s: status %d, %s", name, status, answer)
+		}
+	}
+}
+
+// TestServe_SlowBodyLeavesTheConnectionAsItWas sends a body in two parts, and a second request after the time for the first has passed.
+func TestServe_SlowBodyLeavesTheConnectionAsItWas(t *testing.T) {
+	p := newTestPool(t, 16<<20, 50)
+	p.bodyTimeout = 300 * time.Millisecond
+	c := open(t, startServer(t, p), declared(100, 99))
+	reader := bufio.NewReader(c)
+	for _, text := range []string{"x", declared(10, 10)} {
+		time.Sleep(p.bodyTimeout / 10)
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("response %v, %v", response, err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		time.Sleep(2 * p.bodyTimeout)
+	}
+}
