Bound what an entry holds for callers of its own API

The callers' API read bodies of up to 8 MiB with io.ReadAll, without a limit of their time, number or sum, headers of up to 1 MiB, and accepted any number of connections.

The listener uses a pool like those of the platform.

--- a/node/entry/api.go
+++ b/node/entry/api.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/kataras/iris/v12"
 
 	"flamingohall.example/core/fault"
+	"flamingohall.example/node/intake"
 	"flamingohall.example/node/link"
 	"flamingohall.example/node/rpc"
 )
@@ -119,14 +119,10 @@
 
 // readSubmission reads, decodes and validates a submission. Its errors are *fault.Error.
 func (e *Entry) readSubmission(ctx iris.Context) (*accepted, error) {
-	limit := int64(e.file.Entry.MaxBodyBytes)
-	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, fault.New(fault.TooLarge, "split the job", "the body exceeds %d bytes", limit)
-	}
+	body, err := intake.ReadBody(ctx.Request(), int64(e.file.Entry.MaxBodyBytes))
 	if err != nil {
-		return nil, fault.New(fault.Malformed, "send the whole body", "body: %v", err)
+		ctx.Header("Connection", "close")
+		return nil, err
 	}
 	s, err := decodeSubmission(body)
 	if err != nil {
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -20,6 +20,7 @@
 	"flamingohall.example/node/controlclient"
 	"flamingohall.example/node/duty"
 	"flamingohall.example/node/events"
+	"flamingohall.example/node/intake"
 	"flamingohall.example/node/link"
 	"flamingohall.example/node/metrics"
 	"flamingohall.example/node/rpc"
@@ -30,6 +31,8 @@
 const (
 	// headerTimeout limits how long a caller may take to send its request headers.
 	headerTimeout = 10 * time.Second
+	// maxHeaderBytes limits the header of a request; longer ones get 431.
+	maxHeaderBytes = 64 << 10
 	// callerIdleTimeout is how long a caller's connection may be idle before it is closed.
 	callerIdleTimeout = 2 * time.Minute
 )
@@ -65,6 +68,7 @@
 	loop        *loop
 	server      *http.Server
 	listener    net.Listener
+	clients     *intake.Pool
 	cancelLoop  context.CancelFunc
 	// leaving fails the readiness check; refusing also refuses new submissions.
 	leaving  atomic.Bool
@@ -115,7 +119,7 @@
 
 // Start opens the callers' listener and starts the role's goroutines. Its errors are *fault.Error.
 func (e *Entry) Start(ctx context.Context) error {
-	listener, err := net.Listen("tcp", e.file.Entry.CallersListen)
+	listener, err := intake.Listen(ctx, e.file.Entry.CallersListen)
 	if err != nil {
 		return fault.New(fault.Unavailable, "free the port or change entry.callers_listen", "listen: %v", err)
 	}
@@ -128,21 +132,23 @@
 	e.cancelLoop = cancelLoop
 	e.loop.loopCtx = loopCtx
 	e.server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
+	e.clients = intake.NewPool(e.file.Node.Intake(), intake.Outside, e.logger, metrics.NewRole("intake", e.file.Node.ID))
 	e.follower.Start(loopCtx)
 	go e.loop.run()
 	go e.watch(loopCtx)
-	go e.serve()
+	go e.serve(e.clients.Serve(e.server, transport.Persistent(listener, e.acceptFailed)))
 	events.CallersServed.Log(e.logger, "listen", e.Addr())
 	return nil
 }
 
-func (e *Entry) serve() {
-	persistent := transport.Persistent(e.listener, func(err error) {
-		events.AcceptFailed.LogError(e.logger, err, "address", e.Addr())
-	})
-	if err := e.server.Serve(persistent); !errors.Is(err, http.ErrServerClosed) {
+func (e *Entry) acceptFailed(err error) {
+	events.AcceptFailed.LogError(e.logger, err, "address", e.Addr())
+}
+
+func (e *Entry) serve(listener net.Listener) {
+	if err := e.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		events.CallersListenerFailed.LogError(e.logger, err)
 	}
 }
