Leave memory for what the kernel holds unread

A crowd of bodies in chunks of one byte took an entry of 96 MB to 101 MB, 19 MB of it unread in the kernel at 399 sockets (TestCrowd_SmallChunksExhaustMemory on, alone): the runtime's soft limit of 3/4 of the memory, the pages of the binary (15 MB) and the kernel's buffers of up to a quarter exceed the whole. The limit is now 5/8, and the buffers of connections from outside take up to an eighth.

--- a/node/daemon/run.go
+++ b/node/daemon/run.go
@@ -66,11 +66,12 @@
 // memoryVariable is the variable of the Go runtime with which an operator overrides the limit that limitMemory sets.
 const memoryVariable = "GOMEMLIMIT"
 
-// limitMemory makes the runtime collect garbage more often as the process approaches its memory, unless the environment sets a limit. A quarter
-// of the memory is left for what the runtime doesn't count: the pages of the binary, the C library and the kernel's buffers.
+// limitMemory makes the runtime collect garbage more often as the process approaches its memory, unless the environment sets a limit. Of the
+// memory, an eighth is left for the kernel's buffers of connections, and a quarter for the pages of the binary, the C library and whatever else
+// the runtime doesn't count.
 func limitMemory(node settings.Node) {
 	if os.Getenv(memoryVariable) == "" {
-		debug.SetMemoryLimit(node.Intake().Memory / 4 * 3)
+		debug.SetMemoryLimit(node.Intake().Memory / 8 * 5)
 	}
 }
 
--- a/node/intake/limits.go
+++ b/node/intake/limits.go
@@ -48,12 +48,12 @@
 
 // Connections returns the number of connections that the clients of a class may have open. Half of the descriptors are for those outside and
 // a quarter for the others; the rest is for the connections that the process opens itself. The kernel's buffers of connections from
-// outside take no more than a quarter of the memory.
+// outside take no more than an eighth of the memory.
 func (l Limits) Connections(class Class) int {
 	available := l.Descriptors - reservedDescriptors
 	switch class {
 	case Outside:
-		return max(minConnections, min(available/2, int(l.Memory/4/receiveBuffer)))
+		return max(minConnections, min(available/2, int(l.Memory/8/receiveBuffer)))
 	case Inside:
 		return max(minConnections, available*3/16)
 	default:
