Close no connection for a request that doesn't fit anyway

A large request closed all waiting connections although they held less than it needed, and requests that filled the whole budget left no room for connections, so that others and checks of readiness were cut off without an answer. Now nothing is closed unless that makes room, and a quarter of the budget is left for connections.

TestPool_NothingIsClosedForARequestThatDoesNotFit: the waiting connection was closed.

--- a/node/intake/pool.go
+++ b/node/intake/pool.go
@@ -20,8 +20,10 @@
 	bodyTimeout    time.Duration
 	report         *report
 
-	mutex   sync.Mutex
-	used    int64
+	mutex sync.Mutex
+	used  int64
+	// waiting is the part of used that is charged for connections that wait for their clients.
+	waiting int64
 	open    int
 	clients map[netip.Addr]*client
 }
@@ -74,7 +76,7 @@
 	owner.open++
 	p.open++
 	p.charge(c, connectionBytes)
-	owner.push(c)
+	p.push(c)
 	return c
 }
 
@@ -126,11 +128,22 @@
 	c.used += bytes
 	c.client.used += bytes
 	p.used += bytes
+	if c.isWaiting {
+		p.waiting += bytes
+	}
 }
 
-// makeRoom closes waiting connections until there is room. It returns false if there are no others than asking, or if it is the turn of asking.
+// makeRoom closes waiting connections until there is room. It returns false if closing all of them would not do, or if it is the turn of
+// asking. A quarter of the budget is left for connections, so that requests that find no room get an answer.
 func (p *Pool) makeRoom(bytes int64, connections int, asking *conn) bool {
-	for p.used+bytes > p.budget || p.open+connections > p.connections {
+	budget := p.budget
+	if connections == 0 {
+		budget -= budget / 4
+	}
+	if p.used+bytes-p.waiting > budget {
+		return false
+	}
+	for p.used+bytes > budget || p.open+connections > p.connections {
 		victim := p.victim()
 		if victim == nil || victim == asking {
 			return false
@@ -170,7 +183,7 @@
 	c.isClosed = true
 	p.charge(c, -c.used)
 	p.open--
-	c.client.pull(c)
+	p.pull(c)
 	c.client.open--
 	if c.client.open == 0 {
 		delete(p.clients, c.client.address)
@@ -181,7 +194,7 @@
 func (p *Pool) complete(c *conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	c.client.pull(c)
+	p.pull(c)
 }
 
 // wait records that the connection's last request has been answered.
@@ -193,12 +206,14 @@
 	}
 	p.charge(c, -c.inHeader)
 	c.inHeader = 0
-	c.client.pull(c)
-	c.client.push(c)
+	p.pull(c)
+	p.push(c)
 }
 
-// push appends a connection to the list.
-func (l *client) push(c *conn) {
+// push appends a connection to the list of its client.
+func (p *Pool) push(c *conn) {
+	l := c.client
+	p.waiting += c.used
 	c.isWaiting, c.older, c.newer = true, l.newest, nil
 	if l.newest != nil {
 		l.newest.newer = c
@@ -208,11 +223,13 @@
 	l.newest = c
 }
 
-// pull removes a connection from the list if it is there.
-func (l *client) pull(c *conn) {
+// pull removes a connection from the list of its client if it is there.
+func (p *Pool) pull(c *conn) {
 	if !c.isWaiting {
 		return
 	}
+	l := c.client
+	p.waiting -= c.used
 	c.isWaiting = false
 	if c.older != nil {
 		c.older.newer = c.newer
