Charge jobs and configurations that are in progress

A valid configuration of 6,000 routes allocates 9 MB, and is kept for up to 1.5 s while it is stored.

--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -176,6 +176,16 @@
 	return filled, err
 }
 
+// Charge adds to what is held for a request until it is answered. The error is of type *fault.Error and kind Unavailable if there is no room.
+func Charge(r *http.Request, bytes int64) error {
+	charged, isCharged := r.Body.(*body)
+	if !isCharged {
+		return nil
+	}
+	_, err := charged.take(bytes)
+	return err
+}
+
 func tooLarge(limit int64) error {
 	return fault.New(fault.TooLarge, "send less", "the body exceeds %d bytes", limit)
 }
