Refuse an unanswered start only once its stop has taken its time

Callers could have a task run twice at the same time when the answer to its start was lost and the start had been carried out.

Cause: the sidecar revokes such a run, and refused its offer with the first report after the stop that doesn't list it. A worker may list a run that it is stopping neither as running nor as ended for up to stop_timeout (50 ms). Runs whose start had an answer wait for that time; these didn't.

Both kinds of runs now wait 60 ms (the limit and a margin) from the answer to the stop, and then for a report that was requested afterwards. No answer of the protocol shows sooner that a start was not carried out: the stop's answer is the same in both cases, and a report from before the stop says nothing of a start that arrives between the two.

A start that is lost therefore costs its task 60 ms more than before.

--- a/core/dispatch/history_test.go
+++ b/core/dispatch/history_test.go
@@ -79,6 +79,27 @@
 	}
 }
 
+// TestHistory_RunsWhoseStartLostItsAnswerRunOnceAtATime guards against tasks that ran twice: their starts were carried out, the answers
+// were lost, and the offers were refused while workers still stopped the runs.
+func TestHistory_RunsWhoseStartLostItsAnswerRunOnceAtATime(t *testing.T) {
+	for name, isHidden := range map[string]bool{"listed while stopped": false, "not listed while stopped": true} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				sim := newSimulation(t, seed, defaultLimits, 2, 3)
+				sim.lostShare, sim.stopTime, sim.stopsAreHidden = 0.05, 50*time.Millisecond, isHidden
+				open := map[string]submittedAt{}
+				for n := range 120 {
+					sim.after(time.Second+time.Duration(sim.random.Int64N(int64(6*time.Second))), func() { sim.submitWithRetry(jobID(n), open) })
+				}
+				sim.run(12 * time.Second)
+				if len(sim.overlaps) > 0 {
+					t.Errorf("seed %d: %d overlaps, the first: %s", seed, len(sim.overlaps), sim.overlaps[0])
+				}
+			}
+		})
+	}
+}
+
 // TestHistory_GivenUpJobThatIsSubmittedAgainRunsOnceAtATime guards against tasks that ran twice: the runs of a job that was given up counted
 // as over 500 ms later, though their worker couldn't be reached and went on with them.
 func TestHistory_GivenUpJobThatIsSubmittedAgainRunsOnceAtATime(t *testing.T) {
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -34,6 +34,11 @@
 	answers  map[string][]dispatch.Answer
 	// lateShare is the share of orders that get no answer and are carried out seconds later.
 	lateShare float64
+	// lostShare is the share of orders that are carried out at once and whose answers are lost with their connections.
+	lostShare float64
+	// stopTime is how long a stop takes at most; stopsAreHidden means that a run is not listed meanwhile.
+	stopTime       time.Duration
+	stopsAreHidden bool
 	// ranAt holds when each task's last run started.
 	ranAt    map[string]time.Duration
 	overlaps []string
@@ -419,8 +424,12 @@
 		sim.after(timeout, func() { reply(func() { done(runner.NoAnswer) }) })
 		return
 	}
+	isLost := sim.lostShare > 0 && sim.random.Float64() < sim.lostShare
 	sim.after(time.Millisecond/2, func() {
 		answer := carryOut()
+		if isLost {
+			answer = runner.NoAnswer
+		}
 		reply(func() { done(answer) })
 	})
 }
@@ -511,6 +520,7 @@
 	startAt    time.Duration
 	length     time.Duration
 	milliCores int64
+	isStopping bool
 }
 
 func (f *fakeWorker) begin() {
@@ -676,12 +686,29 @@
 		return answer
 	}
 	if known := f.runs[order.Task]; known != nil && known.run <= order.Run {
-		f.end(order.Task, known.run, work.Stopped)
+		if f.simulation.stopTime > 0 {
+			f.stopSoon(order.Task, known)
+		} else {
+			f.end(order.Task, known.run, work.Stopped)
+		}
 	}
 	f.endedRuns[order.Task] = max(f.endedRuns[order.Task], order.Run)
 	return runner.Accepted
 }
 
+// stopSoon ends a run after the time that a stop may take.
+func (f *fakeWorker) stopSoon(task string, known *fakeRun) {
+	if known.isStopping {
+		return
+	}
+	known.isStopping = true
+	f.simulation.after(time.Duration(f.simulation.random.Int64N(int64(f.simulation.stopTime))), func() {
+		if f.runs[task] == known {
+			f.end(task, known.run, work.Stopped)
+		}
+	})
+}
+
 func (f *fakeWorker) hold(order *runner.Hold) runner.Answer {
 	answer := f.admit(&order.Order)
 	if answer == runner.Accepted {
@@ -703,6 +730,9 @@
 	}
 	for _, task := range slices.Sorted(maps.Keys(f.runs)) {
 		active := f.runs[task]
+		if active.isStopping && f.simulation.stopsAreHidden {
+			continue
+		}
 		report.Running = append(report.Running, runner.ReportedRun{
 			RunID:   work.RunID{Task: task, Run: active.run},
 			Percent: float64(100 * (f.simulation.now - active.startAt) / active.length),
--- a/core/runner/doc.go
+++ b/core/runner/doc.go
@@ -12,9 +12,10 @@
 //     shortens, and a task that starts later runs under it. A grant ends Limits.Grant after the sending of the last probe
 //     that the entry has answered. An entry that receives nothing therefore knows when all its offers are over:
 //     Limits.Grant after its last answer, plus a margin for the drift of the worker's clock.
-//   - An order without an answer is revoked. Its offer is refused only after the worker has confirmed the stop and
-//     reported its ends; only then may the entry offer the task elsewhere. If the worker starts again meanwhile, the order is
-//     revoked at the new process, which may have the ID of the old one and carry it out.
+//   - An order without an answer is revoked. Its offer is refused only after the worker has confirmed the stop, the time that a
+//     stop may take has passed, and the worker has reported its ends since: meanwhile it may list the run nowhere. Only then may
+//     the entry offer the task elsewhere. If the worker starts again meanwhile, the order is revoked at the new process, which may
+//     have the ID of the old one and carry it out.
 //   - A run is over by the worker's word, with its lease on the worker's clock, or once a later incarnation has answered at the
 //     worker's address (type proof). Nothing else shows it: a worker that refuses connections, for however long, may have lost only
 //     its listener, and anyone can announce another incarnation.
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -183,17 +183,16 @@
 			r.lose(now, run, notReported)
 		}
 	case stopped:
-		if report.Number < run.confirmingHold {
+		// The worker may list a run that it stops neither as running nor as ended until it has ended. That holds for a run whose start
+		// has no answer, too: it may have been carried out.
+		if w := &r.worker; report.Number != w.holdNumber || w.holdSentAt < run.changedAt+stopTime {
 			return
 		}
 		if run.wasStarted {
-			// The worker may list a run that it stops neither as running nor as ended until it has ended.
-			if w := &r.worker; report.Number == w.holdNumber && w.holdSentAt >= run.changedAt+stopTime {
-				r.end(now, run, run.outcome)
-			}
+			r.end(now, run, run.outcome)
 			return
 		}
-		// The Start was not carried out, and the Stop prevents it from being carried out later.
+		// Whether the Start was carried out or not, nothing of it is left, and the Stop prevents it from being carried out later.
 		r.refuseRun(run, work.Unanswered)
 	}
 }
