End the suspicion with any answer of the incarnation

Tasks counted the crash of a worker that had not crashed, and could be given up for it, if the worker refused a connection and then answered that it is unhealthy (or that it has seen a higher fence) until its lease had expired.

Cause: only an accepted Hold ended the suspicion that the worker has ended. The refusals of the worker's own incarnation show as well that it lives.

The answers Unhealthy and Fenced now end the suspicion. An unhealthy worker still counts as silent: it gets no tasks and no lease.

--- a/core/runner/crash_test.go
+++ b/core/runner/crash_test.go
@@ -1,6 +1,7 @@
 package runner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -247,3 +248,38 @@
 		t.Errorf("crashes %+v, want that of the first incarnation confirmed", crashes)
 	}
 }
+
+// TestCrash_AnyAnswerOfTheIncarnationEndsTheSuspicion guards against tasks that are given up for the crash of a worker that answers, but
+// carries nothing out: it is unhealthy, or has seen a higher fence.
+func TestCrash_AnyAnswerOfTheIncarnationEndsTheSuspicion(t *testing.T) {
+	for answer, lives := range map[runner.Answer]bool{runner.Unhealthy: true, runner.Fenced: true, runner.WrongIncarnation: false} {
+		t.Run(fmt.Sprint(answer), func(t *testing.T) {
+			h := newHarness(t)
+			h.run("a.0.0.0", 1000)
+			h.end()
+			if suspicions, _ := h.toldOf(session, 100*time.Millisecond); len(suspicions) != 1 {
+				t.Fatalf("suspicions %+v, want one", suspicions)
+			}
+			withdrawn, crashes := 0, 0
+			for until := h.now + 1500*time.Millisecond; h.now < until; h.now, h.clockMS = h.now+10*time.Millisecond, h.clockMS+10 {
+				h.core.Advance(h.now)
+				effects := h.core.Effects()
+				for _, frame := range effects.Frames {
+					crashes += len(frame.Crashes)
+					if len(frame.Suspicions) > 0 && frame.Suspicions[0].IsWithdrawn {
+						withdrawn++
+					}
+					if frame.Probe != 0 {
+						h.core.Take(h.now, frame.Session, &work.ToSidecar{Echo: frame.Probe})
+					}
+				}
+				if effects.Hold != nil {
+					h.core.Reported(h.now, &runner.Report{Answer: answer, Number: effects.Hold.Number, ClockReading: h.reading()})
+				}
+			}
+			if (withdrawn == 1) != lives || (crashes == 0) != lives {
+				t.Errorf("%d withdrawals, %d crashes", withdrawn, crashes)
+			}
+		})
+	}
+}
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -31,9 +31,9 @@
 		w.holdPending, w.nextHold = false, now
 	}
 	w.failure = cmp.Or(report.Failure, w.failure)
+	r.answered(report)
 	switch report.Answer {
 	case Accepted:
-		r.answered(len(report.Running))
 		r.clearSuspect()
 	case ConnectionRefused:
 		r.holdRefused(now)
--- a/core/runner/suspicion.go
+++ b/core/runner/suspicion.go
@@ -60,14 +60,18 @@
 	}
 }
 
-// answered ends the suspicion: the worker has answered under the incarnation that seemed to have ended, so it has not crashed.
-func (r *Runner) answered(listed int) {
+// answered ends the suspicion if the worker has answered under the incarnation that seemed to have ended: it has not crashed, whatever it
+// said. The worker of another incarnation answers that the call is not for it.
+func (r *Runner) answered(report *Report) {
 	w := &r.worker
+	if report.Answer != Accepted && report.Answer != Fenced && report.Answer != Unhealthy {
+		return
+	}
 	w.lapsedRuns = nil
 	if !w.suspicion.stands {
 		return
 	}
-	r.note(Note{Kind: ConnectionsAccepted, Evidence: r.evidence(listed)})
+	r.note(Note{Kind: ConnectionsAccepted, Evidence: r.evidence(len(report.Running))})
 	if r.withdrawCrash(w.Incarnation) || w.suspicion.isReported {
 		for _, entry := range r.sessions {
 			entry.frame.Suspicions = append(entry.frame.Suspicions, work.Suspicion{Incarnation: w.Incarnation, IsWithdrawn: true})
