Ignore answers to orders of the worker's previous incarnation

Tasks could run for minutes under a lease that should last a second, or run twice, after a worker had restarted while a Start or a Stop was open.

Cause: the runner took the clock reading of the answer to a Start or Stop for the current incarnation's, also if the order was sent to the previous one: leases were computed from the clock of the old process, and the worker counted as heard from. In the same way, the answer to a Stop of the previous incarnation counted as a stop at the new one, whose unanswered Start could still arrive.

Evidence, with the check disabled: TestRunner_ClockOfThePreviousIncarnationGrantsNoLease, "order {Incarnation:w@2 Fence:11 LeaseUntilMS:501000} to a worker whose clock is 110"; TestRunner_StopAtThePreviousIncarnationRefusesNoOffer, "refused [{{a.0.0.0 1} unanswered}] without a stop at the new incarnation". Both pass on this one.

Answers now carry the incarnation to which their order was sent. One of an earlier incarnation changes only whether the run counts as started. TestRunner_UnansweredStartIsRevokedAtTheNextIncarnationToo answers its second Stop, which goes to the new incarnation, in that one's name; it demands what it did.

--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -390,12 +390,12 @@
 	}
 	for _, start := range effects.Starts {
 		sim.order(func() runner.Answer { return n.worker.start(&start) }, runner.StartTimeout, reply, func(a runner.Answer) {
-			n.core.Started(sim.now, start.RunID, a, n.worker.reading(a))
+			n.core.Started(sim.now, start.Incarnation, start.RunID, a, n.worker.reading(a))
 		})
 	}
 	for _, stop := range effects.Stops {
 		sim.order(func() runner.Answer { return n.worker.stop(&stop) }, runner.StopTimeout, reply, func(a runner.Answer) {
-			n.core.Stopped(sim.now, stop.RunID, a, n.worker.reading(a))
+			n.core.Stopped(sim.now, stop.Incarnation, stop.RunID, a, n.worker.reading(a))
 		})
 	}
 	if effects.Hold != nil {
--- a/core/runner/capacity_test.go
+++ b/core/runner/capacity_test.go
@@ -112,7 +112,7 @@
 	h.core.Take(h.now, session, &work.ToSidecar{Stops: []work.RunID{id}})
 	h.step(0)
 	h.offer("b.0.0.0", 6000)
-	h.core.Stopped(h.now, id, runner.Accepted, h.reading())
+	h.core.Stopped(h.now, "w@1", id, runner.Accepted, h.reading())
 	h.step(0)
 	if h.hasStarted("b.0.0.0") {
 		t.Fatal("a task was started in the room of a run whose end was not reported")
--- a/core/runner/confirm_test.go
+++ b/core/runner/confirm_test.go
@@ -16,7 +16,7 @@
 		RunID: id, Needs: work.Needs{MilliCores: 1000}, ExpectedMS: 200, StartWithinMS: 400, IsStored: true,
 	}}})
 	h.step(0)
-	h.core.Started(h.now, id, runner.Accepted, h.reading())
+	h.core.Started(h.now, "w@1", id, runner.Accepted, h.reading())
 	h.step(0)
 	return id
 }
--- a/core/runner/evacuation_test.go
+++ b/core/runner/evacuation_test.go
@@ -44,7 +44,7 @@
 	h := newHarness(t)
 	id := h.offer("a.0.0.0", 1000)
 	h.core.SetDrained(true)
-	h.core.Started(h.now, id, runner.NoCapacity, h.reading())
+	h.core.Started(h.now, "w@1", id, runner.NoCapacity, h.reading())
 	h.step(0)
 	if len(h.frame.Refused) != 1 || h.frame.Refused[0].RunID != id || h.frame.Refused[0].Reason != work.Unavailable {
 		t.Fatalf("refused %+v", h.frame.Refused)
--- a/core/runner/reserve_test.go
+++ b/core/runner/reserve_test.go
@@ -70,7 +70,7 @@
 	if h.hasStarted("long.0.0.0") || !h.hasStarted("short.0.0.0") {
 		t.Fatalf("starts %+v, want the short task and not the long one", h.starts)
 	}
-	h.core.Started(h.now, work.RunID{Task: "short.0.0.0", Run: 1}, runner.Accepted, h.reading())
+	h.core.Started(h.now, "w@1", work.RunID{Task: "short.0.0.0", Run: 1}, runner.Accepted, h.reading())
 	h.step(20 * time.Millisecond)
 	h.step(80 * time.Millisecond)
 	h.report(&runner.Report{Answer: runner.Accepted, Ended: []runner.ReportedEnd{
--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -140,7 +140,7 @@
 	if len(h.starts) == 0 || h.starts[len(h.starts)-1].Task != task {
 		h.t.Fatalf("task %s was not started", task)
 	}
-	h.core.Started(h.now, id, runner.Accepted, h.reading())
+	h.core.Started(h.now, "w@1", id, runner.Accepted, h.reading())
 	h.step(0)
 	return id
 }
@@ -192,12 +192,12 @@
 func TestRunner_UnansweredStartCountsWhileItsStopTakesItsTime(t *testing.T) {
 	h := newHarness(t)
 	id := h.offer("a.0.0.0", 1000)
-	h.core.Started(h.now, id, runner.NoAnswer, runner.ClockReading{})
+	h.core.Started(h.now, "w@1", id, runner.NoAnswer, runner.ClockReading{})
 	h.step(0)
 	if len(h.stops) != 1 || len(h.frame.Refused) != 0 {
 		t.Fatalf("stops %v, refused %v", h.stops, h.frame.Refused)
 	}
-	h.core.Stopped(h.now, id, runner.Accepted, h.reading())
+	h.core.Stopped(h.now, "w@1", id, runner.Accepted, h.reading())
 	stoppedAt := h.now
 	for h.step(0); h.now < stoppedAt+50*time.Millisecond; h.step(10 * time.Millisecond) {
 		h.answerHold()
@@ -220,9 +220,9 @@
 func TestRunner_RevokedRunThatCompletedIsReportedAsDone(t *testing.T) {
 	h := newHarness(t)
 	id := h.offer("a.0.0.0", 1000)
-	h.core.Started(h.now, id, runner.NoAnswer, runner.ClockReading{})
+	h.core.Started(h.now, "w@1", id, runner.NoAnswer, runner.ClockReading{})
 	h.step(0)
-	h.core.Stopped(h.now, id, runner.Accepted, h.reading())
+	h.core.Stopped(h.now, "w@1", id, runner.Accepted, h.reading())
 	h.report(&runner.Report{Answer: runner.Accepted, Ended: []runner.ReportedEnd{{RunID: id, Number: 1, Outcome: work.Done}}})
 	if len(h.frame.Refused) != 0 || len(h.frame.Ended) != 1 || h.frame.Ended[0].Outcome != work.Done {
 		t.Errorf("refused %v, ended %v", h.frame.Refused, h.frame.Ended)
@@ -233,7 +233,7 @@
 	h := newHarness(t)
 	id := h.offer("a.0.0.0", 1000)
 	first := h.starts[0].Fence
-	h.core.Started(h.now, id, runner.Fenced, h.reading())
+	h.core.Started(h.now, "w@1", id, runner.Fenced, h.reading())
 	h.step(20 * time.Millisecond)
 	if len(h.starts) != 2 || h.starts[1].Fence <= first {
 		t.Errorf("starts %+v", h.starts)
@@ -332,8 +332,8 @@
 	h.core.Take(h.now, session, &work.ToSidecar{Stops: []work.RunID{id}})
 	h.step(0)
 	// The answer to the start arrives after the stop was sent.
-	h.core.Started(h.now, id, runner.Accepted, h.reading())
-	h.core.Stopped(h.now, id, runner.Accepted, h.reading())
+	h.core.Started(h.now, "w@1", id, runner.Accepted, h.reading())
+	h.core.Stopped(h.now, "w@1", id, runner.Accepted, h.reading())
 	stoppedAt := h.now
 	for h.step(time.Millisecond); h.now < stoppedAt+50*time.Millisecond; h.step(10 * time.Millisecond) {
 		if h.hold != nil {
@@ -417,9 +417,9 @@
 func TestRunner_UnansweredStartIsRevokedAtTheNextIncarnationToo(t *testing.T) {
 	h := newHarness(t)
 	id := h.offer("a.0.0.0", 1000)
-	h.core.Started(h.now, id, runner.NoAnswer, runner.ClockReading{})
+	h.core.Started(h.now, "w@1", id, runner.NoAnswer, runner.ClockReading{})
 	h.step(0)
-	h.core.Stopped(h.now, id, runner.WrongIncarnation, runner.ClockReading{})
+	h.core.Stopped(h.now, "w@1", id, runner.WrongIncarnation, runner.ClockReading{})
 	h.restart(announcement(2))
 	h.answerHold(runner.ReportedRun{RunID: id})
 	if len(h.frame.Ended)+len(h.frame.Refused) != 0 {
@@ -428,7 +428,7 @@
 	if last := h.stops[len(h.stops)-1]; last.Incarnation != "w@2" || last.RunID != id {
 		t.Fatalf("stops %+v, want one at the new incarnation", h.stops)
 	}
-	h.core.Stopped(h.now, id, runner.Accepted, h.reading())
+	h.core.Stopped(h.now, "w@2", id, runner.Accepted, h.reading())
 	h.step(0)
 	h.report(&runner.Report{Answer: runner.Accepted, Ended: []runner.ReportedEnd{{RunID: id, Number: 1, Outcome: work.Stopped}}})
 	if len(h.frame.Ended) != 1 || h.frame.Ended[0].Outcome != work.Lost {
@@ -436,6 +436,56 @@
 	}
 }
 
+// TestRunner_ClockOfThePreviousIncarnationGrantsNoLease guards against a lease of minutes: the answer to a Start of the previous incarnation,
+// whose clock is ahead, arrives after the new one has taken its place.
+func TestRunner_ClockOfThePreviousIncarnationGrantsNoLease(t *testing.T) {
+	h := newHarness(t)
+	h.clockMS = 500_000
+	started := h.offer("a.0.0.0", 1000)
+	late := h.reading()
+	h.restart(announcement(2))
+	h.clockMS = 100
+	h.answerHold()
+	h.core.Started(h.now, "w@1", started, runner.Accepted, late)
+	h.offer("b.0.0.0", 1000)
+	h.step(10 * time.Millisecond)
+	if last := h.starts[len(h.starts)-1]; last.Task != "b.0.0.0" {
+		t.Fatalf("starts %+v, want one of the second task", h.starts)
+	}
+	orders := []runner.Order{h.hold.Order}
+	for _, start := range h.starts {
+		orders = append(orders, start.Order)
+	}
+	for _, stop := range h.stops {
+		orders = append(orders, stop.Order)
+	}
+	for _, order := range orders {
+		if order.Incarnation == "w@2" && order.LeaseUntilMS > h.clockMS+runner.DefaultLimits.Lease.Milliseconds() {
+			t.Errorf("order %+v to a worker whose clock is %d", order, h.clockMS)
+		}
+	}
+}
+
+// TestRunner_StopAtThePreviousIncarnationRefusesNoOffer guards against a task that runs twice: the answer to a Stop of the previous
+// incarnation counts as the stop at the new one, to which its unanswered Start is still on its way.
+func TestRunner_StopAtThePreviousIncarnationRefusesNoOffer(t *testing.T) {
+	h := newHarness(t)
+	id := h.offer("a.0.0.0", 1000)
+	h.core.Started(h.now, "w@1", id, runner.NoAnswer, runner.ClockReading{})
+	h.step(0)
+	h.restart(announcement(2))
+	h.core.Stopped(h.now, "w@1", id, runner.Accepted, h.reading())
+	for range 20 {
+		h.step(10 * time.Millisecond)
+		if h.hold != nil {
+			h.answerHold()
+		}
+	}
+	if len(h.frame.Ended)+len(h.frame.Refused) != 0 {
+		t.Errorf("ended %v, refused %v without a stop at the new incarnation", h.frame.Ended, h.frame.Refused)
+	}
+}
+
 func TestRunner_LeavingWorkerFinishesRunsAndAcceptsNoOffers(t *testing.T) {
 	h := newHarness(t)
 	h.run("a.0.0.0", 8000)
@@ -470,12 +520,12 @@
 	for name, refuse := range map[string]func(h *harness, id work.RunID){
 		"one hold": func(h *harness, _ work.RunID) { h.refuseHolds(20 * time.Millisecond) },
 		"one start": func(h *harness, id work.RunID) {
-			h.core.Started(h.now, id, runner.ConnectionRefused, runner.ClockReading{})
+			h.core.Started(h.now, "w@1", id, runner.ConnectionRefused, runner.ClockReading{})
 		},
 		"one stop": func(h *harness, id work.RunID) {
 			h.core.Take(h.now, session, &work.ToSidecar{Stops: []work.RunID{id}})
 			h.step(0)
-			h.core.Stopped(h.now, id, runner.ConnectionRefused, runner.ClockReading{})
+			h.core.Stopped(h.now, "w@1", id, runner.ConnectionRefused, runner.ClockReading{})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -630,7 +680,7 @@
 	if len(h.stops) != 1 {
 		t.Fatalf("stops %v", h.stops)
 	}
-	h.core.Stopped(h.now, id, runner.Accepted, h.reading())
+	h.core.Stopped(h.now, "w@1", id, runner.Accepted, h.reading())
 	h.report(&runner.Report{Answer: runner.Accepted, Ended: []runner.ReportedEnd{{RunID: id, Number: 1, Outcome: work.Stopped}}})
 	if len(h.frame.Ended) != 1 || h.frame.Ended[0].Outcome != work.Stalled {
 		t.Errorf("ended %v", h.frame.Ended)
@@ -726,7 +776,7 @@
 	if took := h.now - began; took > 35*time.Millisecond {
 		t.Errorf("revoked after %v, want 25 ms and the 10 ms that the test steps further", took)
 	}
-	h.core.Stopped(h.now, id, runner.Accepted, h.reading())
+	h.core.Stopped(h.now, "w@1", id, runner.Accepted, h.reading())
 	// The wait is the longest time that a stop takes (50 ms) with its margin, and nothing is added to it but a call.
 	for stoppedAt := h.now; h.now <= stoppedAt+60*time.Millisecond; {
 		h.step(time.Millisecond)
--- a/core/runner/scarcity_test.go
+++ b/core/runner/scarcity_test.go
@@ -23,7 +23,7 @@
 	if last := h.starts[len(h.starts)-1].Task; last != "in-time.0.0.0" {
 		t.Errorf("%s started, want the task that can still be in time", last)
 	}
-	h.core.Started(h.now, work.RunID{Task: "in-time.0.0.0", Run: 1}, runner.Accepted, h.reading())
+	h.core.Started(h.now, "w@1", work.RunID{Task: "in-time.0.0.0", Run: 1}, runner.Accepted, h.reading())
 	h.endRun("in-time.0.0.0", 2)
 	if last := h.starts[len(h.starts)-1].Task; last != "late.0.0.0" {
 		t.Errorf("%s started last, want the late task once there is capacity", last)
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -249,14 +249,18 @@
 	return time.Duration(clockDriftRatio * float64(r.limits.Lease+idleHoldInterval))
 }
 
-// Started handles the answer to a Start.
-func (r *Runner) Started(now time.Duration, id work.RunID, answer Answer, reading ClockReading) {
-	r.updateClock(now, reading)
+// Started handles the answer to a Start that was sent to the named incarnation. One that was sent to an earlier incarnation says nothing
+// of the clock and the health of the worker; that it was accepted shows that the run was started.
+func (r *Runner) Started(now time.Duration, incarnation string, id work.RunID, answer Answer, reading ClockReading) {
+	isCurrent := incarnation == r.worker.Incarnation
+	if isCurrent {
+		r.updateClock(now, reading)
+	}
 	run := r.runs[id.Task]
 	if run == nil || run.Run != id.Run {
 		return
 	}
-	if run.state != ordered {
+	if run.state != ordered || !isCurrent {
 		r.noteLateStart(now, run, answer)
 		return
 	}
@@ -343,8 +347,12 @@
 	run.state, run.changedAt, run.retryAt, run.outcome = stopping, now, now, outcome
 }
 
-// Stopped handles the answer to a Stop.
-func (r *Runner) Stopped(now time.Duration, id work.RunID, answer Answer, reading ClockReading) {
+// Stopped handles the answer to a Stop that was sent to the named incarnation. One that was sent to an earlier incarnation doesn't prevent
+// a start at this one.
+func (r *Runner) Stopped(now time.Duration, incarnation string, id work.RunID, answer Answer, reading ClockReading) {
+	if incarnation != r.worker.Incarnation {
+		return
+	}
 	r.updateClock(now, reading)
 	run := r.runs[id.Task]
 	if run == nil || run.Run != id.Run || run.state != stopping {
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -285,7 +285,7 @@
 		began := time.Now()
 		answer, reading := a.options.Worker.Start(ctx, order)
 		a.counters.startTook.Observe(time.Since(began))
-		return func(now time.Duration) { a.core.Started(now, order.RunID, answer, reading) }
+		return func(now time.Duration) { a.core.Started(now, order.Incarnation, order.RunID, answer, reading) }
 	})
 }
 
@@ -295,7 +295,7 @@
 		began := time.Now()
 		answer, reading := a.options.Worker.Stop(ctx, order)
 		a.counters.stopTook.Observe(time.Since(began))
-		return func(now time.Duration) { a.core.Stopped(now, order.RunID, answer, reading) }
+		return func(now time.Duration) { a.core.Stopped(now, order.Incarnation, order.RunID, answer, reading) }
 	})
 }
 
