Test that no job fails for workers that only refused connections

Jobs were shown as failed because workers refused connections for 1.3 s, longer than their lease, under two or three runs of a task.

--- a/core/dispatch/deadly_test.go
+++ b/core/dispatch/deadly_test.go
@@ -518,3 +518,31 @@
 		}
 	}
 }
+
+// TestDeadly_JobsOfWorkersThatOnlyRefuseConnectionsDoNotFail guards against jobs that are shown as failed because workers refused
+// connections for longer than their lease: no worker has ended.
+func TestDeadly_JobsOfWorkersThatOnlyRefuseConnectionsDoNotFail(t *testing.T) {
+	for seed := range uint64(15) {
+		sim := newSimulation(t, seed, defaultLimits, 1, 3)
+		for n := range 8 {
+			sim.after(time.Second+time.Duration(n)*100*time.Millisecond, func() { sim.submit(0, jobID(n), 1, 900*time.Millisecond, 0) })
+		}
+		for _, w := range sim.workers {
+			for k := range 10 {
+				at := 1200*time.Millisecond + time.Duration(k)*2500*time.Millisecond + time.Duration(sim.random.Int64N(int64(time.Second)))
+				sim.after(at, func() { w.refusesUntil = sim.now + 1300*time.Millisecond })
+			}
+		}
+		sim.run(30 * time.Second)
+		for job, answers := range sim.answers {
+			for _, answer := range answers {
+				if answer.Result == dispatch.JobFailed {
+					t.Errorf("seed %d: job %s failed (%v), but no worker has ended", seed, job, answer.Cause)
+				}
+			}
+		}
+		for _, overlap := range sim.overlaps {
+			t.Errorf("seed %d: %s", seed, overlap)
+		}
+	}
+}
