Count closed connections after the pool is unlocked

A process could stop for ever: makeRoom counted closed connections while it held the pool's mutex. The first count of a name takes the write lock of expvar.Map, which waits for a reader of /debug/vars, and that reader waits for the mutex in the gauge held_bytes. Every later connection and request then waits too.

The pool now counts, and logs, after it has unlocked the mutex, so that nobody waits for the metrics with the mutex held.

TestReport_FirstClosedConnectionDuringAReadOfTheMetrics failed before: "the pool's mutex is held for ever" after 5 s.

--- a/node/intake/pool.go
+++ b/node/intake/pool.go
@@ -26,6 +26,8 @@
 	waiting int64
 	open    int
 	clients map[netip.Addr]*client
+	// closed is how many connections makeRoom has closed since the mutex was locked.
+	closed int
 }
 
 // client is what is held for one IP address.
@@ -59,11 +61,22 @@
 	return p.used, p.open
 }
 
+// unlock unlocks the mutex and then counts what makeRoom has closed: a reader of the metrics, which counting may have to wait for, may be
+// waiting for the mutex in a gauge.
+func (p *Pool) unlock() {
+	closed := p.closed
+	p.closed = 0
+	p.mutex.Unlock()
+	for range closed {
+		p.report.add(closedConnection)
+	}
+}
+
 // admit returns the pool's connection for an accepted one, or nil if there is no room for it.
 func (p *Pool) admit(inner net.Conn) *conn {
 	address := addressOf(inner)
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	defer p.unlock()
 	if !p.makeRoom(connectionBytes, 1, nil) {
 		return nil
 	}
@@ -91,7 +104,7 @@
 // take charges bytes for a connection. It returns false if there is no room for them or the connection is closed.
 func (p *Pool) take(c *conn, bytes int64) bool {
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	defer p.unlock()
 	if c.isClosed || !p.makeRoom(bytes, 0, c) {
 		return false
 	}
@@ -105,7 +118,7 @@
 		return true
 	}
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
+	defer p.unlock()
 	more := min(excess, p.budget/2) - c.inHeader
 	if c.isClosed || lines > manyLines && p.used > p.budget/2 || !p.makeRoom(more, 0, c) {
 		return false
@@ -150,7 +163,7 @@
 		}
 		p.remove(victim)
 		_ = victim.Conn.Close()
-		p.report.add(closedConnection)
+		p.closed++
 	}
 	return true
 }
