Write nothing while a request is in progress

A caller could read status 503 for a job that exists, and send it again: with a GET and a whole POST in one segment, the POST's header has ended in net/http's buffer, but the pool still waited for its end. The byte that net/http reads while the POST's handler runs was taken for the header, and a pool without room wrote 503 to the connection. The lines of such a POST's body counted as header lines too.

A connection now knows from StateActive, or from the handler for a request that was in the buffer, that a header has ended, until StateIdle. What is read in between belongs to no header. Reads of one byte, which may begin just before that, are never refused; what they lack is charged with the next read.

TestConn_NothingIsWrittenWhileAPipelinedRequestIsInProgress failed before with Status:503.

--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +29,8 @@
 	client *client
 	// header is used by the goroutine that reads the connection.
 	header header
+	// inProgress is true from when net/http has read the header of a request until the request has been answered.
+	inProgress atomic.Bool
 	// deadline is the read deadline that net/http has set. It is used by the goroutine of the request.
 	deadline time.Time
 
@@ -71,17 +74,28 @@
 // Read reads from the connection. A header for which there is no room is answered here, before net/http makes a map of it.
 func (c *conn) Read(into []byte) (int, error) {
 	count, err := c.Conn.Read(into)
+	if c.inProgress.Load() {
+		// net/http may have had the whole header in its buffer.
+		c.header.hasEnded = true
+	}
 	wasRead := c.header.hasEnded
 	c.header.add(into[:count], len(into))
-	if wasRead || c.pool.takeHeader(c, c.header.excess(), c.header.lines-c.header.early) {
+	// net/http reads single bytes while it waits for a handler, also for one that is about to begin.
+	if wasRead || len(into) == 1 || c.pool.takeHeader(c, c.header.excess(), c.header.lines-c.header.early) {
 		return count, err
 	}
 	c.refuse(into)
 	return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errNoRoom}
 }
 
+// begin records that the header of a request has been read.
+func (c *conn) begin() {
+	c.inProgress.Store(true)
+}
+
 // next prepares for the next request, whose header may have been read in part.
 func (c *conn) next() {
+	c.inProgress.Store(false)
 	c.header.next()
 	if !c.header.hasEnded && !c.pool.takeHeader(c, c.header.excess(), 0) {
 		c.pool.report.add(refusedHeader)
--- a/node/intake/header.go
+++ b/node/intake/header.go
@@ -24,7 +24,7 @@
 	inLine int
 	// preface is the number of bytes that the connection has in common with streamPreface; -1 once they differ.
 	preface int
-	// hasEnded is true from the end of the header until the next one may begin. The tail is what the last read has returned since then.
+	// hasEnded is true from the end of the header until the next one may begin. The tail is what net/http's buffer may hold beyond it.
 	hasEnded             bool
 	tailBytes, tailLines int
 }
--- a/node/intake/serve.go
+++ b/node/intake/serve.go
@@ -34,13 +34,22 @@
 		return context.WithValue(ctx, connKey{}, inner)
 	}
 	server.ConnState = func(inner net.Conn, state http.ConnState) {
-		if c, isCharged := inner.(*conn); isCharged && state == http.StateIdle {
+		c, isCharged := inner.(*conn)
+		switch {
+		case !isCharged:
+		case state == http.StateActive:
+			c.begin()
+		case state == http.StateIdle:
 			p.wait(c)
 			c.next()
 		}
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, isCharged := r.Context().Value(connKey{}).(*conn)
+		if isCharged && r.ProtoMajor == 1 {
+			// StateActive is not reported for a request that net/http had in its buffer.
+			c.begin()
+		}
 		switch {
 		case !isCharged:
 			handler.ServeHTTP(w, r)
