Charge headers after the second pipelined request

A client could hold header lines without a charge: what net/http's buffer holds beyond a header was counted for the next request, and forgotten when that one was answered. Lines of a third request in the same segment were not charged (24,576 bytes for 1,000 lines).

What the buffer may hold is now forgotten only when net/http fills it again, which it does when no whole line is left. A client that pipelines is charged for all of the segment until then, also for requests in it that are answered.

TestServe_HeaderAfterTwoPipelinedRequestsIsCharged failed before: "1000 lines of a header are charged with 24576 bytes, want 115200 at least".

--- a/node/intake/header.go
+++ b/node/intake/header.go
@@ -31,22 +31,30 @@
 
 // add measures bytes that were read into a buffer of the given size.
 func (h *header) add(text []byte, size int) {
-	for len(text) > 0 && !h.hasEnded {
-		text = h.addLine(text)
-	}
-	if !h.hasEnded {
-		return
-	}
 	if size > 1 {
+		// net/http fills its buffer when no whole line is left in it.
 		h.tailBytes, h.tailLines = 0, 0
 	}
-	// Only bytes of the body are read past net/http's buffer. A read of one byte leaves the buffer as it is.
+	rest := text
+	for len(rest) > 0 && !h.hasEnded {
+		rest = h.addLine(rest)
+	}
+	if size == 1 {
+		// The header of a request that was in the buffer may have ended unseen.
+		rest = text
+	}
+	// Only bytes of the body are read past net/http's buffer.
 	if size <= bufferSize {
-		h.tailBytes += len(text)
-		h.tailLines += bytes.Count(text, []byte{'\n'})
+		h.addTail(rest)
 	}
 }
 
+// addTail measures bytes that remain in net/http's buffer.
+func (h *header) addTail(text []byte) {
+	h.tailBytes += len(text)
+	h.tailLines += bytes.Count(text, []byte{'\n'})
+}
+
 // addLine measures the text up to the end of the line and returns the rest.
 func (h *header) addLine(text []byte) []byte {
 	line, rest, ends := bytes.Cut(text, []byte{'\n'})
@@ -77,12 +85,15 @@
 	return h.preface == len(streamPreface)
 }
 
-// next begins the header of the next request, the beginning of which may have been read already.
+// next begins the header of the next request. The tail may hold its beginning, and further requests before and after it.
 func (h *header) next() {
 	if h.isStream() {
 		return
 	}
-	*h = header{bytes: h.tailBytes, lines: h.tailLines, early: h.tailLines, preface: -1}
+	*h = header{
+		bytes: h.tailBytes, lines: h.tailLines, early: h.tailLines, preface: -1,
+		tailBytes: h.tailBytes, tailLines: h.tailLines,
+	}
 }
 
 // excess returns the bytes that the header takes beyond a short one.
--- a/node/intake/header_test.go
+++ b/node/intake/header_test.go
@@ -1,6 +1,8 @@
 package intake
 
 import (
+	"bufio"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -46,6 +48,24 @@
 	}
 }
 
+// TestServe_HeaderAfterTwoPipelinedRequestsIsCharged guards against a tail that is forgotten with the first request that it holds.
+func TestServe_HeaderAfterTwoPipelinedRequestsIsCharged(t *testing.T) {
+	p := newTestPool(t, 4<<20, 100)
+	address := startServer(t, p)
+	reader := bufio.NewReader(open(t, address, strings.Repeat("GET / HTTP/1.1\r\nHost: h\r\n\r\n", 2)+shortLines(3000)))
+	for range 2 {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if used, _ := p.usage(); used < 900*lineBytes {
+		t.Errorf("1000 lines of a header are charged with %d bytes, want %d at least", used, 900*lineBytes)
+	}
+}
+
 func shortLines(bytes int) string {
 	return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n" + strings.Repeat("a:\n", bytes/3)
 }
