Continue a header line that began in the previous read

The lines of a header could go uncharged: when the next request's header began in the buffer and was cut within a line, the line's end in the next read was taken for an empty line and so for the end of the header. Now the length of the line that was cut is kept with the tail.

TestHeader_LineThatBeganInTheTailDoesNotEndTheHeader failed before with hasEnded:true.

--- a/node/intake/header.go
+++ b/node/intake/header.go
@@ -25,15 +25,15 @@
 	// preface is the number of bytes that the connection has in common with streamPreface; -1 once they differ.
 	preface int
 	// hasEnded is true from the end of the header until the next one may begin. The tail is what net/http's buffer may hold beyond it.
-	hasEnded             bool
-	tailBytes, tailLines int
+	hasEnded                         bool
+	tailBytes, tailLines, tailInLine int
 }
 
 // add measures bytes that were read into a buffer of the given size.
 func (h *header) add(text []byte, size int) {
 	if size > 1 {
 		// net/http fills its buffer when no whole line is left in it.
-		h.tailBytes, h.tailLines = 0, 0
+		h.tailBytes, h.tailLines, h.tailInLine = 0, 0, 0
 	}
 	rest := text
 	for len(rest) > 0 && !h.hasEnded {
@@ -53,6 +53,11 @@
 func (h *header) addTail(text []byte) {
 	h.tailBytes += len(text)
 	h.tailLines += bytes.Count(text, []byte{'\n'})
+	if last := bytes.LastIndexByte(text, '\n'); last >= 0 {
+		h.tailInLine = len(text) - last - 1
+	} else {
+		h.tailInLine += len(text)
+	}
 }
 
 // addLine measures the text up to the end of the line and returns the rest.
@@ -91,8 +96,8 @@
 		return
 	}
 	*h = header{
-		bytes: h.tailBytes, lines: h.tailLines, early: h.tailLines, preface: -1,
-		tailBytes: h.tailBytes, tailLines: h.tailLines,
+		bytes: h.tailBytes, lines: h.tailLines, early: h.tailLines, inLine: h.tailInLine, preface: -1,
+		tailBytes: h.tailBytes, tailLines: h.tailLines, tailInLine: h.tailInLine,
 	}
 }
 
--- a/node/intake/header_test.go
+++ b/node/intake/header_test.go
@@ -48,6 +48,16 @@
 	}
 }
 
+func TestHeader_LineThatBeganInTheTailDoesNotEndTheHeader(t *testing.T) {
+	var h header
+	h.add([]byte("GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\na:b"), bufferSize)
+	h.next()
+	h.add([]byte("\r\nc:d\r\n"), bufferSize-3)
+	if h.hasEnded || h.lines != 3 {
+		t.Errorf("%+v", h)
+	}
+}
+
 // TestServe_HeaderAfterTwoPipelinedRequestsIsCharged guards against a tail that is forgotten with the first request that it holds.
 func TestServe_HeaderAfterTwoPipelinedRequestsIsCharged(t *testing.T) {
 	p := newTestPool(t, 4<<20, 100)
