Let a connection wait since its request began

A kept connection lost its next request to stalled ones of the same address, such as all callers behind a load balancer: its place in the list dated from its last answer, so that the request that had just begun counted as having waited longest.

A connection is now moved to the end when the header of a request has been read, or before that when a header becomes longer than a short one.

TestPool_KeptConnectionIsServedBesideStalledOnesOfItsAddress failed before for body and header.

--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -90,7 +90,9 @@
 
 // begin records that the header of a request has been read.
 func (c *conn) begin() {
-	c.inProgress.Store(true)
+	if !c.inProgress.Swap(true) {
+		c.pool.begin(c)
+	}
 }
 
 // next prepares for the next request, whose header may have been read in part.
--- a/node/intake/pool.go
+++ b/node/intake/pool.go
@@ -119,6 +119,9 @@
 	}
 	p.mutex.Lock()
 	defer p.unlock()
+	if c.inHeader == 0 {
+		p.renew(c)
+	}
 	more := min(excess, p.budget/2) - c.inHeader
 	if c.isClosed || lines > manyLines && p.used > p.budget/2 || !p.makeRoom(more, 0, c) {
 		return false
@@ -203,6 +206,21 @@
 	}
 }
 
+// begin records that a request of the connection has begun. The connection waits since then, not since its last answer.
+func (p *Pool) begin(c *conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.renew(c)
+}
+
+// renew makes a waiting connection the last of its client.
+func (p *Pool) renew(c *conn) {
+	if c.isWaiting {
+		p.pull(c)
+		p.push(c)
+	}
+}
+
 // complete records that a request of the connection has arrived in full. From then on the connection does not wait for its client.
 func (p *Pool) complete(c *conn) {
 	p.mutex.Lock()
--- a/node/intake/pool_test.go
+++ b/node/intake/pool_test.go
@@ -101,6 +101,35 @@
 	}
 }
 
+// TestPool_KeptConnectionIsServedBesideStalledOnesOfItsAddress guards against a place in the list that dates from the last answer: callers
+// behind a load balancer have one address.
+func TestPool_KeptConnectionIsServedBesideStalledOnesOfItsAddress(t *testing.T) {
+	requests := map[string]func(p *Pool, kept *conn) bool{
+		"body":   func(p *Pool, kept *conn) bool { kept.begin(); return p.take(kept, testLimit) },
+		"header": func(p *Pool, kept *conn) bool { return p.takeHeader(kept, testLimit, 10) },
+	}
+	for name, request := range requests {
+		p := newTestPool(t, 4<<20, 100)
+		kept, _ := admit(t, p, "10.0.0.1")
+		kept.begin()
+		p.complete(kept)
+		p.wait(kept)
+		kept.next()
+		for range 10 {
+			stalled, _ := admit(t, p, "10.0.0.1")
+			if !p.take(stalled, testLimit) {
+				t.Fatal("no room")
+			}
+		}
+		for used, _ := p.usage(); used+testLimit <= p.budget*3/4; used, _ = p.usage() {
+			admit(t, p, "10.0.0.1")
+		}
+		if !request(p, kept) {
+			t.Errorf("the %s of a kept connection's next request is refused in favour of stalled connections", name)
+		}
+	}
+}
+
 // TestPool_AllIsReturned guards against charges that remain, which would use up the budget in time.
 func TestPool_AllIsReturned(t *testing.T) {
 	p := newTestPool(t, 8*connectionBytes, 4)
