Keep an idle HTTP/2 connection among those that wait

An idle connection of HTTP/2 could keep others out for as long as it was open: net/http may report it idle, because its only stream was reset, before the stream's handler begins. The handler then recorded a complete request, and no later event made the connection wait again.

A connection is now idle from StateIdle until StateActive, or until the handler of an HTTP/1 request; complete changes nothing meanwhile.

TestPool_IdleConnectionIsClosedAfterALateComplete failed before: "an idle connection keeps others out". The order of events is made by the test, it was not seen in a run.

--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -39,6 +39,7 @@
 	inHeader     int64 // part of used
 	isClosed     bool
 	isWaiting    bool
+	isIdle       bool // the last request has been answered, and none has begun since
 	older, newer *conn
 }
 
--- a/node/intake/pool.go
+++ b/node/intake/pool.go
@@ -210,6 +210,7 @@
 func (p *Pool) begin(c *conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	c.isIdle = false
 	p.renew(c)
 }
 
@@ -221,11 +222,14 @@
 	}
 }
 
-// complete records that a request of the connection has arrived in full. From then on the connection does not wait for its client.
+// complete records that a request of the connection has arrived in full. From then on the connection does not wait for its client. A stream
+// of HTTP/2 may have been reset before its handler begins: then the connection is idle.
 func (p *Pool) complete(c *conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.pull(c)
+	if !c.isIdle {
+		p.pull(c)
+	}
 }
 
 // wait records that the connection's last request has been answered.
@@ -237,6 +241,7 @@
 	}
 	p.charge(c, -c.inHeader)
 	c.inHeader = 0
+	c.isIdle = true
 	p.pull(c)
 	p.push(c)
 }
--- a/node/intake/pool_test.go
+++ b/node/intake/pool_test.go
@@ -130,6 +130,28 @@
 	}
 }
 
+// TestPool_IdleConnectionIsClosedAfterALateComplete handles a stream of HTTP/2 that is reset before its handler begins.
+func TestPool_IdleConnectionIsClosedAfterALateComplete(t *testing.T) {
+	p := newTestPool(t, 1<<20, 1)
+	c, inner := admit(t, p, "10.0.0.1")
+	c.begin()
+	p.wait(c)
+	c.next()
+	p.complete(c)
+	if p.admit(&remote{address: "10.0.0.2"}) == nil || !inner.isClosed {
+		t.Error("an idle connection keeps others out")
+	}
+	// The next request of a connection is not interrupted.
+	next, _ := admit(t, p, "10.0.0.3")
+	p.wait(next)
+	next.next()
+	next.begin()
+	p.complete(next)
+	if p.admit(&remote{address: "10.0.0.2"}) != nil {
+		t.Error("a connection is admitted, want it to be refused: the other is being answered")
+	}
+}
+
 // TestPool_AllIsReturned guards against charges that remain, which would use up the budget in time.
 func TestPool_AllIsReturned(t *testing.T) {
 	p := newTestPool(t, 8*connectionBytes, 4)
