Leave the receive buffers of the internal listener to the kernel

No more than the window arrives in a round trip. A Step call of replication has 250 ms and its size at 8 MiB/s; with 48 KiB a round trip, a large one takes longer than that when the round trip exceeds about 6 ms (reckoned, not measured), as it does between regions, and each further attempt fails the same way.

The internal listener is now opened without a size, so that the kernel fits its buffers to the connection. Sessions of sidecars were opened so before.

--- a/node/daemon/process.go
+++ b/node/daemon/process.go
@@ -49,7 +49,8 @@
 // newProcessOf opens the internal listener and creates the roles with build, which returns them in the order in which they
 // start.
 func newProcessOf(file *settings.File, logger logr.Logger, build func() ([]namedRole, error)) (*process, error) {
-	listener, err := intake.Listen(context.Background(), file.Node.Listen)
+	// The kernel sizes the receive buffers, so that large messages of distant processes are not slowed down.
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", file.Node.Listen)
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, "free the port or change node.listen", "listen: %v", err)
 	}
--- a/node/intake/serve.go
+++ b/node/intake/serve.go
@@ -12,7 +12,7 @@
 // connKey is the key of the connection in the context of its requests.
 type connKey struct{}
 
-// Listen opens a listener on a host:port, each of whose connections has a small receive buffer.
+// Listen opens a listener for clients outside on a host:port, each of whose connections has a small receive buffer.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
