Keep room for messages beside the long polls of all nodes

Connections of the internal listener are now bounded by their number only, which is also limited to a sixteenth of the memory, and M/16 is for messages. One message takes up to half of it, so that the largest fits whenever nothing else is being received. Where messages lack room, only connections that hold part of one are closed; the client for which most is held, connections included, still loses the next one.

TestMessages_ConnectionsThatHoldNoMessageAreNotClosedForOne states what the change must not lose; it found no room before.

--- a/node/intake/limits.go
+++ b/node/intake/limits.go
@@ -33,8 +33,9 @@
 	minConnections = 8
 )
 
-// Budget returns the bytes that may be held for the clients of a class. A quarter of the memory is for all of them; the rest is for the
-// state of the process, garbage that has not been collected, and the kernel.
+// Budget returns the bytes that may be held for the clients of a class. A quarter of the memory is for all of them, and a sixteenth for the
+// connections from inside, whose budget is for messages only; the rest is for the state of the process, garbage that has not been collected, and
+// the kernel.
 func (l Limits) Budget(class Class) int64 {
 	switch class {
 	case Outside:
@@ -48,14 +49,14 @@
 
 // Connections returns the number of connections that the clients of a class may have open. Half of the descriptors are for those outside and
 // a quarter for the others; the rest is for the connections that the process opens itself. The kernel's buffers of connections from
-// outside take no more than an eighth of the memory.
+// outside take no more than an eighth of the memory, and connections from inside no more than a sixteenth.
 func (l Limits) Connections(class Class) int {
 	available := l.Descriptors - reservedDescriptors
 	switch class {
 	case Outside:
 		return max(minConnections, min(available/2, int(l.Memory/8/receiveBuffer)))
 	case Inside:
-		return max(minConnections, available*3/16)
+		return max(minConnections, min(available*3/16, int(l.Memory/16/connectionBytes)))
 	default:
 		return max(minConnections, available/16)
 	}
--- a/node/intake/message_test.go
+++ b/node/intake/message_test.go
@@ -66,3 +66,39 @@
 		}
 	}
 }
+
+// TestMessages_LargestIsReceivedBesideAsManyConnectionsAsAllowed guards against long polls, which are complete requests, that use up what messages need.
+func TestMessages_LargestIsReceivedBesideAsManyConnectionsAsAllowed(t *testing.T) {
+	limits := Limits{Memory: 280 << 20, Descriptors: 4100}
+	p := NewPool(limits, Inside, logr.Discard(), metrics.NewRole("intake", t.Name()))
+	const polls = 530 // docs/CAPACITY.md
+	if p.connections <= polls {
+		t.Errorf("%d connections may be open, want more than the %d polls", p.connections, polls)
+	}
+	for range p.connections - 1 {
+		c, _ := admit(t, p, "10.0.0.1")
+		p.complete(c)
+	}
+	for _, size := range []int64{1 << 20, 8 << 20, limits.largestMessage()} {
+		c, _ := admit(t, p, "10.0.0.2")
+		if _, err := (&body{conn: c}).take(copies * size); err != nil {
+			used, open := p.usage()
+			t.Errorf("a message of %d bytes beside %d connections: %v (%d of %d bytes held)", size, open-1, err, used, p.budget)
+		}
+		p.leave(c)
+	}
+}
+
+// TestMessages_ConnectionsThatHoldNoMessageAreNotClosedForOne: to close them would make no room.
+func TestMessages_ConnectionsThatHoldNoMessageAreNotClosedForOne(t *testing.T) {
+	p := NewPool(Limits{Memory: 96 << 20, Descriptors: 456}, Inside, logr.Discard(), metrics.NewRole("intake", t.Name()))
+	_, idle := admit(t, p, "10.0.0.1")
+	stalled, stalledInner := admit(t, p, "10.0.0.1")
+	asking, _ := admit(t, p, "10.0.0.2")
+	if !p.take(stalled, p.budget) || !p.take(asking, 1) {
+		t.Fatal("no room")
+	}
+	if idle.isClosed || !stalledInner.isClosed {
+		t.Errorf("closed: idle %v, stalled %v, want the stalled one", idle.isClosed, stalledInner.isClosed)
+	}
+}
--- a/node/intake/pool.go
+++ b/node/intake/pool.go
@@ -15,6 +15,8 @@
 type Pool struct {
 	budget      int64
 	connections int
+	// connectionCost is charged for each connection; 0 if connections are bounded by their number only.
+	connectionCost int64
 	// largestMessage is 0 if the handlers read bodies with ReadBody.
 	largestMessage int64
 	bodyTimeout    time.Duration
@@ -43,10 +45,10 @@
 func NewPool(limits Limits, class Class, logger logr.Logger, published *metrics.Role) *Pool {
 	p := &Pool{
 		budget: limits.Budget(class), connections: limits.Connections(class), clients: map[netip.Addr]*client{},
-		bodyTimeout: bodyTimeout, report: &report{logger: logger, metrics: published},
+		connectionCost: connectionBytes, bodyTimeout: bodyTimeout, report: &report{logger: logger, metrics: published},
 	}
 	if class == Inside {
-		p.largestMessage = limits.largestMessage()
+		p.largestMessage, p.connectionCost = limits.largestMessage(), 0
 	}
 	published.Gauge("budget_bytes", func() any { return p.budget })
 	published.Gauge("connection_limit", func() any { return p.connections })
@@ -77,7 +79,7 @@
 	address := addressOf(inner)
 	p.mutex.Lock()
 	defer p.unlock()
-	if !p.makeRoom(connectionBytes, 1, nil) {
+	if !p.makeRoom(p.connectionCost, 1, nil) {
 		return nil
 	}
 	owner := p.clients[address]
@@ -88,7 +90,7 @@
 	c := &conn{Conn: inner, pool: p, client: owner}
 	owner.open++
 	p.open++
-	p.charge(c, connectionBytes)
+	p.charge(c, p.connectionCost)
 	p.push(c)
 	return c
 }
@@ -150,17 +152,17 @@
 }
 
 // makeRoom closes waiting connections until there is room. It returns false if closing all of them would not do, or if it is the turn of
-// asking. A quarter of the budget is left for connections, so that requests that find no room get an answer.
+// asking. A quarter of a budget that connections are charged to is left for them, so that requests that find no room get an answer.
 func (p *Pool) makeRoom(bytes int64, connections int, asking *conn) bool {
 	budget := p.budget
-	if connections == 0 {
+	if connections == 0 && p.connectionCost > 0 {
 		budget -= budget / 4
 	}
 	if p.used+bytes-p.waiting > budget {
 		return false
 	}
 	for p.used+bytes > budget || p.open+connections > p.connections {
-		victim := p.victim()
+		victim := p.victim(p.open+connections <= p.connections)
 		if victim == nil || victim == asking {
 			return false
 		}
@@ -171,18 +173,26 @@
 	return true
 }
 
-// victim returns the connection that has waited longest for the client with most bytes charged.
-func (p *Pool) victim() *conn {
-	var largest *client
+// victim returns the connection that has waited longest for the client for which most is held. If bytes are needed, it is one that is charged.
+func (p *Pool) victim(needsBytes bool) (found *conn) {
 	for _, candidate := range p.clients {
-		if candidate.oldest != nil && (largest == nil || candidate.used > largest.used) {
-			largest = candidate
+		if found != nil && p.held(candidate) <= p.held(found.client) {
+			continue
+		}
+		oldest := candidate.oldest
+		for needsBytes && oldest != nil && oldest.used == 0 {
+			oldest = oldest.newer
+		}
+		if oldest != nil {
+			found = oldest
 		}
 	}
-	if largest == nil {
-		return nil
-	}
-	return largest.oldest
+	return found
+}
+
+// held returns the bytes that are held for a client, with those of connections that are not charged.
+func (p *Pool) held(c *client) int64 {
+	return c.used + int64(c.open)*(connectionBytes-p.connectionCost)
 }
 
 // leave returns all that is charged for a connection that is being closed.
