--- a/node/intake/limits.go
+++ b/node/intake/limits.go
@@ -27,6 +27,8 @@
 	connectionBytes = 24 << 10
 	// receiveBuffer bounds the bytes of a connection that the kernel holds unread.
 	receiveBuffer = 32 << 10
+	// sendBuffer bounds the bytes of answers that the kernel holds for a connection until its client reads them.
+	sendBuffer = 8 << 10
 	// reservedDescriptors are for files, logs and the runtime.
 	reservedDescriptors = 200
 	// minConnections lets a process with few descriptors serve at all.
--- a/node/intake/pool.go
+++ b/node/intake/pool.go
@@ -20,7 +20,9 @@
 	// largestMessage is 0 if the handlers read bodies with ReadBody.
 	largestMessage int64
 	bodyTimeout    time.Duration
-	report         *report
+	// answerTimeout and answerGrace are 0 if the users of connections limit the time of writes themselves.
+	answerTimeout, answerGrace time.Duration
+	report                     *report
 
 	mutex sync.Mutex
 	used  int64
@@ -47,6 +49,9 @@
 		budget: limits.Budget(class), connections: limits.Connections(class), clients: map[netip.Addr]*client{},
 		connectionCost: connectionBytes, bodyTimeout: bodyTimeout, report: &report{logger: logger, metrics: published},
 	}
+	if class != Sessions {
+		p.answerTimeout, p.answerGrace = answerTimeout, answerGrace
+	}
 	if class == Inside {
 		p.largestMessage, p.connectionCost = limits.largestMessage(), 0
 	}
--- a/node/intake/serve.go
+++ b/node/intake/serve.go
@@ -12,12 +12,13 @@
 // connKey is the key of the connection in the context of its requests.
 type connKey struct{}
 
-// Listen opens a listener for clients outside on a host:port, each of whose connections has a small receive buffer.
+// Listen opens a listener for clients outside on a host:port, each of whose connections has small buffers.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
-			// Connections inherit the size. Where it can't be set, the kernel's own limit remains.
+			// Connections inherit the sizes. Where one can't be set, the kernel's own limit remains.
 			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
 		})
 	}}
 	return config.Listen(ctx, "tcp", address)
