Hold no lines that follow a body

So complete requests held several times what was charged for them.

Nothing uses these lines. The body now drops them once net/http has read them, so that a request that has one is served as before.

TestServe_LinesAfterABodyAreNotHeld failed before: "701 lines of a trailer are held, which are not charged".

--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -25,7 +25,9 @@
 type body struct {
 	io.ReadCloser
 	// conn is nil if the server has no pool.
-	conn    *conn
+	conn *conn
+	// request is the one that the body belongs to; nil if the server has no pool.
+	request *http.Request
 	charged int64
 	// paced is the size for which the time to arrive is limited, and began when the limit was first set; 0 if it is not limited.
 	paced int
@@ -42,6 +44,10 @@
 	}
 	count, err := read(into)
 	if errors.Is(err, io.EOF) {
+		if b.request != nil {
+			// net/http has made a map of the lines that may follow the body. Nothing uses them.
+			b.request.Trailer = nil
+		}
 		b.complete()
 	}
 	return count, err
--- a/node/intake/doc.go
+++ b/node/intake/doc.go
@@ -7,5 +7,6 @@
 //
 // When the budget or the connections are used up, the client (IP address) for which most is held loses the connection that has waited
 // longest for its client: an idle one, one whose request is not complete, or one that does not read its answer. So neither a client nor a
-// crowd that stalls keeps others out. Other requests that are complete are never interrupted. If only they are left, new requests get status 503 with Retry-After, and new connections are closed.
+// crowd that stalls keeps others out. Other requests that are complete are never interrupted. If only they are left, new requests get status 503
+// with Retry-After, and new connections are closed.
 package intake
--- a/node/intake/serve.go
+++ b/node/intake/serve.go
@@ -58,7 +58,7 @@
 			p.complete(c)
 			handler.ServeHTTP(w, r)
 		default:
-			charged := &body{ReadCloser: r.Body, conn: c}
+			charged := &body{ReadCloser: r.Body, conn: c, request: r}
 			defer func() { charged.give(charged.charged) }()
 			r.Body = charged
 			if p.largestMessage == 0 || charged.expect(w, r) {
--- a/node/intake/serve_test.go
+++ b/node/intake/serve_test.go
@@ -189,3 +189,31 @@
 		time.Sleep(2 * p.bodyTimeout)
 	}
 }
+
+// TestServe_LinesAfterABodyAreNotHeld sends a complete request with a trailer of very many lines, whose answer takes long.
+func TestServe_LinesAfterABodyAreNotHeld(t *testing.T) {
+	held, finish := make(chan int, 1), make(chan struct{})
+	defer close(finish)
+	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if text, err := ReadBody(r, testLimit); err != nil || string(text) != "xx" {
+			t.Errorf("body %q, %v", text, err)
+		}
+		held <- len(r.Trailer)
+		<-finish
+	})}
+	inner, err := Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	admitted := newTestPool(t, 4<<20, 100).Serve(server, inner)
+	go func() { _ = server.Serve(admitted) }()
+	t.Cleanup(func() { _ = server.Close() })
+	var trailer strings.Builder
+	for n := range 700 {
+		_, _ = fmt.Fprintf(&trailer, "%c%c:\n", 'a'+n%26, "abcdefghijklmnopqrstuvwxyz0123456789"[n/26])
+	}
+	open(t, inner.Addr().String(), chunked(1, 2)+"0\r\n"+trailer.String()+"x:\r\n\r\n")
+	if lines := <-held; lines > 0 {
+		t.Errorf("%d lines of a trailer are held, which are not charged", lines)
+	}
+}
