Charge the headers of requests that share a connection

Each such request is now charged with its header, and with its goroutine unless it is the only one of its connection, before its handler runs; if there is no room it gets status 503 with Retry-After. What can be held before that is bounded: headers have up to 4 KiB, which is several times what the system's own calls send, and a connection has up to 100 requests, which is what net/http's clients assume until they have read the limit.

TestMessages_HeadersOfStreamsAreCharged failed without the charge: "headers of 3865600 bytes are charged with 0, budget 1572864, 0 requests refused".

--- a/node/daemon/process.go
+++ b/node/daemon/process.go
@@ -24,8 +24,11 @@
 // Limits of the internal listener.
 const (
 	// headerTimeout bounds how long a client may take to send its request headers.
-	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 16 << 10
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes is several times what the system's own calls send.
+	maxHeaderBytes = 4 << 10
+	// maxStreams is what net/http's clients assume until they have read the limit.
+	maxStreams = 100
 	// idleTimeout is longer than clients keep connections that they don't use.
 	idleTimeout = 2 * time.Minute
 )
@@ -60,7 +63,7 @@
 	}
 	p.server = &http.Server{
 		Handler: p.mux(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		Protocols: transport.ServerProtocols(),
+		Protocols: transport.ServerProtocols(), HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 	}
 	p.clients = intake.NewPool(file.Node.Intake(), intake.Inside, logger, metrics.NewRole("intake_inside", file.Node.ID))
 	return p, nil
--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -31,6 +31,8 @@
 	header header
 	// inProgress is true from when net/http has read the header of a request until the request has been answered.
 	inProgress atomic.Bool
+	// streams is the number of requests in progress on a connection of several streams.
+	streams atomic.Int64
 	// deadline is the read deadline that net/http has set. It is used by the goroutine of the request.
 	deadline time.Time
 
--- a/node/intake/message.go
+++ b/node/intake/message.go
@@ -36,8 +36,7 @@
 		return false
 	}
 	if _, err := b.take(copies * max(0, r.ContentLength)); err != nil {
-		w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuseMessage(w)
 		return false
 	}
 	b.message = &message{isDeclared: r.ContentLength >= 0, remaining: largest, control: http.NewResponseController(w)}
@@ -50,6 +49,12 @@
 	return true
 }
 
+// refuseMessage answers that there is no room for a message now.
+func refuseMessage(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter/time.Second)))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // readMessage reads the next bytes of a message.
 func (b *body) readMessage(into []byte) (int, error) {
 	m := b.message
--- a/node/intake/serve.go
+++ b/node/intake/serve.go
@@ -51,6 +51,14 @@
 			// StateActive is not reported for a request that net/http had in its buffer.
 			c.begin()
 		}
+		if isCharged && r.ProtoMajor > 1 {
+			charged, hasRoom := c.openStream(r)
+			defer c.closeStream(charged)
+			if !hasRoom {
+				refuseMessage(w)
+				return
+			}
+		}
 		switch {
 		case !isCharged:
 			handler.ServeHTTP(w, r)
--- /dev/null
+++ b/node/intake/streams_test.go
@@ -0,0 +1,71 @@
+package intake
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"flamingohall.example/node/metrics"
+	"flamingohall.example/node/transport"
+)
+
+// TestMessages_HeadersOfStreamsAreCharged opens many requests with very many header lines on one connection.
+func TestMessages_HeadersOfStreamsAreCharged(t *testing.T) {
+	const requests, lines = 100, 300
+	p := NewPool(Limits{Memory: 24 << 20, Descriptors: 456}, Inside, logr.Discard(), metrics.NewRole("intake", t.Name()))
+	var held atomic.Int64
+	finish := make(chan struct{})
+	server := &http.Server{Protocols: transport.ServerProtocols(), Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		held.Add(int64(len(r.Header)) * lineBytes)
+		<-finish
+	})}
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	admitted := p.Serve(server, inner)
+	go func() { _ = server.Serve(admitted) }()
+	t.Cleanup(func() { _ = server.Close() })
+	client := &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{Protocols: transport.CompactProtocols()}}
+	var refused atomic.Int64
+	var all sync.WaitGroup
+	for range requests {
+		all.Go(func() {
+			request, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+inner.Addr().String()+"/", http.NoBody)
+			for n := range lines {
+				request.Header[fmt.Sprintf("X%d", n)] = []string{"1"}
+			}
+			response, err := client.Do(request)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Retry-After") == "1" {
+				refused.Add(1)
+			}
+		})
+	}
+	for deadline := time.Now().Add(10 * time.Second); held.Load()/(lines*lineBytes)+refused.Load() < requests; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Error("not all requests have arrived")
+			break
+		}
+	}
+	if used, _ := p.usage(); held.Load() > used || used > p.budget || refused.Load() == 0 {
+		t.Errorf("headers of %d bytes are charged with %d, budget %d, %d requests refused", held.Load(), used, p.budget, refused.Load())
+	}
+	close(finish)
+	all.Wait()
+	if used, _ := p.usage(); used > 0 {
+		t.Errorf("%d bytes are charged after the answers", used)
+	}
+}
