Give checks of readiness room of their own

Requests of one address that are complete, such as jobs that wait for workers, kept out the checks of the load balancer, as both were charged to one pool and complete requests are not interrupted: an entry that is well would be taken out of service.

The readiness listener now has a pool of its own with the share of sessions (M/48, 1/16 of the descriptors), which no entry has. Operators and heartbeats need no change: on their machines no other listener uses the pool of clients outside.

TestIngress_ReadinessIsAnsweredBesideCompleteRequests fails when both listeners get one pool, as before: "EOF".

--- a/node/intake/limits.go
+++ b/node/intake/limits.go
@@ -19,6 +19,8 @@
 	Inside
 	// Sessions are those that keep a connection of another protocol.
 	Sessions
+	// Checks are checks of readiness. They have the share of Sessions: no role has both.
+	Checks
 )
 
 const (
