Let a new connection keep its place while its first request arrives

Cause: since a connection moves to the end of the list when a request begins, also the first one. Connections of the crowd that were accepted earlier but whose requests began later so passed the caller's, which was then the oldest.

--- a/node/intake/pool.go
+++ b/node/intake/pool.go
@@ -127,7 +127,7 @@
 	p.mutex.Lock()
 	defer p.unlock()
 	if c.inHeader == 0 {
-		p.renew(c)
+		p.renewIdle(c)
 	}
 	more := min(excess, p.budget/2) - c.inHeader
 	if c.isClosed || lines > manyLines && p.used > p.budget/2 || !p.makeRoom(more, 0, c) {
@@ -225,13 +225,14 @@
 func (p *Pool) begin(c *conn) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.renewIdle(c)
 	c.isIdle = false
-	p.renew(c)
 }
 
-// renew makes a waiting connection the last of its client.
-func (p *Pool) renew(c *conn) {
-	if c.isWaiting {
+// renewIdle makes a connection that has waited for its next request the last of its client. A new connection keeps its place: if its
+// first request renewed it, one that was accepted last could be closed before those of a crowd that was accepted earlier.
+func (p *Pool) renewIdle(c *conn) {
+	if c.isWaiting && c.isIdle {
 		p.pull(c)
 		p.push(c)
 	}
