Keep the sessions of known entries only

A connection is now kept from the moment at which the sidecar has read the entry's Hello, as are later connections of the same session; package stream passes that on, since it alone knows which connection a session has. Until then the connection that has waited longest is closed first, as any other.

TestAgent_StrangersThatSendAHandshakeKeepNoEntryOut failed before: "an entry has no session beside those of strangers".

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -127,7 +127,7 @@
 		return fault.New(fault.Unavailable, "free the port", "sidecar: %v", err)
 	}
 	if a.options.Sessions != nil {
-		listener = a.options.Sessions.Sessions(listener, stream.HandshakeBytes)
+		listener = a.options.Sessions.Sessions(listener)
 	}
 	a.listener = listener
 	context.AfterFunc(ctx, a.cancel)
@@ -217,6 +217,9 @@
 		peer.Close()
 		return
 	}
+	if frame.Hello != nil {
+		peer.Keep()
+	}
 	a.put(func(now time.Duration) {
 		id, known := a.byPeer[peer]
 		if !known {
--- a/node/stream/peer.go
+++ b/node/stream/peer.go
@@ -60,6 +60,7 @@
 	// wakeWriter wakes the writer of the current connection when frames are queued; it has room for one signal.
 	wakeWriter chan struct{}
 	closed     bool
+	isKept     bool
 	// becameBusy wakes the watcher of idle connections when busySince is set; it has room for one signal.
 	becameBusy chan struct{}
 }
@@ -87,6 +88,25 @@
 	p.signal()
 }
 
+// keeper is a connection that is closed for want of room until Keep is called.
+type keeper interface {
+	Keep()
+}
+
+// Keep says that the other side is known, so that neither this connection of the session nor later ones are closed for want of room.
+func (p *Peer) Keep() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.isKept = true
+	p.keepLocked()
+}
+
+func (p *Peer) keepLocked() {
+	if conn, canKeep := p.conn.(keeper); canKeep && p.isKept {
+		conn.Keep()
+	}
+}
+
 // SetBusy says whether the other side has work of this side. A busy side sends frames all the time, so a connection that
 // delivers nothing is replaced sooner.
 func (p *Peer) SetBusy(isBusy bool) {
@@ -174,6 +194,7 @@
 	}
 	p.acknowledge(acknowledged)
 	p.conn, p.receivedAt = conn, time.Now()
+	p.keepLocked()
 	p.wakeWriter = make(chan struct{}, 1)
 	p.signal()
 	return p.wakeWriter, nil
