Give every body at least ten seconds

The time is now 10 s and the size at that rate. On the platform the limit for all of a request ends earlier and holds as before.

--- a/node/intake/body.go
+++ b/node/intake/body.go
@@ -15,9 +15,9 @@
 	firstBuffer = 4 << 10
 	// retryAfter is when a refused client may try again.
 	retryAfter = time.Second
-	// bodyTimeout is how long the shortest body may take to arrive, and slowestBody the bytes a second that longer ones need. A client has
-	// 10 s for 256 KiB.
-	bodyTimeout = 5 * time.Second
+	// bodyTimeout is how long the shortest body may take to arrive, and slowestBody the bytes a second that longer ones need beyond it. A client
+	// has as long for any body as the platform allows for all of a request.
+	bodyTimeout = 10 * time.Second
 	slowestBody = 256 << 10 / 5
 )
 
