--- a/node/intake/answer.go
+++ b/node/intake/answer.go
@@ -23,7 +23,7 @@
 	}
 	ready := time.Now()
 	// These fail only on a closed connection, where the write fails too.
-	_ = c.Conn.SetWriteDeadline(ready.Add(c.pool.answerGrace))
+	_ = c.SetWriteDeadline(ready.Add(c.pool.answerGrace))
 	written, err := c.Conn.Write(part)
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return written, err
@@ -31,7 +31,7 @@
 	if c.pool.stall(c) {
 		defer c.pool.complete(c)
 	}
-	_ = c.Conn.SetWriteDeadline(ready.Add(c.pool.answerTimeout + time.Duration(len(part))*time.Second/slowestAnswer))
+	_ = c.SetWriteDeadline(ready.Add(c.pool.answerTimeout + time.Duration(len(part))*time.Second/slowestAnswer))
 	rest, err := c.Conn.Write(part[written:])
 	return written + rest, err
 }
