Renew no lease while the stop of a stored job's run is overdue

A stored job's tasks could run twice at the same time after its entry had lost control, if a worker answered holds but no stops for more than about a second.

Cause: control transfers the jobs of a silent holder after 3.3 s: the job lease (2 s), the entry's grant (1.1 s) and a margin. Its entry has the runs stopped at the end of the job lease, and they were assumed to be over within the grant. While stops got no answer, the sidecar went on renewing the lease.

From StopTimeout (40 ms) after such a run was to be stopped, orders don't extend the lease until the Stop is answered. It ends after at most 40 ms, the lease (1 s) and its drift (60 ms), so within the grant of 1.1 s. The other runs at that worker end with it if the stop stays unanswered until then; the worker gets no new tasks once less than 300 ms of the lease are left. Stops of jobs that are not stored change nothing: their entries keep the runs.

--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -36,6 +36,8 @@
 	lateShare float64
 	// lostShare is the share of orders that are carried out at once and whose answers are lost with their connections.
 	lostShare float64
+	// stopsLostUntil is until when stops get no answer and are carried out seconds later.
+	stopsLostUntil time.Duration
 	// stopTime is how long a stop takes at most; stopsAreHidden means that a run is not listed meanwhile.
 	stopTime       time.Duration
 	stopsAreHidden bool
@@ -394,6 +396,13 @@
 		})
 	}
 	for _, stop := range effects.Stops {
+		if sim.stopsLostUntil > sim.now {
+			sim.after(2*time.Second+time.Duration(sim.random.Int64N(int64(4*time.Second))), func() { n.worker.stop(&stop) })
+			sim.after(runner.StopTimeout, func() {
+				reply(func() { n.core.Stopped(sim.now, stop.Incarnation, stop.RunID, runner.NoAnswer, runner.ClockReading{}) })
+			})
+			continue
+		}
 		sim.order(func() runner.Answer { return n.worker.stop(&stop) }, runner.StopTimeout, reply, func(a runner.Answer) {
 			n.core.Stopped(sim.now, stop.Incarnation, stop.RunID, a, n.worker.reading(a))
 		})
--- a/core/dispatch/stored_history_test.go
+++ b/core/dispatch/stored_history_test.go
@@ -108,3 +108,50 @@
 		sim.injectFault()
 	}
 }
+
+// TestStoredHistory_JobOfACutOffEntryWhoseStopsGetNoAnswersRunsOnceAtATime guards against a stored job whose tasks run twice: its entry
+// loses control and keeps its sidecars, while workers answer holds but no stops.
+func TestStoredHistory_JobOfACutOffEntryWhoseStopsGetNoAnswersRunsOnceAtATime(t *testing.T) {
+	for name, fault := range map[string][2]time.Duration{
+		"stops are answered":          {},
+		"connections refused for 3 s": {0, 3 * time.Second},
+		"stops unanswered for 0.8 s, then connections refused for 3 s": {800 * time.Millisecond, 3 * time.Second},
+		"stops unanswered for 2.5 s":                                   {2500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			lost, refused := fault[0], fault[1]
+			overlaps := 0
+			for seed := range uint64(5) {
+				sim := newSimulation(t, seed, defaultLimits, 0, 3)
+				sim.control = newFakeControl(sim, holderTimeout)
+				for i := range 3 {
+					sim.entries = append(sim.entries, &entryNode{})
+					sim.startEntry(i)
+				}
+				for n := range 60 {
+					sim.after(time.Second+time.Duration(sim.random.Int64N(int64(4*time.Second))), func() {
+						sim.control.store(sim.random.IntN(3), dispatch.Submission{
+							ID: jobID(n), Spec: "4s", IsStored: true,
+							Queue: dispatch.Queue{Name: "q", Pool: "p", Attempts: 3, Slack: 1.6, Target: 60 * time.Millisecond},
+							Steps: []dispatch.Step{{Count: 1, Needs: work.Needs{MilliCores: 1000}, Expected: 4 * time.Second}},
+						})
+					})
+				}
+				sim.after(3*time.Second, func() { sim.entries[0].cutOffUntil = sim.now + 5*time.Second })
+				// The job lease ends at about 5 s.
+				sim.after(4800*time.Millisecond, func() { sim.stopsLostUntil = sim.now + lost })
+				for _, w := range sim.workers {
+					sim.after(4800*time.Millisecond+lost, func() { w.refusesUntil = sim.now + refused })
+				}
+				sim.run(16 * time.Second)
+				overlaps += len(sim.overlaps)
+				if len(sim.overlaps) > 0 && overlaps < 8 {
+					t.Errorf("seed %d: %s", seed, sim.overlaps[0])
+				}
+			}
+			if overlaps > 0 {
+				t.Errorf("%d overlaps", overlaps)
+			}
+		})
+	}
+}
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -108,7 +108,7 @@
 func (r *Runner) mayStart(now time.Duration) bool {
 	w := &r.worker
 	return w.accepts() && !r.draining && !r.drained && !r.leaseMustExpire() && now >= w.backoffUntil && w.silence < maxSilence &&
-		w.unorderedRuns == 0
+		w.unorderedRuns == 0 && (w.leaseEnd >= now+minGrant || !r.hasOverdueStop(now))
 }
 
 // startQueued orders the queued runs that fit, those with the least slack first.
--- a/core/runner/doc.go
+++ b/core/runner/doc.go
@@ -16,6 +16,8 @@
 //     stop may take has passed, and the worker has reported its ends since: meanwhile it may list the run nowhere. Only then may
 //     the entry offer the task elsewhere. If the worker starts again meanwhile, the order is revoked at the new process, which may
 //     have the ID of the old one and carry it out.
+//   - A stored job's run that is to be stopped is over within the entry's grant, also if the worker answers no Stop: the lease is not
+//     renewed from StopTimeout after that, until the Stop is answered or the lease has expired.
 //   - A run is over by the worker's word, with its lease on the worker's clock, or once a later incarnation has answered at the
 //     worker's address (type proof). Nothing else shows it: a worker that refuses connections, for however long, may have lost only
 //     its listener, and anyone can announce another incarnation.
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -220,9 +220,23 @@
 			end = min(end, run.offeredBy.answeredAt+r.limits.Grant)
 		}
 	}
+	if r.hasOverdueStop(now) {
+		end = min(end, r.worker.leaseEnd)
+	}
 	return end
 }
 
+// hasOverdueStop reports whether the worker has not answered the Stop of a stored job's run in time. The lease is not renewed then, so that the run is
+// over within the entry's grant from the time at which it was to be stopped: control transfers a stored job after that time.
+func (r *Runner) hasOverdueStop(now time.Duration) bool {
+	for _, run := range r.runs {
+		if run.IsStored && run.state == stopping && now-run.changedAt > StopTimeout {
+			return true
+		}
+	}
+	return false
+}
+
 // order returns the common fields of a call and records the lease that it grants.
 func (r *Runner) order(now time.Duration) Order {
 	w := &r.worker
