--- a/core/runner/runner_test.go
+++ b/core/runner/runner_test.go
@@ -436,7 +436,7 @@
 	}
 }
 
-// TestRunner_ClockOfThePreviousIncarnationGrantsNoLease guards against a lease of minutes: the answer to a Start of the previous incarnation,
+// TestRunner_ClockOfThePreviousIncarnationGrantsNoLease guards against a lease beyond the grants: the answer to a Start of the previous incarnation,
 // whose clock is ahead, arrives after the new one has taken its place.
 func TestRunner_ClockOfThePreviousIncarnationGrantsNoLease(t *testing.T) {
 	h := newHarness(t)
