Hold no more unread in the kernel than is stated

Parts of 5,000 bytes come to 60,000.

The buffer is now set to half of what is reckoned with. The number of connections stays as it was; to reckon with 64 KiB instead would have left a sidecar fewer than the 500 that TestLimits_LargestRequestFitsTheSmallestMachine asks for. No more than about 24 KiB of a body arrive in a round trip (not measured with a delay).

TestListen_KernelHoldsNoMoreUnreadThanIsReckonedWith failed before, for example "the kernel holds 60000 unread bytes in parts of 5000, want up to 32768".

--- a/node/intake/limits.go
+++ b/node/intake/limits.go
@@ -27,8 +27,9 @@
 	// connectionBytes is charged for each connection: the buffers of net/http (8 KiB), the stack of its goroutine (8 KiB), its
 	// structures, and a short header.
 	connectionBytes = 24 << 10
-	// receiveBuffer bounds the bytes of a connection that the kernel holds unread.
-	receiveBuffer = 32 << 10
+	// receivable bounds the bytes of a connection that the kernel holds unread. The kernel allows twice the size that a buffer is set to.
+	receivable    = 32 << 10
+	receiveBuffer = receivable / 2
 	// sendBuffer bounds the bytes of answers that the kernel holds for a connection until its client reads them.
 	sendBuffer = 8 << 10
 	// reservedDescriptors are for files, logs and the runtime.
@@ -58,7 +59,7 @@
 	available := l.Descriptors - reservedDescriptors
 	switch class {
 	case Outside:
-		return max(minConnections, min(available/2, int(l.Memory/8/receiveBuffer)))
+		return max(minConnections, min(available/2, int(l.Memory/8/receivable)))
 	case Inside:
 		return max(minConnections, min(available*3/16, int(l.Memory/16/connectionBytes)))
 	default:
