Measure no headers of connections that requests share

Cause: on a connection of HTTP/2 one goroutine reads frames, and measured them as lines of a header, while another one reported that a request had ended and prepared for the next header. Nothing follows from the measures there, as its headers are charged by request, but the fields were shared.

A connection of HTTP/2 is marked as shared once its preface was read, and neither measured nor prepared after that.

--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -31,6 +31,9 @@
 	header header
 	// inProgress is true from when net/http has read the header of a request until the request has been answered.
 	inProgress atomic.Bool
+	// isShared is true once the connection is one of HTTP/2, whose requests share it. Their headers are not measured as they are read: the
+	// goroutine that reads goes on while others report that requests have ended.
+	isShared atomic.Bool
 	// streams is the number of requests in progress on a connection of several streams.
 	streams atomic.Int64
 	// deadline is the read deadline that net/http has set. It is used by the goroutine of the request.
@@ -77,12 +80,18 @@
 // Read reads from the connection. A header for which there is no room is answered here, before net/http makes a map of it.
 func (c *conn) Read(into []byte) (int, error) {
 	count, err := c.Conn.Read(into)
+	if c.isShared.Load() {
+		return count, err
+	}
 	if c.inProgress.Load() {
 		// net/http may have had the whole header in its buffer.
 		c.header.hasEnded = true
 	}
 	wasRead := c.header.hasEnded
 	c.header.add(into[:count], len(into))
+	if c.header.isStream() {
+		c.isShared.Store(true)
+	}
 	// net/http reads single bytes while it waits for a handler, also for one that is about to begin.
 	if wasRead || len(into) == 1 || c.pool.takeHeader(c, c.header.excess(), c.header.lines-c.header.early) {
 		return count, err
@@ -101,6 +110,9 @@
 // next prepares for the next request, whose header may have been read in part.
 func (c *conn) next() {
 	c.inProgress.Store(false)
+	if c.isShared.Load() {
+		return
+	}
 	c.header.next()
 	if !c.header.hasEnded && !c.pool.takeHeader(c, c.header.excess(), 0) {
 		c.pool.report.add(refusedHeader)
--- a/node/intake/header.go
+++ b/node/intake/header.go
@@ -92,9 +92,6 @@
 
 // next begins the header of the next request. The tail may hold its beginning, and further requests before and after it.
 func (h *header) next() {
-	if h.isStream() {
-		return
-	}
 	*h = header{
 		bytes: h.tailBytes, lines: h.tailLines, early: h.tailLines, inLine: h.tailInLine, preface: -1,
 		tailBytes: h.tailBytes, tailLines: h.tailLines, tailInLine: h.tailInLine,
--- a/node/intake/streams_test.go
+++ b/node/intake/streams_test.go
@@ -69,3 +69,30 @@
 		t.Errorf("%d bytes are charged after the answers", used)
 	}
 }
+
+// TestMessages_StreamsEndWhileOthersAreRead guards against a data race: one goroutine reported that a request had ended while another one
+// measured what it read of the next. It fails only under the race detector.
+func TestMessages_StreamsEndWhileOthersAreRead(t *testing.T) {
+	p := NewPool(Limits{Memory: 96 << 20, Descriptors: 456}, Inside, logr.Discard(), metrics.NewRole("intake", t.Name()))
+	answer := make([]byte, 256<<10)
+	server := &http.Server{Protocols: transport.ServerProtocols(), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(answer)
+	})}
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	admitted := p.Serve(server, inner)
+	go func() { _ = server.Serve(admitted) }()
+	t.Cleanup(func() { _ = server.Close() })
+	client := &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{Protocols: transport.CompactProtocols()}}
+	for range 300 {
+		// The client's frames about the space for an answer arrive while the request ends.
+		response, err := client.Get("http://" + inner.Addr().String() + "/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+}
