Take only HTTP/2 on the internal listener for a shared connection

A caller could have the headers of its further requests uncharged: one that began with the method PRI counted as one of HTTP/2, also on listeners that don't serve it, and was not measured any more.

The whole preface is compared now, and only where HTTP/2 is served. TestServe_PrefaceOfStreamsEndsNoMeasuring failed before: "24576 bytes are charged after \"PRI * HTTP/2.0...\" and 1,000 lines".

--- a/node/intake/conn.go
+++ b/node/intake/conn.go
@@ -89,7 +89,7 @@
 	}
 	wasRead := c.header.hasEnded
 	c.header.add(into[:count], len(into))
-	if c.header.isStream() {
+	if c.pool.largestMessage > 0 && c.header.isStream() {
 		c.isShared.Store(true)
 	}
 	// net/http reads single bytes while it waits for a handler, also for one that is about to begin.
--- a/node/intake/header.go
+++ b/node/intake/header.go
@@ -12,7 +12,7 @@
 	// bufferSize is the size of net/http's buffer, which may hold the beginning of the next request.
 	bufferSize = 4 << 10
 	// streamPreface begins a connection of HTTP/2, whose further bytes have no lines.
-	streamPreface = "PRI "
+	streamPreface = "PRI * HTTP/2.0"
 )
 
 // header measures the headers of a connection's requests as they are read.
--- a/node/intake/streams_test.go
+++ b/node/intake/streams_test.go
@@ -96,3 +96,27 @@
 		_ = response.Body.Close()
 	}
 }
+
+// TestServe_PrefaceOfStreamsEndsNoMeasuring guards against a caller that sends the preface of HTTP/2 to a listener without it, and headers
+// that are not charged after it.
+func TestServe_PrefaceOfStreamsEndsNoMeasuring(t *testing.T) {
+	for _, preface := range []string{"PRI * HTTP/2.0\r\n\r\n", "PRI / HTTP/1.1\r\nHost: h\r\n\r\n"} {
+		server, client := net.Pipe()
+		p := newTestPool(t, 4<<20, 100)
+		c := p.admit(server)
+		go func() { _, _ = io.WriteString(client, preface+shortLines(15000)) }()
+		buffer := make([]byte, len(preface))
+		if _, err := io.ReadFull(c, buffer); err != nil {
+			t.Fatal(err)
+		}
+		c.begin()
+		p.wait(c)
+		c.next()
+		if _, err := io.ReadFull(c, make([]byte, bufferSize)); err != nil {
+			t.Fatal(err)
+		}
+		if used, _ := p.usage(); used < 1000*lineBytes {
+			t.Errorf("%d bytes are charged after %q and 1,000 lines", used, preface)
+		}
+	}
+}
