--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -86,6 +86,7 @@
 	Checkpoint bool   `json:"checkpointing,omitempty"`
 	Anti       int    `json:"anti_affinity,omitempty"`
 	Label      string `json:"constraints,omitempty"`
+	Rack       string `json:"data_rack,omitempty"`
 }
 
 func jobBody(spec string, bestEffort bool, phases ...phase) []byte {
--- a/review/standins-2/soak.go
+++ b/review/standins-2/soak.go
@@ -38,6 +38,8 @@
 	if seconds == 0 {
 		seconds = 60
 	}
+	late, _ = strconv.ParseFloat(os.Getenv("LATE"), 64)
+	lost, _ = strconv.ParseFloat(os.Getenv("LOST"), 64)
 	kinds := strings.Fields(os.Getenv("FAULTS"))
 	if len(kinds) == 0 {
 		kinds = strings.Fields("killcore killentry killside freezecore freezeentry freezeside crash crashsame killallcore termentry termside")
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -75,6 +76,8 @@
 	draining bool
 	ackDrain time.Duration
 	capacity int
+	// dark is not nil once the machine has no power, and closed when it has power again.
+	dark chan struct{}
 }
 
 func newWorker(c *cluster, name, ip, zone string, n int) *worker {
@@ -114,6 +117,35 @@
 	go l.beat()
 }
 
+// goDark lets the worker's machine lose power for a while: nothing runs any more, nobody is answered, and connections hang. A new
+// incarnation follows.
+func (w *worker) goDark(d time.Duration) {
+	w.mutex.Lock()
+	l := w.life
+	w.life = nil
+	if l == nil {
+		w.mutex.Unlock()
+		return
+	}
+	l.dark = make(chan struct{})
+	for _, r := range l.runs {
+		r.timer.Stop()
+	}
+	l.cancel()
+	w.cluster.record.add("down", w.name, "", 0, l.id+" (dark)")
+	w.mutex.Unlock()
+	time.Sleep(d)
+	close(l.dark)
+	_ = l.server.Close()
+	w.start()
+}
+
+func (w *worker) isLife(l *life) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.life == l
+}
+
 // crash ends the incarnation without notice: nothing runs any more.
 func (w *worker) crash() {
 	w.mutex.Lock()
@@ -166,6 +198,9 @@
 	}
 }
 
+// late is the share of orders that get no answer and are carried out 2 to 12 s later, lost that of calls whose answers are lost.
+var late, lost float64
+
 type order struct {
 	Task       string `json:"task"`
 	Run        uint32 `json:"run"`
@@ -185,6 +220,13 @@
 
 func (l *life) serve(handle func(*order) reply) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		l.mutex.Lock()
+		dark := l.dark
+		l.mutex.Unlock()
+		if dark != nil {
+			<-dark
+			panic(http.ErrAbortHandler)
+		}
 		if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != l.id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -194,7 +236,17 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		isOrder := r.URL.Path != "/-/hold"
+		if isOrder && rand.Float64() < late {
+			// The order waits on its way; its caller hears nothing.
+			time.AfterFunc(time.Duration(2000+rand.IntN(10000))*time.Millisecond, func() { handle(&o) })
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		answer := handle(&o)
+		if rand.Float64() < lost {
+			panic(http.ErrAbortHandler)
+		}
 		body := l.body(&answer)
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(answer.status)
@@ -308,6 +360,18 @@
 	r := &run{key: key, begun: time.Now(), total: time.Duration(millis) * time.Millisecond, cpu: cpu, how: how, saved: o.Checkpoint}
 	l.runs[key] = r
 	l.cluster.record.add("start", l.name, o.Task, o.Run, "checkpoint="+o.Checkpoint)
+	if parts[3] == "0" && number(o.Spec, "crash", 0) > 0 {
+		w := l.worker
+		time.AfterFunc(30*time.Millisecond, func() {
+			if !w.isLife(l) {
+				return
+			}
+			w.cluster.record.add("crashed", w.name, o.Task, o.Run, "")
+			w.crash()
+			time.Sleep(time.Duration(number(o.Spec, "crash", 0)) * time.Millisecond)
+			w.start()
+		})
+	}
 	r.timer = time.AfterFunc(r.total, func() {
 		l.mutex.Lock()
 		defer l.mutex.Unlock()
