--- a/review/standins-2/soak.go
+++ b/review/standins-2/soak.go
@@ -62,6 +62,9 @@
 		}
 	}
 	rate := 12.0
+	if os.Getenv("WIDE") != "" {
+		rate = 1.5
+	}
 	for time.Now().Before(stop) {
 		time.Sleep(time.Duration(rand.ExpFloat64() / rate * float64(time.Second)))
 		j := newSoakJob()
@@ -124,6 +127,11 @@
 		j.fail = 1 + rand.IntN(2)
 		spec += fmt.Sprintf(" fail=%d", j.fail)
 	}
+	if os.Getenv("WIDE") != "" {
+		ms := 10 + rand.IntN(40)
+		spec = fmt.Sprintf("cpu=200 ms=%d", ms)
+		j.fail, j.phases = 0, []phase{{Count: 200 + rand.IntN(500), CPU: 200, MemMB: 4, EstMS: ms}, {Count: 200 + rand.IntN(500), CPU: 200, MemMB: 4, EstMS: ms, After: []int{0}}}
+	}
 	j.body = jobBody(spec, false, j.phases...)
 	return j
 }
