Add a case: a late order starts a task that runs elsewhere at a worker that has restarted

The sidecar's fencing token is raised for the new life of the worker only after its first heartbeat.

--- a/review/standins-2/platform/worker.go
+++ b/review/standins-2/platform/worker.go
@@ -27,6 +27,10 @@
 	mutex    sync.Mutex
 	life     *life
 	labels   []string
+	// delays, if not nil, says whether a start gets no answer now. It carries out such a start later itself.
+	delays func(o *order) bool
+	// firstBeat is how long after its start the next incarnation sends its first heartbeat.
+	firstBeat time.Duration
 }
 
 type runKey struct {
@@ -168,6 +172,7 @@
 
 func (l *life) beat() {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{}}
+	time.Sleep(l.firstBeat)
 	for n := 1; l.ctx.Err() == nil; n++ {
 		state := "ready"
 		l.mutex.Lock()
@@ -237,6 +242,10 @@
 			return
 		}
 		isOrder := r.URL.Path != "/-/hold"
+		if l.delays != nil && r.URL.Path == "/-/run-start" && l.delays(&o) {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		if isOrder && rand.Float64() < late {
 			// The order waits on its way; its caller hears nothing.
 			time.AfterFunc(time.Duration(2000+rand.IntN(10000))*time.Millisecond, func() { handle(&o) })
