--- a/review/standins-2/platform/fuzz.go
+++ b/review/standins-2/platform/fuzz.go
@@ -75,7 +75,7 @@
 	return fmt.Sprintf(`{"version":%d,"routes":[%s,%s],"services":[{"name":%q,"enforce_capacity":%s}],"limits":{"max_header_bytes":%s}}`, version, base, route(1), service, []string{"true", "false"}[rand.IntN(2)], pick())
 }
 
-// fuzz sends odd values and looks for processes that end by themselves.
+// fuzz sends odd jobs, configurations and heartbeats, and looks for processes that end by themselves.
 func fuzz(c *cluster, trouble bool) int {
 	stop := time.Now().Add(60 * time.Second)
 	var wait sync.WaitGroup
--- a/review/standins-2/platform/httpfuzz.go
+++ b/review/standins-2/platform/httpfuzz.go
@@ -14,6 +14,7 @@
 
 func init() { cases["httpfuzz"] = httpFuzz; sizes["httpfuzz"] = [3]int{3, 1, 3} }
 
+// httpFuzz sends requests in pieces and several at a time on kept connections, and counts the answers.
 func httpFuzz(c *cluster, trouble bool) int {
 	stop := time.Now().Add(40 * time.Second)
 	var wait sync.WaitGroup
--- a/review/standins-2/platform/main.go
+++ b/review/standins-2/platform/main.go
@@ -3,6 +3,8 @@
 //
 //	standins2 CASE RECORD
 //
+// The cases soak, soakbe, deadly, fuzz and httpfuzz are for use by hand: they look for faults and are no cases of the review.
+//
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 package main
 
--- a/review/standins-2/platform/soak.go
+++ b/review/standins-2/platform/soak.go
@@ -33,8 +33,11 @@
 
 func (c *cluster) now() time.Duration { return time.Since(c.record.begun) }
 
+// soak hands in stored jobs under disruptions that are drawn at random, cancels some, sends some again, and judges what was seen. It isn't a
+// case. FAULTS lists the kinds of disruption (see disrupt), SOAK_SECONDS is its length; LATE and LOST are the shares of late orders and lost
+// answers; with WIDE, jobs have hundreds of small tasks.
 func soak(c *cluster, trouble bool) int {
-	seconds, _ := strconv.Atoi(os.Getenv("SECONDS_"))
+	seconds, _ := strconv.Atoi(os.Getenv("SOAK_SECONDS"))
 	if seconds == 0 {
 		seconds = 60
 	}
@@ -47,7 +50,6 @@
 	var jobs []*soakJob
 	var mutex sync.Mutex
 	var wait sync.WaitGroup
-	done := make(chan struct{})
 	stop := time.Now().Add(time.Duration(seconds) * time.Second)
 	if trouble {
 		for range 2 {
@@ -74,7 +76,6 @@
 		wait.Add(1)
 		go func() { defer wait.Done(); c.drive(j) }()
 	}
-	close(done)
 	wait.Wait()
 	for _, n := range c.all() {
 		_ = n.start()
@@ -149,9 +150,6 @@
 		}
 		if r.status != 0 && r.status != 502 && r.status != 504 {
 			j.rejected++
-			if j.unclear {
-				// An earlier send may have been accepted.
-			}
 			return
 		}
 		j.unclear = true
--- a/review/standins-2/platform/soakbe.go
+++ b/review/standins-2/platform/soakbe.go
@@ -11,9 +11,9 @@
 
 func init() { cases["soakbe"] = soakBE; sizes["soakbe"] = [3]int{3, 4, 6} }
 
-// soakBE hands in jobs whose callers wait, cancels some, and resends after no answer.
+// soakBE is soak with jobs whose callers wait.
 func soakBE(c *cluster, trouble bool) int {
-	seconds, _ := strconv.Atoi(os.Getenv("SECONDS_"))
+	seconds, _ := strconv.Atoi(os.Getenv("SOAK_SECONDS"))
 	if seconds == 0 {
 		seconds = 60
 	}
