Log the answer of another start of the worker, with the fence it was sent

Whether a worker that has started again is still called with a fence that an order of its previous life carries could not be read from the logs: an answer of another incarnation was dropped without a line.

Event 3217 names the incarnation that answered, the fence of the call and the runs that it lists, once for each such incarnation. The platform's client passes the name and the list on, and neither its clock nor its ends.

--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -197,7 +197,7 @@
 			run.startOverdueHold = w.holdNumber
 		}
 	}
-	w.holdPending, w.confirmPending, w.holdSentAt, w.holdWait = true, false, now, wait
+	w.holdPending, w.confirmPending, w.holdSentAt, w.holdWait, w.holdFence = true, false, now, wait, w.fence
 	if w.unansweredSince == 0 {
 		w.unansweredSince = now
 	}
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -32,19 +32,43 @@
 	}
 	w.failure = cmp.Or(report.Failure, w.failure)
 	r.answered(report)
+	if report.Answer != Accepted {
+		r.notAccepted(now, report)
+		return
+	}
+	r.clearSuspect()
+	w.answeredHold, w.failedHolds, w.failure = report.Number, 0, ""
+	r.updateClock(now, report.ClockReading)
+	r.applyEnds(now, report)
+	r.applyRunning(now, report)
+	switch {
+	case w.confirmPending:
+	case w.unorderedRuns > 0:
+		// No task starts before these runs have ended.
+		w.nextHold = now + confirmInterval
+	case len(r.unconfirmed) > 0:
+		// A Hold sent now would return at once, as the worker reports unconfirmed ends again.
+		w.nextHold = now + confirmInterval
+	case len(r.runs) == 0:
+		w.nextHold = now + idleHoldInterval
+	}
+}
+
+// notAccepted handles a Hold that the worker has not answered, or did not carry out.
+func (r *Runner) notAccepted(now time.Duration, report *Report) {
+	w := &r.worker
 	switch report.Answer {
-	case Accepted:
-		r.clearSuspect()
 	case ConnectionRefused:
 		r.holdRefused(now)
-		return
 	case Fenced:
 		r.raiseFence()
-		return
-	case Unhealthy, WrongIncarnation, Unreadable:
+	case WrongIncarnation:
+		r.otherAnswered(report)
+		r.suspect()
+		w.nextHold = now + holdRetryDelay
+	case Unhealthy, Unreadable:
 		r.suspect()
 		w.nextHold = now + holdRetryDelay
-		return
 	case NoAnswer:
 		// A single broken connection is retried at once. Without a delay after the second, a worker that breaks every
 		// connection would be called in a busy loop. The end of a worker breaks all of its connections at the same moment,
@@ -55,25 +79,22 @@
 		if w.failedHolds++; w.failedHolds > 1 {
 			w.nextHold = now + holdRetryDelay
 		}
-		return
-	case Superseded, LeaseExpired, NoCapacity:
+	case Accepted, Superseded, LeaseExpired, NoCapacity:
+	}
+}
+
+// otherAnswered handles the answer of another incarnation than the known one to a Hold.
+func (r *Runner) otherAnswered(report *Report) {
+	w := &r.worker
+	if report.AnsweredBy == w.otherIncarnation {
 		return
 	}
-	w.answeredHold, w.failedHolds, w.failure = report.Number, 0, ""
-	r.updateClock(now, report.ClockReading)
-	r.applyEnds(now, report)
-	r.applyRunning(now, report)
-	switch {
-	case w.confirmPending:
-	case w.unorderedRuns > 0:
-		// No task starts before these runs have ended.
-		w.nextHold = now + confirmInterval
-	case len(r.unconfirmed) > 0:
-		// A Hold sent now would return at once, as the worker reports unconfirmed ends again.
-		w.nextHold = now + confirmInterval
-	case len(r.runs) == 0:
-		w.nextHold = now + idleHoldInterval
+	w.otherIncarnation = report.AnsweredBy
+	note := Note{Kind: OtherIncarnationAnswered, Reason: report.AnsweredBy, Fence: w.holdFence}
+	for i := range report.Running {
+		note.Tasks = append(note.Tasks, report.Running[i].Task)
 	}
+	r.note(note)
 }
 
 // suspect stops sending new tasks to a worker that does not answer in time, and refuses the queued offers.
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -345,7 +345,7 @@
 	case WorkerChanged:
 		n.MilliCores = r.worker.Capacity.MilliCores
 		n.Evidence = r.evidence(0)
-	case RunLost, WorkerEnded, WorkerSuspected, AnnouncementIgnored, ConnectionsRefused:
+	case RunLost, WorkerEnded, WorkerSuspected, AnnouncementIgnored, ConnectionsRefused, OtherIncarnationAnswered:
 		n.Evidence = r.evidence(0)
 	default:
 	}
--- a/core/runner/types.go
+++ b/core/runner/types.go
@@ -175,6 +175,9 @@
 	IsPartial bool
 	// Failure is the error of a call without an answer, for the log.
 	Failure string
+	// AnsweredBy is the incarnation that answered instead of the one that the call names, for the answer WrongIncarnation; empty if it
+	// isn't known. Running is its list then.
+	AnsweredBy string
 }
 
 // Evidence is what is known about the worker when a decision about it or its runs is made.
@@ -211,7 +214,10 @@
 	MilliCores int64
 	// Tasks are those under which the worker ended.
 	Tasks []string
-	// Evidence is set for the kinds RunLost, WorkerChanged, WorkerSuspected, WorkerEnded, AnnouncementIgnored, ConnectionsRefused and ConnectionsAccepted.
+	// Fence is that of the call, for OtherIncarnationAnswered.
+	Fence uint64
+	// Evidence is set for the kinds RunLost, WorkerChanged, WorkerSuspected, WorkerEnded, AnnouncementIgnored, ConnectionsRefused, ConnectionsAccepted
+	// and OtherIncarnationAnswered.
 	Evidence Evidence
 }
 
@@ -236,6 +242,9 @@
 	WorkerChanged
 	// AnnouncementIgnored means that another incarnation was announced than the one at the worker's address. Reason names it.
 	AnnouncementIgnored
+	// OtherIncarnationAnswered means that another incarnation than the known one answered a Hold. Reason names it if it is known. It is
+	// noted once for each of them.
+	OtherIncarnationAnswered
 	// WorkerSuspected means that the worker seems to have ended while it had runs, which still count.
 	WorkerSuspected
 	// WorkerEnded means that the worker ended while it had runs, without having said that it leaves.
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -54,8 +54,10 @@
 	holdNumber  uint64
 	holdPending bool
 	holdSentAt  time.Duration
-	holdWait    time.Duration
-	nextHold    time.Duration
+	// holdFence is the fence of the last Hold.
+	holdFence uint64
+	holdWait  time.Duration
+	nextHold  time.Duration
 	// answeredHold is the number of the last Hold whose answer was handled.
 	answeredHold uint64
 	// failure is the error of the last Hold without an answer since the worker last answered one.
@@ -64,6 +66,8 @@
 	unansweredSince time.Duration
 	// suspect is true while an answer is overdue.
 	suspect bool
+	// otherIncarnation is the last one that answered in place of this one.
+	otherIncarnation string
 	// confirmPending is true while a new value of confirmed has not been sent to the worker.
 	confirmPending bool
 	// failedHolds counts consecutive holds without an answer.
--- a/node/agent/report.go
+++ b/node/agent/report.go
@@ -76,6 +76,9 @@
 			"millicores", note.MilliCores, "age_ms", age, "error", note.Evidence.Failure)
 	case runner.AnnouncementIgnored:
 		events.AnnouncementIgnored.Log(logger, "incarnation", note.Reason, "known", note.Evidence.Incarnation, "age_ms", age)
+	case runner.OtherIncarnationAnswered:
+		events.OtherIncarnationAnswered.Log(logger, "answered_by", note.Reason, "known", note.Evidence.Incarnation, "fence", note.Fence,
+			"listed", len(note.Tasks), "tasks", note.Tasks, "hold", note.Evidence.Hold, "age_ms", age)
 	case runner.ConnectionsRefused:
 		events.ConnectionsRefused.Log(logger, append([]any{"age_ms", age}, evidence(&note)...)...)
 	case runner.ConnectionsAccepted:
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -24,6 +24,9 @@
 		"if most are not met in time, switch the pool's reservations off")
 	AnnouncementIgnored = define(3213, Warn, "announcement ignored", "another worker, or another start of this one, was announced than the one that listens at the worker's address",
 		"find out who announces it, if this continues")
+	OtherIncarnationAnswered = define(3217, Warn, "another start of the worker answered",
+		"the process at the worker's address is another one than the known; fence is that of the call which it answered, tasks are those that it lists as running",
+		"none if an announcement of the worker follows (3207); else find out what listens at its address")
 	WorkerSuspected = define(3216, Warn, "worker seems to have ended under runs",
 		"the worker has refused connections for a while; its runs count as running until its lease has expired, another incarnation answers, or it answers itself (3215)",
 		"compare with 3209, which follows if the worker has ended")
