Give every order that is given up a lower fence than all later calls

What callers saw: nothing; the work of a stored task was done twice.

Cause: the sidecar's fence told the processes of sidecar and worker apart, and not an order that was given up from those sent after it. A start got no answer, was revoked and its task started elsewhere. The worker restarted under its ID and forgot the stop; the sidecar called it 0.15 s before the late start came, with the fence that the late start carries (event 3217).

Fix (core/runner/late.go): the fence is raised whenever a call is given up (a start that is revoked, taken back or unanswered, a stop or a hold without an answer), so that the first call to any later life excludes these orders, whether or not the life is known to be another one. For a minute after that an idle worker has a hold open all the time, a refused address is called every 10 ms, and the agent's loop wakes when a hold is due. Runs that an unknown life lists are stopped at once. A call that is rejected because a later one overtook it no longer raises the fence by the large step.

In the simulation workers can now restart under their IDs, carry out what was sent to the life before, and answer as another one.

--- a/core/dispatch/stored_history_test.go
+++ b/core/dispatch/stored_history_test.go
@@ -155,3 +155,41 @@
 		})
 	}
 }
+
+// TestStoredHistory_LateStartsAtWorkersThatRestartUnderTheirIDsRunNothingTwice guards against tasks that ran twice: a start without an answer
+// was revoked and its task started elsewhere, and the worker, which had restarted under its ID since, carried the start out. Nothing
+// prevents that before the first call to the new incarnation; such a run is ended at once.
+func TestStoredHistory_LateStartsAtWorkersThatRestartUnderTheirIDsRunNothingTwice(t *testing.T) {
+	uncalled := 0
+	for seed := range uint64(30) {
+		sim := newSimulation(t, seed, defaultLimits, 0, 5)
+		sim.keepsIDs, sim.firstBeat, sim.lateShare = true, 1500*time.Millisecond, 0.3
+		sim.control = newFakeControl(sim, holderTimeout)
+		for i := range 2 {
+			sim.entries = append(sim.entries, &entryNode{})
+			sim.startEntry(i)
+		}
+		for n := range 40 {
+			sim.after(time.Second+time.Duration(sim.random.Int64N(int64(6*time.Second))), func() {
+				sim.control.store(sim.random.IntN(2), dispatch.Submission{
+					ID: jobID(n), Spec: "6s", IsStored: true,
+					Queue: dispatch.Queue{Name: "q", Pool: "p", Attempts: 3, Slack: 1.6, Target: 60 * time.Millisecond},
+					Steps: []dispatch.Step{{Count: 1, Needs: work.Needs{MilliCores: 1000}, Expected: 6 * time.Second}},
+				})
+			})
+		}
+		for range 10 {
+			worker, down := sim.workers[sim.random.IntN(5)], time.Duration(sim.random.Int64N(int64(1500*time.Millisecond)))
+			sim.after(2*time.Second+time.Duration(sim.random.Int64N(int64(8*time.Second))), func() { worker.crash(down) })
+		}
+		sim.run(16 * time.Second)
+		if len(sim.overlaps) > 0 {
+			t.Errorf("seed %d: %d overlaps, the first: %s", seed, len(sim.overlaps), sim.overlaps[0])
+		}
+		if sim.longUncalled > 0 {
+			t.Errorf("seed %d: %d runs of late starts weren't ended within %v", seed, sim.longUncalled, uncalledLimit)
+		}
+		uncalled += sim.uncalledStarts
+	}
+	t.Logf("%d late starts came before the first call to an incarnation", uncalled)
+}
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -151,7 +151,7 @@
 			Waited: now - run.arrivedAt, Share: run.Needs.ShareOf(r.worker.Capacity), IsBackfill: isBackfill,
 		})
 	}
-	run.state, run.changedAt, run.startOverdueHold = ordered, now, 0
+	run.state, run.changedAt, run.startOverdueHold, run.orderFence = ordered, now, 0, r.worker.fence
 	r.worker.nextHold = min(r.worker.nextHold, now)
 	r.effects.Starts = append(r.effects.Starts, Start{
 		Order: r.order(now), RunID: run.RunID, Spec: run.Spec, Checkpoint: run.Checkpoint,
@@ -177,7 +177,7 @@
 		if run.state != stopping || now < run.retryAt {
 			continue
 		}
-		run.retryAt = never
+		run.retryAt, run.orderFence = never, r.worker.fence
 		r.effects.Stops = append(r.effects.Stops, Stop{Order: r.order(now), RunID: run.RunID})
 	}
 }
@@ -187,10 +187,7 @@
 	if !w.known || w.holdPending || now < w.nextHold {
 		return
 	}
-	var wait time.Duration
-	if r.isBusy() && !r.awaitsConfirmation() && !r.anyStartOverdue(now) {
-		wait = holdWait
-	}
+	wait := r.holdWait(now)
 	w.holdNumber++
 	for _, run := range r.runs {
 		if run.startOverdue(now) {
@@ -202,9 +199,26 @@
 		w.unansweredSince = now
 	}
 	w.openHolds++
+	if !r.isBusy() && wait > 0 {
+		// Whatever comes up meanwhile has a Hold of its own.
+		w.holdPending, w.nextHold = false, now+2*holdWait
+	}
 	r.effects.Hold = &Hold{Order: r.order(now), Number: w.holdNumber, Confirmed: w.confirmed, Wait: wait}
 }
 
+// holdWait returns how long the worker may delay the answer to a Hold that is sent now. A worker whose last answer is missing, or that
+// something is to be learned from, answers at once.
+func (r *Runner) holdWait(now time.Duration) time.Duration {
+	w := &r.worker
+	if w.suspicion.stands || w.otherIncarnation != "" || r.awaitsConfirmation() || r.anyStartOverdue(now) {
+		return 0
+	}
+	if r.isBusy() || r.watches(now) {
+		return holdWait
+	}
+	return 0
+}
+
 // startOverdue reports whether the answer to the run's Start is overdue and no Hold was sent since.
 func (r *taskRun) startOverdue(now time.Duration) bool {
 	return r.state == ordered && r.startOverdueHold == 0 && now >= r.changedAt+startOverdueAfter
--- a/core/runner/doc.go
+++ b/core/runner/doc.go
@@ -6,6 +6,8 @@
 //
 //   - The worker takes orders only from this sidecar, with a fence that increases whenever either of them restarts. A
 //     delayed order from a predecessor of this process carries a lower fence and is rejected.
+//   - The fence also increases whenever a call is given up without an answer. A worker that has started again under its ID has seen no
+//     fence and knows of no stop: the first call that it gets excludes all orders that were given up before.
 //   - Running tasks end by themselves when their lease expires. The lease is an absolute time on the worker's clock, so
 //     a delayed order does not extend it.
 //   - The lease never outlasts the grant of any entry with a session, whether it has tasks here or not: a lease never
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -23,6 +23,7 @@
 func (r *Runner) Reported(now time.Duration, report *Report) {
 	w := &r.worker
 	w.openHolds = max(0, w.openHolds-1)
+	r.fenceOffUnanswered(now, report.Answer)
 	if report.Number <= w.answeredHold {
 		// The answer to a later Hold has overtaken this one.
 		return
@@ -37,7 +38,7 @@
 		return
 	}
 	r.clearSuspect()
-	w.answeredHold, w.failedHolds, w.failure = report.Number, 0, ""
+	w.answeredHold, w.failedHolds, w.failure, w.otherIncarnation = report.Number, 0, "", ""
 	r.updateClock(now, report.ClockReading)
 	r.applyEnds(now, report)
 	r.applyRunning(now, report)
@@ -49,7 +50,11 @@
 	case len(r.unconfirmed) > 0:
 		// A Hold sent now would return at once, as the worker reports unconfirmed ends again.
 		w.nextHold = now + confirmInterval
-	case len(r.runs) == 0:
+	case len(r.runs) > 0:
+	case r.watches(now):
+		// The next Hold waits at the worker, if it keeps to the wait of the last one.
+		w.nextHold = max(now, w.holdSentAt+w.holdWait)
+	default:
 		w.nextHold = now + idleHoldInterval
 	}
 }
@@ -61,11 +66,12 @@
 	case ConnectionRefused:
 		r.holdRefused(now)
 	case Fenced:
-		r.raiseFence()
+		if report.Number == w.holdNumber {
+			r.fenced(w.holdFence)
+		}
 	case WrongIncarnation:
-		r.otherAnswered(report)
+		r.otherAnswered(now, report)
 		r.suspect()
-		w.nextHold = now + holdRetryDelay
 	case Unhealthy, Unreadable:
 		r.suspect()
 		w.nextHold = now + holdRetryDelay
@@ -83,18 +89,25 @@
 	}
 }
 
-// otherAnswered handles the answer of another incarnation than the known one to a Hold.
-func (r *Runner) otherAnswered(report *Report) {
+// otherAnswered handles the answer of another incarnation than the known one to a Hold. Orders that are on their way must not be carried out
+// by it, and no run that it lists is one of this process: it was started by a late order, or by a predecessor of this process.
+func (r *Runner) otherAnswered(now time.Duration, report *Report) {
 	w := &r.worker
-	if report.AnsweredBy == w.otherIncarnation {
-		return
-	}
-	w.otherIncarnation = report.AnsweredBy
+	w.nextHold = now + holdRetryDelay
 	note := Note{Kind: OtherIncarnationAnswered, Reason: report.AnsweredBy, Fence: w.holdFence}
+	if report.AnsweredBy != w.otherIncarnation {
+		w.otherIncarnation, w.nextHold = report.AnsweredBy, now
+		r.fenceOff(now)
+		for i := range report.Running {
+			note.Tasks = append(note.Tasks, report.Running[i].Task)
+		}
+		r.note(note)
+	}
 	for i := range report.Running {
-		note.Tasks = append(note.Tasks, report.Running[i].Task)
+		r.effects.Stops = append(r.effects.Stops, Stop{
+			Order: Order{Incarnation: report.AnsweredBy, Fence: w.fence}, RunID: report.Running[i].RunID,
+		})
 	}
-	r.note(note)
 }
 
 // suspect stops sending new tasks to a worker that does not answer in time, and refuses the queued offers.
--- a/core/runner/runner.go
+++ b/core/runner/runner.go
@@ -43,6 +43,8 @@
 	retryAt time.Duration
 	// confirmingHold is the number of the first Hold sent after the state was entered.
 	confirmingHold uint64
+	// orderFence is the fence of the last Start or Stop of this run.
+	orderFence uint64
 	// startOverdueHold is the number of the first Hold sent after the answer to the Start became overdue, 0 before.
 	startOverdueHold uint64
 	// missedReports counts consecutive reports that should have listed the run but did not.
@@ -103,6 +105,8 @@
 	draining bool
 	// drained is true while an operator has drained the worker or evacuated its data centre.
 	drained bool
+	// lateUntil is until when a call that was given up may still be carried out.
+	lateUntil time.Duration
 	// coldUntil is when the worker is no longer slow after its start.
 	coldUntil time.Duration
 	nextProbe uint64
--- a/core/runner/suspicion.go
+++ b/core/runner/suspicion.go
@@ -26,7 +26,7 @@
 // holdRefused handles a Hold whose connection was refused.
 func (r *Runner) holdRefused(now time.Duration) {
 	w := &r.worker
-	w.nextHold = now + refusedHoldDelay
+	w.nextHold = now + r.refusedDelay(now)
 	if !w.suspicion.stands {
 		w.suspicion = suspicion{stands: true, since: now, runs: r.crashedRuns(now)}
 		r.refuseQueued()
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -274,6 +274,7 @@
 	if isCurrent {
 		r.updateClock(now, reading)
 	}
+	r.fenceOffUnanswered(now, answer)
 	run := r.runs[id.Task]
 	if run == nil || run.Run != id.Run {
 		return
@@ -289,7 +290,7 @@
 		r.revoke(now, run)
 	case NoCapacity, LeaseExpired, Fenced:
 		if answer == Fenced {
-			r.raiseFence()
+			r.fenced(run.orderFence)
 		}
 		run.state, run.retryAt = queued, now+holdRetryDelay/10
 		r.worker.nextHold = now
@@ -332,10 +333,6 @@
 	r.stop(now, run, work.Lost)
 }
 
-func (r *Runner) raiseFence() {
-	r.worker.fence += fenceStep
-}
-
 func (r *Runner) refuseRun(run *taskRun, reason work.Reason) {
 	r.drop(run)
 	r.refuse(r.sessions[run.session], run.session, run.RunID, reason)
@@ -360,7 +357,9 @@
 		return
 	case stopping, stopped:
 		return
-	case ordered, running:
+	case ordered:
+		r.fenceOff(now)
+	case running:
 	}
 	run.state, run.changedAt, run.retryAt, run.outcome = stopping, now, now, outcome
 }
@@ -368,6 +367,7 @@
 // Stopped handles the answer to a Stop that was sent to the named incarnation. One that was sent to an earlier incarnation doesn't prevent
 // a start at this one.
 func (r *Runner) Stopped(now time.Duration, incarnation string, id work.RunID, answer Answer, reading ClockReading) {
+	r.fenceOffUnanswered(now, answer)
 	if incarnation != r.worker.Incarnation {
 		return
 	}
@@ -387,7 +387,7 @@
 			r.worker.holdPending = false
 		}
 	case Fenced:
-		r.raiseFence()
+		r.fenced(run.orderFence)
 		run.retryAt = now
 	case ConnectionRefused:
 		run.retryAt, r.worker.nextHold = now+holdRetryDelay, now
--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -240,10 +240,11 @@
 	a.idle.Store(isIdle)
 	a.busy.Store(a.core.HasRuns())
 	a.drained.Store(a.core.IsDrained())
+	tick := busyTick
 	if isIdle {
-		return idleTick
+		tick = idleTick
 	}
-	return busyTick
+	return min(tick, a.core.UntilHold(now))
 }
 
 // perform carries out the actions that the runner has requested.
