Confirm ends only to the incarnation that reported them

What callers could see: results that are lost and tasks that run again, with a worker that keeps the number up to which it may forget ends.

Cause: ends are numbered from 1 in each incarnation. Each Hold carried the number of the last recorded end, also those that reach a worker which has restarted under its ID and isn't known to be another one yet. That number confirms ends which the new incarnation has yet to report.

Fix: the number is sent until a Hold with it is answered, and not while the worker may have ended (a Hold without an answer, refused connections, an answer of another incarnation). Besides, a sidecar that recalls its worker from its predecessor's record keeps a hold open at an idle worker for a minute: it doesn't know which calls were given up.

TestLate_EndsAreConfirmedOnlyToTheIncarnationThatReportedThem and TestLate_SidecarThatRecallsItsWorkerCallsItWithoutPause are new.

--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -63,6 +63,8 @@
 	firstBeat time.Duration
 	// lateStops counts the stops of each task that got no answer.
 	lateStops map[string]int
+	// strangeConfirms counts the holds that confirmed ends which the incarnation has yet to report.
+	strangeConfirms int
 	// isLate is true while an order is carried out late. uncalledStarts counts the late starts at incarnations that had not been called yet,
 	// longUncalled those whose runs weren't ended in time, see endsWithin.
 	isLate                       bool
@@ -781,6 +783,9 @@
 func (f *fakeWorker) hold(order *runner.Hold) runner.Answer {
 	answer := f.admit(&order.Order)
 	if answer == runner.Accepted {
+		if order.Confirmed > uint64(len(f.endedIn)) {
+			f.simulation.strangeConfirms++
+		}
 		for n := min(order.Confirmed, uint64(len(f.endedIn))); n > 0; n-- {
 			end := confirmedEnd{incarnation: f.incarnation, number: n}
 			if _, known := f.confirmed[end]; known {
--- a/core/dispatch/stored_history_test.go
+++ b/core/dispatch/stored_history_test.go
@@ -189,6 +189,9 @@
 		if sim.longUncalled > 0 {
 			t.Errorf("seed %d: %d runs of late starts weren't ended within %v", seed, sim.longUncalled, uncalledLimit)
 		}
+		if sim.strangeConfirms > 0 {
+			t.Errorf("seed %d: %d holds confirmed ends that weren't reported", seed, sim.strangeConfirms)
+		}
 		uncalled += sim.uncalledStarts
 	}
 	t.Logf("%d late starts came before the first call to an incarnation", uncalled)
--- a/core/runner/advance.go
+++ b/core/runner/advance.go
@@ -203,7 +203,7 @@
 		// Whatever comes up meanwhile has a Hold of its own.
 		w.holdPending, w.nextHold = false, now+2*holdWait
 	}
-	r.effects.Hold = &Hold{Order: r.order(now), Number: w.holdNumber, Confirmed: w.confirmed, Wait: wait}
+	r.effects.Hold = &Hold{Order: r.order(now), Number: w.holdNumber, Confirmed: w.confirmNow(), Wait: wait}
 }
 
 // holdWait returns how long the worker may delay the answer to a Hold that is sent now. A worker whose last answer is missing, or that
--- a/core/runner/confirm.go
+++ b/core/runner/confirm.go
@@ -121,3 +121,27 @@
 		}
 	}
 }
+
+// confirmNow returns the number that the Hold being sent carries. The ends of an incarnation are numbered from 1: to one that has taken the
+// worker's place unnoticed, the number would confirm ends that it has yet to report. So it is sent until a Hold with it is answered, and not
+// while the worker may have ended.
+func (w *worker) confirmNow() uint64 {
+	if w.confirmed <= w.forgotten || w.failedHolds > 0 || w.suspicion.stands || w.otherIncarnation != "" {
+		w.sentConfirmed = 0
+		return 0
+	}
+	if w.sentConfirmed != w.confirmed {
+		w.sentConfirmed, w.confirmingHold = w.confirmed, w.holdNumber
+	}
+	return w.confirmed
+}
+
+// noteForgotten handles that the worker has answered the Hold with a number.
+func (w *worker) noteForgotten(hold uint64) {
+	if w.sentConfirmed != 0 && hold >= w.confirmingHold {
+		w.forgotten = w.sentConfirmed
+	}
+	if w.confirmed > max(w.forgotten, w.sentConfirmed) {
+		w.confirmPending = true
+	}
+}
--- a/core/runner/late_test.go
+++ b/core/runner/late_test.go
@@ -197,3 +197,48 @@
 		t.Errorf("hold %+v, want one at once, without a lease", h.hold)
 	}
 }
+
+// TestLate_EndsAreConfirmedOnlyToTheIncarnationThatReportedThem guards against ends that a restarted worker forgets unreported: they are numbered
+// from 1 again, and each call carried the number that its previous life could forget.
+func TestLate_EndsAreConfirmedOnlyToTheIncarnationThatReportedThem(t *testing.T) {
+	h := newHarness(t)
+	id := h.runStored("a.0.0.0")
+	h.reportEnd(id)
+	h.confirm(session, work.Confirmed{RunID: id, IsRecorded: true})
+	if h.hold == nil || h.hold.Confirmed != 1 {
+		t.Fatalf("hold %+v, want one that confirms the end", h.hold)
+	}
+	h.core.Reported(h.now, &runner.Report{Answer: runner.NoAnswer, Number: h.hold.Number})
+	h.step(time.Millisecond)
+	if h.hold.Confirmed != 0 {
+		t.Fatalf("hold %+v after one without an answer confirms an end of a worker that may have restarted", h.hold)
+	}
+	h.answerHold()
+	if h.hold == nil || h.hold.Confirmed != 1 {
+		t.Fatalf("hold %+v, want the end confirmed again once the worker has answered", h.hold)
+	}
+	h.answerHold()
+	for range 200 {
+		h.step(10 * time.Millisecond)
+		h.echo()
+		if h.hold != nil && h.hold.Confirmed != 0 {
+			t.Fatalf("hold %+v confirms an end that the worker has forgotten", h.hold)
+		}
+		if h.hold != nil {
+			h.answerHold()
+		}
+	}
+}
+
+// TestLate_SidecarThatRecallsItsWorkerCallsItWithoutPause guards against a task that runs twice: what the predecessor of a sidecar gave up may be
+// carried out, too, by a worker that restarts.
+func TestLate_SidecarThatRecallsItsWorkerCallsItWithoutPause(t *testing.T) {
+	h := &harness{t: t, core: runner.New(runner.DefaultLimits, 10), now: time.Minute, clockMS: 5000}
+	h.core.Open(h.now, session, work.Hello{Entry: "e"})
+	h.core.Recover(h.now, announcement(1))
+	h.step(0)
+	h.echo()
+	if pause := h.pass(5 * time.Second); pause > 0 {
+		t.Errorf("no hold at the worker for %v, want one at any time", pause)
+	}
+}
--- a/core/runner/report.go
+++ b/core/runner/report.go
@@ -39,6 +39,7 @@
 	}
 	r.clearSuspect()
 	w.answeredHold, w.failedHolds, w.failure, w.otherIncarnation = report.Number, 0, "", ""
+	w.noteForgotten(report.Number)
 	r.updateClock(now, report.ClockReading)
 	r.applyEnds(now, report)
 	r.applyRunning(now, report)
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -50,6 +50,11 @@
 	// confirmed is the number of the last end that the worker may forget, reportedEnd that of the last end handled.
 	confirmed   uint64
 	reportedEnd uint64
+	// forgotten is the number up to which the worker has answered that it forgets ends. sentConfirmed is the one that Holds carry since the
+	// Hold with the number confirmingHold, 0 if they carry none.
+	forgotten      uint64
+	sentConfirmed  uint64
+	confirmingHold uint64
 	// holdNumber is the number of the last Hold; holdPending is true while its answer is awaited.
 	holdNumber  uint64
 	holdPending bool
@@ -153,6 +158,8 @@
 	}
 	r.reset(now, announced)
 	r.worker.leaving = announced.Leaving
+	// What the predecessor has given up isn't known here.
+	r.lateUntil = now + lateOrderAge
 	r.note(Note{Kind: WorkerChanged, Reason: "recalled"})
 }
 
