Bound the cost of calls to a worker that stays away

While an order may be late, a refused address was called every 10 ms for up to a minute. The calls every 10 ms now last 5 s.

TestLate_WorkerThatStaysAwayIsCalledLessOften: 2,000 calls in 20 s without the bound, which the test's limit of 1,150 rejects.

--- a/core/runner/late.go
+++ b/core/runner/late.go
@@ -6,8 +6,10 @@
 	// lateOrderAge is how long after it was given up an order may still reach the worker. The worker's contract says seconds.
 	lateOrderAge = time.Minute
 	// restartPoll is the time between two calls to an address that refuses connections while an order may be late: an incarnation that
-	// starts there carries out late orders until it is called.
-	restartPoll = 10 * time.Millisecond
+	// starts there carries out late orders until it is called. After restartPollTime, calls are as rare as without late orders, to keep
+	// the cost of a worker that stays away within that of a node's control (docs/CAPACITY.md).
+	restartPoll     = 10 * time.Millisecond
+	restartPollTime = 5 * time.Second
 )
 
 // fenceOff raises the fence above that of every call so far, because one of them is given up without an answer.
@@ -50,7 +52,7 @@
 
 // refusedDelay returns the time until the next call to an address that refuses connections.
 func (r *Runner) refusedDelay(now time.Duration) time.Duration {
-	if r.watches(now) {
+	if r.watches(now) && now-r.worker.suspicion.since < restartPollTime {
 		return restartPoll
 	}
 	return refusedHoldDelay
--- a/core/runner/late_test.go
+++ b/core/runner/late_test.go
@@ -146,6 +146,26 @@
 	}
 }
 
+// TestLate_WorkerThatStaysAwayIsCalledLessOften bounds the cost of calls to an address that refuses connections.
+func TestLate_WorkerThatStaysAwayIsCalledLessOften(t *testing.T) {
+	h := newHarness(t)
+	h.revoke("a.0.0.0")
+	calls := 0
+	for range 20_000 {
+		if hold := h.hold; hold != nil {
+			calls++
+			h.hold = nil
+			h.core.Reported(h.now, &runner.Report{Answer: runner.ConnectionRefused, Number: hold.Number})
+		}
+		h.echo()
+		h.step(time.Millisecond)
+	}
+	// 5 s with a call every 10 ms, and 15 s with one every 25 ms.
+	if calls < 1000 || calls > 1150 {
+		t.Errorf("%d calls in 20 s, want about 1,100", calls)
+	}
+}
+
 // TestLate_WorkerWithoutGivenUpOrdersIsCalledOnceASecond bounds the cost of an idle worker.
 func TestLate_WorkerWithoutGivenUpOrdersIsCalledOnceASecond(t *testing.T) {
 	h := newHarness(t)
--- a/core/runner/suspicion.go
+++ b/core/runner/suspicion.go
@@ -26,13 +26,13 @@
 // holdRefused handles a Hold whose connection was refused.
 func (r *Runner) holdRefused(now time.Duration) {
 	w := &r.worker
-	w.nextHold = now + r.refusedDelay(now)
 	if !w.suspicion.stands {
 		w.suspicion = suspicion{stands: true, since: now, runs: r.crashedRuns(now)}
 		r.refuseQueued()
 		r.note(Note{Kind: ConnectionsRefused})
 		r.note(Note{Kind: WorkerChanged, Reason: r.describe()})
 	}
+	w.nextHold = now + r.refusedDelay(now)
 	r.reportSuspicion(now)
 }
 
