Say incarnation, and name the fields of confirmed ends by what they hold

Read as a newcomer: "life" is the platform's word, and a field of the worker had the name of one of a run that means something else. No change of what the code does; the tests of core/runner pass.

--- a/core/runner/confirm.go
+++ b/core/runner/confirm.go
@@ -131,14 +131,14 @@
 		return 0
 	}
 	if w.sentConfirmed != w.confirmed {
-		w.sentConfirmed, w.confirmingHold = w.confirmed, w.holdNumber
+		w.sentConfirmed, w.sentSince = w.confirmed, w.holdNumber
 	}
 	return w.confirmed
 }
 
 // noteForgotten handles that the worker has answered the Hold with a number.
 func (w *worker) noteForgotten(hold uint64) {
-	if w.sentConfirmed != 0 && hold >= w.confirmingHold {
+	if w.sentConfirmed != 0 && hold >= w.sentSince {
 		w.forgotten = w.sentConfirmed
 	}
 	if w.confirmed > max(w.forgotten, w.sentConfirmed) {
--- a/core/runner/late_test.go
+++ b/core/runner/late_test.go
@@ -219,7 +219,7 @@
 }
 
 // TestLate_EndsAreConfirmedOnlyToTheIncarnationThatReportedThem guards against ends that a restarted worker forgets unreported: they are numbered
-// from 1 again, and each call carried the number that its previous life could forget.
+// from 1 again, and each call carried the number that its previous incarnation could forget.
 func TestLate_EndsAreConfirmedOnlyToTheIncarnationThatReportedThem(t *testing.T) {
 	h := newHarness(t)
 	id := h.runStored("a.0.0.0")
--- a/core/runner/worker.go
+++ b/core/runner/worker.go
@@ -50,11 +50,11 @@
 	// confirmed is the number of the last end that the worker may forget, reportedEnd that of the last end handled.
 	confirmed   uint64
 	reportedEnd uint64
-	// forgotten is the number up to which the worker has answered that it forgets ends. sentConfirmed is the one that Holds carry since the
-	// Hold with the number confirmingHold, 0 if they carry none.
-	forgotten      uint64
-	sentConfirmed  uint64
-	confirmingHold uint64
+	// forgotten is the number of the last end that the worker has forgotten, by its answers. sentConfirmed is the number that Holds carry for
+	// it to forget, 0 for none; sentSince is the first Hold that carries it.
+	forgotten     uint64
+	sentConfirmed uint64
+	sentSince     uint64
 	// holdNumber is the number of the last Hold; holdPending is true while its answer is awaited.
 	holdNumber  uint64
 	holdPending bool
