--- a/review/standins-3/platform/main.go
+++ b/review/standins-3/platform/main.go
@@ -18,7 +18,7 @@
 type scenario func(r *record, trouble bool) (breaks []string, err error)
 
 var scenarios = map[string]scenario{
-	"resubmitted": resubmitted, "givenup": givenUp, "blocked": blocked, "alone": alone,
+	"resubmitted": resubmitted, "givenup": givenUp, "blocked": blocked, "alone": alone, "frozen": frozen,
 }
 
 func main() {
