gateway, jobstore: log what an acceptance of a stored job rests on

The logs could not tell whether the next holder had stored the job itself, had been assigned it, or had taken an answer that another call got.

Change: control's answer to Store carries the job's epoch. Event 2340 is logged if control had the job already, with the holder and the epoch that control names; event 2341 if an assignment is ignored since the job is known under another epoch.

--- a/core/dispatch/stored.go
+++ b/core/dispatch/stored.go
@@ -26,6 +26,9 @@
 
 // Accept takes a stored job that this entry holds.
 func (d *Dispatcher) Accept(now time.Duration, s Submission) {
+	if known := d.jobs[s.ID]; known != nil && known.Epoch != s.Epoch {
+		d.note(Note{Kind: AssignmentIgnored, RunID: work.RunID{Task: s.ID, Run: known.Epoch}, Count: int(s.Epoch)})
+	}
 	if d.jobs[s.ID] != nil || d.recentlyEnded.covers(s.ID, s.Epoch) {
 		// The answer that carried the job was delayed, and the job is already known or has ended here.
 		return
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -316,6 +316,8 @@
 	JobLeaseAcquired
 	// JobTakenOver means that a stored job was transferred from another holder to this entry.
 	JobTakenOver
+	// AssignmentIgnored means that control assigned a job that is known here. Run is the epoch that is known, Count the assigned one.
+	AssignmentIgnored
 	// JobReleased means that this entry no longer holds a stored job.
 	JobReleased
 	// TaskGivenUp means that a task is not started again because workers have ended under it. Count is their number.
--- a/core/jobstore/job.go
+++ b/core/jobstore/job.go
@@ -86,11 +86,13 @@
 	Full
 )
 
-// Answer is the result of a request, with the job's state and holder.
+// Answer is the result of a request, with the job's state, holder and epoch.
 type Answer struct {
 	Result Result `cbor:"result"`
 	State  State  `cbor:"state,omitempty"`
 	Holder string `cbor:"holder,omitempty"`
+	// Epoch is the epoch of an open job: 1 while its first holder has it.
+	Epoch uint32 `cbor:"epoch,omitempty"`
 }
 
 // Failure is a failed run.
@@ -127,7 +129,7 @@
 	if j == nil {
 		return Answer{Result: Unknown}
 	}
-	return Answer{Result: result, State: j.State, Holder: j.Holder}
+	return Answer{Result: result, State: j.State, Holder: j.Holder, Epoch: j.Epoch}
 }
 
 func (j *Job) tasks() int {
--- a/node/control/jobs.go
+++ b/node/control/jobs.go
@@ -42,6 +42,7 @@
 	j.role.metrics.Add("jobs_stored", 1)
 	return &rpc.StoreResponse{
 		Status: storeStatus(answers[0].Result), State: jobState(answers[0].State), Holder: answers[0].Holder,
+		Epoch: answers[0].Epoch,
 	}, nil
 }
 
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -63,6 +63,10 @@
 		"look for an earlier loss of the job lease")
 	StoredJobMissing = define(2318, Info, "stored job missing", "control stores a job of this entry that it has no answer about; it is requested and run",
 		"none; an answer of control was lost or arrives late")
+	StoredJobKnown = define(2340, Info, "stored job known", "a request to store a job found that control has it already: a copy of the request, or one whose answer was lost; "+
+		"holder and epoch are those that control names", "none")
+	AssignmentIgnored = define(2341, Warn, "assignment ignored", "control assigned this entry a job that it has already, under another epoch",
+		"keep the log lines with the job's ID and report them")
 	StoredJobUnreadable = define(2319, Error, "stored job unreadable", "a job assigned to this entry can't be decoded", "upgrade all entries to one version")
 	TaskGivenUp         = define(2320, Warn, "task given up", "workers have ended under the task, the last of them with no other job's task; its job fails",
 		"find out why the task ends its workers; event 3209 names the workers")
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -156,6 +156,8 @@
 		events.JobLeaseAcquired.Log(logger, "holder", *g.holder.Load(), "age_ms", age)
 	case dispatch.JobTakenOver:
 		events.StoredJobTakenOver.Log(logger, "job", note.Task, "epoch", note.Run)
+	case dispatch.AssignmentIgnored:
+		events.AssignmentIgnored.Log(logger, "job", note.Task, "epoch", note.Run, "assigned_epoch", note.Count)
 	case dispatch.JobReleased:
 		events.StoredJobDropped.Log(logger, "job", note.Task)
 	case dispatch.SheddingBegan:
--- a/node/gateway/stored.go
+++ b/node/gateway/stored.go
@@ -160,6 +160,9 @@
 			}
 			continue
 		}
+		if response.GetStatus() == rpc.StoreStatus_STORE_STATUS_KNOWN {
+			events.StoredJobKnown.Log(g.options.Logger, "job", job.ID, "holder", response.GetHolder(), "own_holder", holder, "epoch", response.GetEpoch())
+		}
 		if response.GetHolder() == holder && response.GetState() == rpc.JobState_JOB_STATE_OPEN {
 			g.acceptStored(ctx, holder, *job, sentAt)
 		}
