dispatch: decide in core what the answer to Store allows

Cause: whether an entry runs a job that control names it as the holder of was decided in node/gateway and once more in the simulation's control, so no test of the decisions covered it.

Change: Dispatcher.StoreAnswered takes the answer, with whether this call stored the job; gateway and simulation call it.

--- /dev/null
+++ b/core/dispatch/accept.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"time"
+
+	"flamingohall.example/core/work"
+)
+
+// StoreAnswer is control's answer to a call that stores a job, if it names the caller as the job's holder and the job is open.
+type StoreAnswer struct {
+	// IsNew means that this call has stored the job. Otherwise control had it before.
+	IsNew bool
+	// SentAt is when the call was sent.
+	SentAt time.Duration
+}
+
+// StoreAnswered takes a job that this entry holds according to the answer to a call that stores it. It reports whether the job is not
+// taken, and has to be requested from control with its epoch and progress.
+func (d *Dispatcher) StoreAnswered(now time.Duration, s Submission, answer StoreAnswer) (needsAssignment bool) {
+	if now-answer.SentAt >= d.limits.JobLease {
+		// This process was suspended, and the job may have been cancelled since.
+		return true
+	}
+	s.Epoch = 1
+	d.Accept(now, s)
+	return false
+}
+
+// Accept takes a stored job that control has assigned to this entry, with the epoch and the progress that control names.
+func (d *Dispatcher) Accept(now time.Duration, s Submission) {
+	if known := d.jobs[s.ID]; known != nil && known.Epoch != s.Epoch {
+		d.note(Note{Kind: AssignmentIgnored, RunID: work.RunID{Task: s.ID, Run: known.Epoch}, Count: int(s.Epoch)})
+	}
+	if d.jobs[s.ID] != nil || d.recentlyEnded.covers(s.ID, s.Epoch) {
+		// The answer that carried the job was delayed, and the job is already known or has ended here.
+		return
+	}
+	s.IsStored, s.Timeout = true, 0
+	j := newJob(now, s)
+	d.estimate(j)
+	j.objective = j.arrivedAt + j.span()
+	if s.Epoch > 1 {
+		d.note(Note{Kind: JobTakenOver, RunID: work.RunID{Task: s.ID, Run: s.Epoch}})
+	}
+	d.learnCrashes(now, j, s.Progress)
+	d.add(j)
+}
--- a/core/dispatch/control_test.go
+++ b/core/dispatch/control_test.go
@@ -172,7 +172,7 @@
 	sim := c.simulation
 	n := sim.entries[entry]
 	incarnation, isAnswered := n.incarnation, false
-	holder := n.holder
+	holder, sentAt := n.holder, sim.now
 	var steps []uint32
 	for _, step := range s.Steps {
 		steps = append(steps, uint32(step.Count))
@@ -191,8 +191,8 @@
 				c.rename(entry, holder)
 				c.storeUntil(callerLeaves, entry, s)
 			case answer.Holder == holder && answer.State == jobstore.Open && n.holder == holder:
-				s.Epoch = 1
-				n.core.Accept(sim.now, s)
+				// A job that isn't taken is assigned with the next renewal.
+				n.core.StoreAnswered(sim.now, s, dispatch.StoreAnswer{IsNew: answer.Result == jobstore.Stored, SentAt: sentAt})
 			}
 		}
 	})
--- a/core/dispatch/stored.go
+++ b/core/dispatch/stored.go
@@ -24,26 +24,6 @@
 	return j.fill(now, *refusal), true
 }
 
-// Accept takes a stored job that this entry holds.
-func (d *Dispatcher) Accept(now time.Duration, s Submission) {
-	if known := d.jobs[s.ID]; known != nil && known.Epoch != s.Epoch {
-		d.note(Note{Kind: AssignmentIgnored, RunID: work.RunID{Task: s.ID, Run: known.Epoch}, Count: int(s.Epoch)})
-	}
-	if d.jobs[s.ID] != nil || d.recentlyEnded.covers(s.ID, s.Epoch) {
-		// The answer that carried the job was delayed, and the job is already known or has ended here.
-		return
-	}
-	s.IsStored, s.Timeout = true, 0
-	j := newJob(now, s)
-	d.estimate(j)
-	j.objective = j.arrivedAt + j.span()
-	if s.Epoch > 1 {
-		d.note(Note{Kind: JobTakenOver, RunID: work.RunID{Task: s.ID, Run: s.Epoch}})
-	}
-	d.learnCrashes(now, j, s.Progress)
-	d.add(j)
-}
-
 // Release drops a stored job that has ended or that another entry holds.
 func (d *Dispatcher) Release(now time.Duration, id string) {
 	j := d.jobs[id]
--- a/node/gateway/stale_job_test.go
+++ b/node/gateway/stale_job_test.go
@@ -64,7 +64,7 @@
 	control := newKeepRecorder()
 	g := startGatewayOf(t, control)
 	control.next(t)
-	g.acceptStored(t.Context(), *g.holder.Load(), oneTask("j"), boottime.Now()-dispatch.DefaultLimits.JobLease)
+	g.acceptStored(t.Context(), *g.holder.Load(), oneTask("j"), dispatch.StoreAnswer{IsNew: true, SentAt: boottime.Now() - dispatch.DefaultLimits.JobLease})
 	if state, _ := g.core.Progress("j"); state != dispatch.StoredUnknown {
 		t.Fatalf("state %v; the job was taken without a check", state)
 	}
@@ -88,7 +88,7 @@
 	control.next(t)
 	// A job that is younger than the usual check at the loss of the lease.
 	time.Sleep(dispatch.DefaultLimits.JobLease / 2)
-	g.acceptStored(t.Context(), *g.holder.Load(), oneTask("j"), boottime.Now())
+	g.acceptStored(t.Context(), *g.holder.Load(), oneTask("j"), dispatch.StoreAnswer{IsNew: true, SentAt: boottime.Now()})
 	lost := make(chan struct{})
 	go func() {
 		defer close(lost)
--- a/node/gateway/stored.go
+++ b/node/gateway/stored.go
@@ -164,24 +164,18 @@
 			events.StoredJobKnown.Log(g.options.Logger, "job", job.ID, "holder", response.GetHolder(), "own_holder", holder, "epoch", response.GetEpoch())
 		}
 		if response.GetHolder() == holder && response.GetState() == rpc.JobState_JOB_STATE_OPEN {
-			g.acceptStored(ctx, holder, *job, sentAt)
+			g.acceptStored(ctx, holder, *job, dispatch.StoreAnswer{IsNew: response.GetStatus() == rpc.StoreStatus_STORE_STATUS_STORED, SentAt: sentAt})
 		}
 		return nil
 	}
 }
 
-// acceptStored passes a job that was stored under the given holder name, by a call sent at sentAt, to the dispatcher, and returns
+// acceptStored passes a job that the given holder name holds, as the answer to a call that stores it says, to the dispatcher, and returns
 // once that is done. If the holder has been renamed since, control has assigned the job to another entry, and it is not accepted.
-// If the call was sent longer ago than a job lease lasts, the process was suspended, and the job may have been cancelled since.
-func (g *Gateway) acceptStored(ctx context.Context, holder string, job dispatch.Submission, sentAt time.Duration) {
+func (g *Gateway) acceptStored(ctx context.Context, holder string, job dispatch.Submission, answer dispatch.StoreAnswer) {
 	accepted := make(chan struct{})
-	job.Epoch = 1
 	g.put(func(now time.Duration) {
-		switch {
-		case holder != *g.holder.Load():
-		case now-sentAt < dispatch.DefaultLimits.JobLease:
-			g.core.Accept(now, job)
-		default:
+		if holder == *g.holder.Load() && g.core.StoreAnswered(now, job, answer) {
 			g.leaseRenewer.missing[job.ID] = true
 		}
 		close(accepted)
