--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -150,6 +150,21 @@
 		events.WorkerOnProbation.Log(logger, "worker", note.Worker)
 	case dispatch.WorkerReadmitted:
 		events.WorkerReadmitted.Log(logger, "worker", note.Worker)
+	case dispatch.SheddingBegan:
+		events.SheddingBegan.Log(logger, "pool", note.Reason, "wait_ms", age)
+	case dispatch.SheddingEnded:
+		events.SheddingEnded.Log(logger, "pool", note.Reason, "refused", note.Count)
+	default:
+		g.logStored(note)
+		g.logCrash(note)
+	}
+}
+
+// logStored logs a decision about stored jobs and their leases.
+func (g *Gateway) logStored(note dispatch.Note) {
+	logger := g.options.Logger
+	age := note.Age.Milliseconds()
+	switch note.Kind {
 	case dispatch.JobLeaseLost:
 		events.JobLeaseLost.Log(logger, "holder", *g.holder.Load(), "silence_ms", age)
 	case dispatch.JobLeaseAcquired:
@@ -160,12 +175,6 @@
 		events.AssignmentIgnored.Log(logger, "job", note.Task, "epoch", note.Run, "assigned_epoch", note.Count)
 	case dispatch.JobReleased:
 		events.StoredJobDropped.Log(logger, "job", note.Task)
-	case dispatch.SheddingBegan:
-		events.SheddingBegan.Log(logger, "pool", note.Reason, "wait_ms", age)
-	case dispatch.SheddingEnded:
-		events.SheddingEnded.Log(logger, "pool", note.Reason, "refused", note.Count)
-	default:
-		g.logCrash(note)
 	}
 }
 
