dispatch: take a stored job from its request only if the request stored it

Cause: to an entry that stores a job, control answers "known, you hold it" also if it had the job before and has assigned it to this entry since. Dispatcher.StoreAnswered took that answer for the one to a new job: epoch 1, no progress. All recorded tasks were offered again, under run numbers of the first epoch.

Fix: only the call that has stored a job knows its epoch, the first, and its progress, none. After any other answer that names the caller as holder, the entry asks control for the job with its next lease renewal, as it did for an answer that was older than a job lease. That brings epoch and progress together.

--- a/core/dispatch/accept.go
+++ b/core/dispatch/accept.go
@@ -16,9 +16,12 @@
 
 // StoreAnswered takes a job that this entry holds according to the answer to a call that stores it. It reports whether the job is not
 // taken, and has to be requested from control with its epoch and progress.
+//
+// Only the call that has stored a job tells its epoch, the first, and its progress, none. A job that control had before may have been
+// assigned to this entry since, after an earlier holder had run part of it. If the call was sent longer ago than a job lease lasts, this
+// process was suspended, and the job may have been cancelled since.
 func (d *Dispatcher) StoreAnswered(now time.Duration, s Submission, answer StoreAnswer) (needsAssignment bool) {
-	if now-answer.SentAt >= d.limits.JobLease {
-		// This process was suspended, and the job may have been cancelled since.
+	if !answer.IsNew || now-answer.SentAt >= d.limits.JobLease {
 		return true
 	}
 	s.Epoch = 1
--- a/node/gateway/stale_job_test.go
+++ b/node/gateway/stale_job_test.go
@@ -79,6 +79,37 @@
 	}
 }
 
+// Store answers that control had the job before, and that the caller holds it under epoch 2.
+func (k *keepRecorder) Store(_ context.Context, request *rpc.StoreRequest) (*rpc.StoreResponse, error) {
+	return &rpc.StoreResponse{
+		Status: rpc.StoreStatus_STORE_STATUS_KNOWN, State: rpc.JobState_JOB_STATE_OPEN, Holder: request.GetHolder(), Epoch: 2,
+	}, nil
+}
+
+// TestStore_JobThatWasAssignedSinceIsRequestedFromControl guards against tasks of a stored job that are started again after their ends were
+// recorded: the next holder took the answer to a copy of the job's request for that to a new job, without epoch and progress.
+func TestStore_JobThatWasAssignedSinceIsRequestedFromControl(t *testing.T) {
+	control := newKeepRecorder()
+	g := startGatewayOf(t, control)
+	control.next(t)
+	job := oneTask("j")
+	if err := g.store(t.Context(), &job); err != nil {
+		t.Fatal(err)
+	}
+	if state := g.localState(t.Context(), "j"); state != Unknown {
+		t.Fatalf("state %v; the job was taken without its epoch and progress", state)
+	}
+	var request *rpc.KeepRequest
+	for range 3 {
+		if request = control.next(t); len(request.GetMissing()) > 0 {
+			break
+		}
+	}
+	if !slices.Equal(request.GetMissing(), []string{"j"}) {
+		t.Errorf("missing jobs %v, want control to be asked about the job", request.GetMissing())
+	}
+}
+
 // TestLease_IsAcquiredAgainOnlyWithACheckOfAllJobs guards against jobs that ran long after the answer to their cancel: they were
 // cancelled while their holder was out of contact, and it ran them until its next check.
 func TestLease_IsAcquiredAgainOnlyWithACheckOfAllJobs(t *testing.T) {
