--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -125,6 +125,7 @@
 	}
 	if j.IsStored {
 		d.effects.Records = append(d.effects.Records, Record{RunID: ended.RunID, IsCrash: true})
+		d.note(Note{Kind: CrashRecorded, RunID: ended.RunID, Worker: t.run.worker, Cause: ended.Cause})
 	}
 	if history.IsGivenUp() {
 		d.giveUp(now, t)
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -318,6 +318,8 @@
 	JobTakenOver
 	// AssignmentIgnored means that control assigned a job that is known here. Run is the epoch that is known, Count the assigned one.
 	AssignmentIgnored
+	// CrashRecorded means that the end of a worker under a run of a stored task is recorded at control.
+	CrashRecorded
 	// JobReleased means that this entry no longer holds a stored job.
 	JobReleased
 	// TaskGivenUp means that a task is not started again because workers have ended under it. Count is their number.
--- a/node/events/dispatch.go
+++ b/node/events/dispatch.go
@@ -67,6 +67,8 @@
 		"holder and epoch are those that control names", "none")
 	AssignmentIgnored = define(2341, Warn, "assignment ignored", "control assigned this entry a job that it has already, under another epoch",
 		"keep the log lines with the job's ID and report them")
+	CrashRecorded = define(2342, Info, "crash recorded", "control is asked to record that a worker ended under a run of a stored task; the next holder of the job learns "+
+		"the number of these records", "none")
 	StoredJobUnreadable = define(2319, Error, "stored job unreadable", "a job assigned to this entry can't be decoded", "upgrade all entries to one version")
 	TaskGivenUp         = define(2320, Warn, "task given up", "workers have ended under the task, the last of them with no other job's task; its job fails",
 		"find out why the task ends its workers; event 3209 names the workers")
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -185,6 +185,8 @@
 	case dispatch.TaskGivenUp:
 		g.counters.tasksGivenUp.Add(1)
 		events.TaskGivenUp.Log(logger, "task", note.Task, "run", note.Run, "worker", note.Worker, "crashes", note.Count)
+	case dispatch.CrashRecorded:
+		events.CrashRecorded.Log(logger, "task", note.Task, "run", note.Run, "worker", note.Worker, "cause", note.Cause)
 	case dispatch.QueueContained:
 		g.counters.containments.Add(1)
 		events.QueueContained.Log(logger, "queue", note.Reason, "task", note.Task, "workers", note.Count)
