crash: count a crash once that is both learned and reported

A task was given up, or tried alone, after fewer crashes than stated: an entry that took over a stored job learned of a crash from control, and of the same one from the worker's sidecar, which tells a new session of the crashes of the last two minutes. The second report was added to the first.

Crashes that control has recorded and those that sidecars have reported are kept apart now, and the larger number counts: both are about the same crashes. A report names the number of its crash itself, counted from the number in the run's offer, which included the recorded ones; so a further crash still counts on top. A withdrawn crash no longer takes one of the recorded ones with it.

TestMonitor_CrashThatIsLearnedAndReportedCountsOnce failed before ("learned, reported": 2 crashes, "learned, reported, another one": 3 and given up); passes now.

--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -101,6 +101,46 @@
 	}
 }
 
+// TestMonitor_CrashThatIsLearnedAndReportedCountsOnce guards against tasks that are given up too early: an entry learns of a crash from
+// control, and of the same one from the sidecar when its session opens.
+func TestMonitor_CrashThatIsLearnedAndReportedCountsOnce(t *testing.T) {
+	const task = "a.0.0.0"
+	crashOf := func(number, crashes uint32) *work.Crash {
+		r := run("q", task, 8, 60)
+		r.Crashes = crashes
+		return &work.Crash{Incarnation: fmt.Sprint("w@", number), Runs: []work.CrashedRun{r}}
+	}
+	past := crashOf(1, 1)
+	past.AgeMS = 3000
+	learn := func(m *Monitor) { m.Learn(time.Minute, task, 1) }
+	observe := func(c *work.Crash) func(m *Monitor) {
+		return func(m *Monitor) { m.Observe(time.Minute, "p", "w", c) }
+	}
+	withdraw := func(m *Monitor) {
+		m.Suspect(time.Minute, "p", "w", &work.Suspicion{Incarnation: "w@2", IsWithdrawn: true})
+	}
+	for _, c := range []struct {
+		name  string
+		steps []func(*Monitor)
+		want  int
+	}{
+		{"learned, reported", []func(*Monitor){learn, observe(past)}, 1},
+		{"reported, learned", []func(*Monitor){observe(past), learn}, 1},
+		{"learned, another one", []func(*Monitor){learn, observe(crashOf(2, 2))}, 2},
+		{"learned, reported, another one", []func(*Monitor){learn, observe(past), observe(crashOf(2, 2))}, 2},
+		{"learned, another one withdrawn", []func(*Monitor){learn, observe(crashOf(2, 2)), withdraw}, 1},
+		{"learned, reported, another one withdrawn", []func(*Monitor){learn, observe(past), observe(crashOf(2, 2)), withdraw}, 1},
+	} {
+		m := NewMonitor(DefaultLimits)
+		for _, step := range c.steps {
+			step(m)
+		}
+		if got := m.Task(task); got.Crashes != c.want || c.want == 1 && got.IsGivenUp() {
+			t.Errorf("%s: history %+v, want %d crashes", c.name, got, c.want)
+		}
+	}
+}
+
 func TestMonitor_OnlyATaskThatWasAloneIsGivenUp(t *testing.T) {
 	c := newCrashes()
 	for range 4 {
--- a/core/crash/monitor.go
+++ b/core/crash/monitor.go
@@ -36,7 +36,8 @@
 
 // History is what is known of the crashes under a task.
 type History struct {
-	// Crashes is the number of workers that have ended under the task.
+	// Crashes is the number of workers that have ended under the task: the larger of the two counts below, which may be about the same
+	// crashes.
 	Crashes int
 	// WasAlone means that no task of another job was at the worker in the last of these crashes.
 	WasAlone bool
@@ -46,8 +47,10 @@
 	IsRepeated bool
 	// Unconfirmed is the number of these crashes that may have been none: the workers refuse connections, and may answer again.
 	Unconfirmed int
-	ranMS       int64
-	at          time.Duration
+	// observed counts the crashes that sidecars have reported, learned those that control has recorded.
+	observed, learned int
+	ranMS             int64
+	at                time.Duration
 	// incarnation is the worker's in the last of these crashes.
 	incarnation string
 }
@@ -122,12 +125,16 @@
 	return known
 }
 
-// Learn sets the least number of crashes under a task, as recorded by an earlier holder of its job.
+// Learn sets the number of crashes under a task that control has recorded. A sidecar may have reported the same ones, or may do so later.
 func (m *Monitor) Learn(now time.Duration, name string, crashes int) {
-	if known := m.tasks[name]; crashes > known.Crashes {
+	known := m.tasks[name]
+	if crashes <= known.learned {
+		return
+	}
+	if known.learned = crashes; crashes > known.Crashes {
 		known.Crashes, known.at = crashes, now
-		m.tasks[name] = known
 	}
+	m.tasks[name] = known
 }
 
 // Change is the beginning or the end of a containment.
@@ -167,10 +174,13 @@
 // withdraw undoes what was concluded from the seeming end of a worker that has answered again.
 func (m *Monitor) withdraw(poolName, incarnation string) []Change {
 	if _, isCounted := m.counted[incarnation]; isCounted {
-		maps.DeleteFunc(m.tasks, func(_ string, h History) bool { return h.incarnation == incarnation && h.Crashes == 1 })
+		maps.DeleteFunc(m.tasks, func(_ string, h History) bool {
+			return h.incarnation == incarnation && h.observed == 1 && h.learned == 0
+		})
 		for name, h := range m.tasks {
 			if h.incarnation == incarnation {
-				m.tasks[name] = History{Crashes: h.Crashes - 1, at: h.at}
+				observed := h.observed - 1
+				m.tasks[name] = History{Crashes: max(observed, h.learned), observed: observed, learned: h.learned, at: h.at}
 			}
 		}
 	}
@@ -234,9 +244,12 @@
 	for i := range c.Runs {
 		run := &c.Runs[i]
 		known := m.tasks[run.Task]
+		// The sidecar counts from the number that the offer of the run named, which included those that control had recorded.
+		observed := max(known.observed+1, int(run.Crashes))
 		m.tasks[run.Task] = History{
-			Crashes: max(known.Crashes+1, int(run.Crashes)), WasAlone: wasAlone, IsSuspect: suspects[run.Task],
-			IsRepeated: known.Crashes > 0 && isSimilar(known.ranMS, run.RanMS), ranMS: run.RanMS, at: at, incarnation: c.Incarnation,
+			Crashes: max(observed, known.learned), WasAlone: wasAlone, IsSuspect: suspects[run.Task],
+			IsRepeated: known.observed > 0 && isSimilar(known.ranMS, run.RanMS), observed: observed, learned: known.learned,
+			ranMS: run.RanMS, at: at, incarnation: c.Incarnation,
 		}
 	}
 }
