dispatch: record only the ends of workers as crashes of stored tasks

Cause: Dispatcher.endedWorker recorded every lost run of a stored task as a crash once the task had one crash in its history. It asked whether the task had a history, not how this run had ended.

Fix: a record follows from the sidecar's report of a crash, which is about one incarnation of one worker, when that is first counted: for the current run of each stored task that the report names, if that run is at that worker and was offered before the worker ended. The loss of a run records nothing. Related: a crash that is reported only after the session was lost and opened again is recorded too, which it was not.

Tests, before and after: TestStored_PlannedLeavesAfterACrashFailNoJob failed ("3 crashes recorded", no offer, "the job is failed"); TestStored_CrashUnderAnEarlierRunIsNotRecordedForALaterOne failed for the run of a lost session.

--- a/core/crash/monitor.go
+++ b/core/crash/monitor.go
@@ -165,6 +165,12 @@
 // maxSuspicionAge is the age from which a suspicion tells nothing about what happens now. A new session may be told of it.
 const maxSuspicionAge = time.Second
 
+// Counts reports whether the end of an incarnation is counted. It isn't any more once it has been withdrawn.
+func (m *Monitor) Counts(incarnation string) bool {
+	_, isCounted := m.counted[incarnation]
+	return isCounted
+}
+
 func (m *Monitor) knows(incarnation string) bool {
 	_, isCounted := m.counted[incarnation]
 	_, isSuspected := m.suspected[incarnation]
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -10,9 +10,29 @@
 
 // crashed handles the report that a worker ended under runs, also those of other entries.
 func (d *Dispatcher) crashed(now time.Duration, w *worker, c *work.Crash) {
+	if !d.crashes.Counts(c.Incarnation) {
+		d.recordCrash(now, w, c)
+	}
 	d.containmentChanged(d.crashes.Observe(now, w.Pool, w.id, c))
 }
 
+// recordCrash has control record the runs of stored tasks under which a worker ended.
+//
+// Each record is about one end of one incarnation of a worker. A run is lost in other ways, too, when its worker leaves as planned or its
+// lease expires: that says nothing about the task. The current run of a task is meant only if it was offered before the worker ended; a
+// new session is told of earlier ends.
+func (d *Dispatcher) recordCrash(now time.Duration, w *worker, c *work.Crash) {
+	endedAt := now - time.Duration(c.AgeMS)*time.Millisecond
+	for i := range c.Runs {
+		t := d.tasks[c.Runs[i].Task]
+		if t == nil || !t.job.IsStored || !t.isOutstanding() || t.run.worker != w.id || t.run.offeredAt > endedAt {
+			continue
+		}
+		d.effects.Records = append(d.effects.Records, Record{RunID: t.id(), IsCrash: true})
+		d.note(Note{Kind: CrashRecorded, RunID: t.id(), Worker: w.id, Reason: c.Incarnation})
+	}
+}
+
 // takeCrashes handles what a frame says of the worker's end.
 func (d *Dispatcher) takeCrashes(now time.Duration, w *worker, frame *work.ToEntry) {
 	for i := range frame.Suspicions {
@@ -116,17 +136,13 @@
 	return history.AwaitsConfirmation() || history.IsSuspect && now < d.crashes.CalmAt(t.job.Queue.Pool, t.job.Queue.Name)
 }
 
-// endedWorker decides about a task whose run was lost, and reports whether it is not to be offered again now. A run that was
-// lost for another reason than a crash has no history.
-func (d *Dispatcher) endedWorker(now time.Duration, t *task, ended *work.Ended) bool {
+// endAfterLoss gives up a task whose run was lost if the crashes that are known of it say so, and reports whether it has. The run itself
+// may have been lost for another reason.
+func (d *Dispatcher) endAfterLoss(now time.Duration, t *task) bool {
 	j, history := t.job, d.crashes.Task(t.name)
 	if history.Crashes == 0 {
 		return false
 	}
-	if j.IsStored {
-		d.effects.Records = append(d.effects.Records, Record{RunID: ended.RunID, IsCrash: true})
-		d.note(Note{Kind: CrashRecorded, RunID: ended.RunID, Worker: t.run.worker, Cause: ended.Cause})
-	}
 	if history.IsGivenUp() {
 		d.giveUp(now, t)
 		return true
--- a/core/dispatch/ended.go
+++ b/core/dispatch/ended.go
@@ -52,7 +52,7 @@
 		}
 	}
 	t.avoid = w.id
-	if ended.Outcome == work.Lost && d.endedWorker(now, t, ended) {
+	if ended.Outcome == work.Lost && d.endAfterLoss(now, t) {
 		return
 	}
 	d.requeue(t, now)
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -18,6 +18,7 @@
 	stops            map[string][]work.RunID
 	answers          map[string]dispatch.Answer
 	progressRequests []dispatch.ProgressRequest
+	records          []dispatch.Record
 	shared           []dispatch.AnsweredJob
 	// closed are the workers whose sessions are to be closed, probes is the number of the last probe.
 	closed []string
@@ -57,6 +58,7 @@
 		h.stops[frame.Worker] = append(h.stops[frame.Worker], frame.Stops...)
 	}
 	h.progressRequests = append(h.progressRequests, effects.ProgressRequests...)
+	h.records = append(h.records, effects.Records...)
 	h.shared = append(h.shared, effects.Answered...)
 	h.closed = append(h.closed, effects.Close...)
 	for _, answer := range effects.Answers {
--- /dev/null
+++ b/core/dispatch/recorded_crash_test.go
@@ -0,0 +1,145 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"flamingohall.example/core/jobstore"
+	"flamingohall.example/core/work"
+)
+
+// storedTask is a harness with a stored job "j" of one task, and what control has recorded of it.
+type storedTask struct {
+	*harness
+	table *jobstore.Table
+}
+
+func newStoredTask(t *testing.T) *storedTask {
+	t.Helper()
+	s := &storedTask{harness: newStoredHarness(t, 4), table: jobstore.NewTable(jobstore.DefaultLimits)}
+	s.table.Store(jobstore.Store{Job: "j", Queue: "q", Holder: "a", Steps: []uint32{1}, Attempts: 3}, 1)
+	s.take(t, "a")
+	return s
+}
+
+// take has the harness take the job from control.
+func (s *storedTask) take(t *testing.T, holder string) {
+	t.Helper()
+	jobs := s.table.HeldBy(holder, 0)
+	if len(jobs) != 1 {
+		t.Fatalf("%d jobs of holder %s, want one", len(jobs), holder)
+	}
+	job := submission("j", 1, 10*time.Second)
+	job.Epoch, job.Progress, job.Queue.Attempts = jobs[0].Epoch, progressOf(jobs[0]), 3
+	s.core.Accept(s.now, job)
+	s.step(0)
+}
+
+// step lets time pass, and has control record what the dispatcher asks for.
+func (s *storedTask) step(by time.Duration) {
+	s.harness.step(by)
+	for _, record := range s.records {
+		if record.IsCrash {
+			s.table.RecordCrash(jobstore.Crash{Task: record.Task, Run: record.Run})
+		} else {
+			s.table.Record(jobstore.RunEnd{Task: record.Task, Run: record.Run, IsFailure: record.IsFailure}, 0)
+		}
+	}
+	s.records = nil
+}
+
+// probeAll lets time pass while all sessions last.
+func (s *storedTask) probeAll(duration time.Duration) {
+	for end := s.now + duration; s.now < end; {
+		s.step(100 * time.Millisecond)
+		for n := range 4 {
+			s.probe(fmt.Sprint("s", n))
+		}
+		s.core.JobLeaseRenewed(s.now, s.now)
+	}
+}
+
+// crashOf is the report that the worker of an offer has ended under it.
+func crashOf(worker string, offer work.Offer) work.Crash {
+	return work.Crash{Incarnation: worker + "@1", Runs: []work.CrashedRun{
+		{Task: offer.Task, Queue: "q", Crashes: offer.Crashes + 1, WasStarted: true, RanMS: 700, ExpectedMS: 10_000},
+	}}
+}
+
+// lose ends the current run as lost, after the given reports of a crash.
+func (s *storedTask) lose(crashes ...work.Crash) {
+	worker, offer := s.lastOffer("j.0.0.0")
+	s.core.Take(s.now, worker, &work.ToEntry{Crashes: crashes, Ended: []work.Ended{{RunID: offer.RunID, Outcome: work.Lost, Cause: "lease expired"}}})
+	s.step(0)
+}
+
+func (s *storedTask) recorded() int {
+	return s.table.Find("j").Progress(0, 0).Crashes
+}
+
+// TestStored_PlannedLeavesAfterACrashFailNoJob guards against stored jobs that were shown as failed though one worker had crashed under
+// them: runs that were lost because their workers left were recorded as crashes, too, and the next holder gave the task up.
+func TestStored_PlannedLeavesAfterACrashFailNoJob(t *testing.T) {
+	for _, isToldFirst := range []bool{true, false} {
+		holder := newStoredTask(t)
+		worker, offer := holder.lastOffer("j.0.0.0")
+		past := crashOf(worker, offer)
+		holder.lose(past)
+		holder.probeAll(3 * time.Second)
+		for range 2 {
+			holder.lose()
+			holder.probeAll(time.Second)
+		}
+		if got := holder.recorded(); got != 1 {
+			t.Errorf("%d crashes recorded after a crash and two planned leaves, want 1", got)
+		}
+		holder.table.Retire(jobstore.Retire{Holder: "a", Successors: []string{"b"}}, 2)
+
+		next := &storedTask{harness: newStoredHarness(t, 4), table: holder.table}
+		past.AgeMS = 5000
+		if isToldFirst {
+			next.core.Take(next.now, worker, &work.ToEntry{Crashes: []work.Crash{past}})
+		}
+		next.take(t, "b")
+		if !isToldFirst {
+			next.core.Take(next.now, worker, &work.ToEntry{Crashes: []work.Crash{past}})
+		}
+		next.probeAll(time.Second)
+		if _, again := next.lastOffer("j.0.0.0"); again.Run != 10_001 || again.Crashes != 1 {
+			t.Errorf("crash told first %v: offers %+v, answers %v; want the task offered with one crash", isToldFirst, next.offers, next.answers)
+		}
+		next.lose()
+		next.probeAll(time.Second)
+		if _, again := next.lastOffer("j.0.0.0"); again.Run != 10_002 || again.Crashes != 1 || again.IsExclusive {
+			t.Errorf("crash told first %v: offer %+v, want the task offered with one crash", isToldFirst, again)
+		}
+		if state := next.table.Find("j").State; state != jobstore.Open {
+			t.Errorf("the job is %v", state)
+		}
+	}
+}
+
+// TestStored_CrashUnderAnEarlierRunIsNotRecordedForALaterOne covers an entry that learns of a crash when its session opens again, and has
+// offered the task anew to that worker.
+func TestStored_CrashUnderAnEarlierRunIsNotRecordedForALaterOne(t *testing.T) {
+	s := newStoredTask(t)
+	worker, offer := s.lastOffer("j.0.0.0")
+	past := crashOf(worker, offer)
+	past.AgeMS = 60_000
+	s.core.Take(s.now, worker, &work.ToEntry{Crashes: []work.Crash{past}})
+	s.step(0)
+	if got := s.recorded(); got != 0 {
+		t.Errorf("%d crashes recorded for a run that goes on, want none", got)
+	}
+	s.core.Closed(s.now, worker)
+	s.step(10 * time.Millisecond)
+	s.reopen(worker)
+	later := crashOf(worker, offer)
+	later.Incarnation, later.AgeMS = worker+"@2", 1
+	s.core.Take(s.now, worker, &work.ToEntry{Crashes: []work.Crash{later}})
+	s.step(0)
+	if got := s.recorded(); got != 1 {
+		t.Errorf("%d crashes recorded for the run that was at the worker when its session ended, want 1", got)
+	}
+}
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -318,7 +318,7 @@
 	JobTakenOver
 	// AssignmentIgnored means that control assigned a job that is known here. Run is the epoch that is known, Count the assigned one.
 	AssignmentIgnored
-	// CrashRecorded means that the end of a worker under a run of a stored task is recorded at control.
+	// CrashRecorded means that control is asked to record the end of a worker under a run of a stored task. Reason is the incarnation.
 	CrashRecorded
 	// JobReleased means that this entry no longer holds a stored job.
 	JobReleased
--- a/node/gateway/report.go
+++ b/node/gateway/report.go
@@ -186,7 +186,7 @@
 		g.counters.tasksGivenUp.Add(1)
 		events.TaskGivenUp.Log(logger, "task", note.Task, "run", note.Run, "worker", note.Worker, "crashes", note.Count)
 	case dispatch.CrashRecorded:
-		events.CrashRecorded.Log(logger, "task", note.Task, "run", note.Run, "worker", note.Worker, "cause", note.Cause)
+		events.CrashRecorded.Log(logger, "task", note.Task, "run", note.Run, "worker", note.Worker, "incarnation", note.Reason)
 	case dispatch.QueueContained:
 		g.counters.containments.Add(1)
 		events.QueueContained.Log(logger, "queue", note.Reason, "task", note.Task, "workers", note.Count)
