dispatch: record a crash of a stored task once it is confirmed

A worker that refused connections for longer than its lease, and answered again, stayed recorded at control as a crash under the stored tasks that it had: the sidecar withdraws such a crash, but a record can't be taken back. The next holder of the job counted it, and so gave a task up one crash too early.

The dispatcher keeps the runs back until the crash is confirmed, by the sidecar or by 10 s without an answer of the worker, as for giving up a task, and drops them if it is withdrawn. If the holder ends meanwhile, the next one is told of the crash by the sidecar.

--- a/core/crash/monitor.go
+++ b/core/crash/monitor.go
@@ -171,6 +171,12 @@
 	return isCounted
 }
 
+// IsConfirmed reports whether an incarnation has ended for certain, or has been silent for so long that it counts as ended.
+func (m *Monitor) IsConfirmed(incarnation string) bool {
+	_, isUnconfirmed := m.unconfirmed[incarnation]
+	return m.Counts(incarnation) && !isUnconfirmed
+}
+
 func (m *Monitor) knows(incarnation string) bool {
 	_, isCounted := m.counted[incarnation]
 	_, isSuspected := m.suspected[incarnation]
--- a/core/dispatch/crashes.go
+++ b/core/dispatch/crashes.go
@@ -11,28 +11,46 @@
 // crashed handles the report that a worker ended under runs, also those of other entries.
 func (d *Dispatcher) crashed(now time.Duration, w *worker, c *work.Crash) {
 	if !d.crashes.Counts(c.Incarnation) {
-		d.recordCrash(now, w, c)
+		d.noteCrashedRuns(now, w, c)
 	}
 	d.containmentChanged(d.crashes.Observe(now, w.Pool, w.id, c))
 }
 
-// recordCrash has control record the runs of stored tasks under which a worker ended.
+// crashedRun is a run of a stored task under which an incarnation of a worker ended.
+type crashedRun struct {
+	work.RunID
+	worker, incarnation string
+}
+
+// noteCrashedRuns keeps the runs of stored tasks under which a worker ended, to be recorded once the crash is confirmed.
 //
 // Each record is about one end of one incarnation of a worker. A run is lost in other ways, too, when its worker leaves as planned or its
 // lease expires: that says nothing about the task. The current run of a task is meant only if it was offered before the worker ended; a
 // new session is told of earlier ends.
-func (d *Dispatcher) recordCrash(now time.Duration, w *worker, c *work.Crash) {
+func (d *Dispatcher) noteCrashedRuns(now time.Duration, w *worker, c *work.Crash) {
 	endedAt := now - time.Duration(c.AgeMS)*time.Millisecond
 	for i := range c.Runs {
 		t := d.tasks[c.Runs[i].Task]
 		if t == nil || !t.job.IsStored || !t.isOutstanding() || t.run.worker != w.id || t.run.offeredAt > endedAt {
 			continue
 		}
-		d.effects.Records = append(d.effects.Records, Record{RunID: t.id(), IsCrash: true})
-		d.note(Note{Kind: CrashRecorded, RunID: t.id(), Worker: w.id, Reason: c.Incarnation})
+		d.crashedRuns = append(d.crashedRuns, crashedRun{RunID: t.id(), worker: w.id, incarnation: c.Incarnation})
 	}
 }
 
+// recordCrashes has control record the crashes that are confirmed, and drops those that have been withdrawn: the worker has answered
+// again. A record can't be taken back.
+func (d *Dispatcher) recordCrashes() {
+	d.crashedRuns = slices.DeleteFunc(d.crashedRuns, func(c crashedRun) bool {
+		if d.crashes.IsConfirmed(c.incarnation) {
+			d.effects.Records = append(d.effects.Records, Record{RunID: c.RunID, IsCrash: true})
+			d.note(Note{Kind: CrashRecorded, RunID: c.RunID, Worker: c.worker, Reason: c.incarnation})
+			return true
+		}
+		return !d.crashes.Counts(c.incarnation)
+	})
+}
+
 // takeCrashes handles what a frame says of the worker's end.
 func (d *Dispatcher) takeCrashes(now time.Duration, w *worker, frame *work.ToEntry) {
 	for i := range frame.Suspicions {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -52,7 +52,9 @@
 	detector *health.OutlierDetector
 	// crashes is what this entry knows of workers that ended under tasks.
 	crashes *crash.Monitor
-	effects Effects
+	// crashedRuns are those of stored tasks whose crashes are not confirmed yet.
+	crashedRuns []crashedRun
+	effects     Effects
 	// records maps each end that waits to be recorded to the workers that reported it.
 	records       map[work.RunID][]string
 	recentlyEnded recentlyEnded
@@ -321,6 +323,7 @@
 		d.healthChanged(change)
 	}
 	d.containmentChanged(d.crashes.Advance(now))
+	d.recordCrashes()
 	d.checkJobLease(now)
 	d.endGrants(now)
 	d.endExpired(now)
--- a/core/dispatch/recorded_crash_test.go
+++ b/core/dispatch/recorded_crash_test.go
@@ -120,6 +120,37 @@
 	}
 }
 
+// TestStored_CrashIsRecordedOnceConfirmed guards against records of crashes that were none: the worker refused connections for longer than
+// its lease, and answered again.
+func TestStored_CrashIsRecordedOnceConfirmed(t *testing.T) {
+	for name, want := range map[string]int{"withdrawn": 0, "confirmed": 1, "neither": 1} {
+		s := newStoredTask(t)
+		worker, offer := s.lastOffer("j.0.0.0")
+		c := crashOf(worker, offer)
+		c.IsUnconfirmed = true
+		s.lose(c)
+		s.probeAll(time.Second)
+		if got := s.recorded(); got != 0 {
+			t.Errorf("%s: %d crashes recorded while the crash is not confirmed", name, got)
+		}
+		switch name {
+		case "withdrawn":
+			s.core.Take(s.now, worker, &work.ToEntry{Suspicions: []work.Suspicion{{Incarnation: c.Incarnation, IsWithdrawn: true}}})
+		case "confirmed":
+			c.IsUnconfirmed = false
+			s.core.Take(s.now, worker, &work.ToEntry{Crashes: []work.Crash{c}})
+			s.step(0)
+			if got := s.recorded(); got != 1 {
+				t.Errorf("%d crashes recorded after the confirmation, want 1", got)
+			}
+		}
+		s.probeAll(15 * time.Second)
+		if got := s.recorded(); got != want {
+			t.Errorf("%s: %d crashes recorded, want %d", name, got, want)
+		}
+	}
+}
+
 // TestStored_CrashUnderAnEarlierRunIsNotRecordedForALaterOne covers an entry that learns of a crash when its session opens again, and has
 // offered the task anew to that worker.
 func TestStored_CrashUnderAnEarlierRunIsNotRecordedForALaterOne(t *testing.T) {
