dispatch: say why a known job is left as it is

A reader of Accept couldn't see why an assignment under another epoch may be ignored; the invariant is stated now. The two tests of jobs that are requested from control share their check of the renewals. No change of behaviour; node/gateway's tests of stores and leases pass.

--- a/core/dispatch/accept.go
+++ b/core/dispatch/accept.go
@@ -30,12 +30,15 @@
 }
 
 // Accept takes a stored job that control has assigned to this entry, with the epoch and the progress that control names.
+//
+// A job that is known is left as it is. Control raises a job's epoch only when it retires the holder, which drops all its jobs before it
+// takes a new name, so that an answer that still finds the job here has the same epoch, or was overtaken.
 func (d *Dispatcher) Accept(now time.Duration, s Submission) {
 	if known := d.jobs[s.ID]; known != nil && known.Epoch != s.Epoch {
 		d.note(Note{Kind: AssignmentIgnored, RunID: work.RunID{Task: s.ID, Run: known.Epoch}, Count: int(s.Epoch)})
 	}
 	if d.jobs[s.ID] != nil || d.recentlyEnded.covers(s.ID, s.Epoch) {
-		// The answer that carried the job was delayed, and the job is already known or has ended here.
+		// The answer was delayed, and the job is already known or has ended here.
 		return
 	}
 	s.IsStored, s.Timeout = true, 0
--- a/node/gateway/stale_job_test.go
+++ b/node/gateway/stale_job_test.go
@@ -54,6 +54,20 @@
 	}
 }
 
+// expectMissing checks that one of the next renewals asks control for a job.
+func (k *keepRecorder) expectMissing(t *testing.T, job string) {
+	t.Helper()
+	var request *rpc.KeepRequest
+	for range 3 {
+		if request = k.next(t); len(request.GetMissing()) > 0 {
+			break
+		}
+	}
+	if !slices.Equal(request.GetMissing(), []string{job}) {
+		t.Errorf("missing jobs %v, want control to be asked about the job", request.GetMissing())
+	}
+}
+
 func oneTask(id string) dispatch.Submission {
 	return dispatch.Submission{ID: id, IsStored: true, Queue: dispatch.Queue{Name: "q", Pool: "p"}, Steps: []dispatch.Step{{Count: 1}}}
 }
@@ -68,15 +82,7 @@
 	if state, _ := g.core.Progress("j"); state != dispatch.StoredUnknown {
 		t.Fatalf("state %v; the job was taken without a check", state)
 	}
-	var request *rpc.KeepRequest
-	for range 3 {
-		if request = control.next(t); len(request.GetMissing()) > 0 {
-			break
-		}
-	}
-	if !slices.Equal(request.GetMissing(), []string{"j"}) {
-		t.Errorf("missing jobs %v, want control to be asked about the job", request.GetMissing())
-	}
+	control.expectMissing(t, "j")
 }
 
 // Store answers that control had the job before, and that the caller holds it under epoch 2.
@@ -99,15 +105,7 @@
 	if state := g.localState(t.Context(), "j"); state != Unknown {
 		t.Fatalf("state %v; the job was taken without its epoch and progress", state)
 	}
-	var request *rpc.KeepRequest
-	for range 3 {
-		if request = control.next(t); len(request.GetMissing()) > 0 {
-			break
-		}
-	}
-	if !slices.Equal(request.GetMissing(), []string{"j"}) {
-		t.Errorf("missing jobs %v, want control to be asked about the job", request.GetMissing())
-	}
+	control.expectMissing(t, "j")
 }
 
 // TestLease_IsAcquiredAgainOnlyWithACheckOfAllJobs guards against jobs that ran long after the answer to their cancel: they were
