dispatch: draw histories with planned leaves and crashes of workers

TestStoredHistory_NoJobFailsForOneCrash checks that no job fails under whose tasks fewer than two workers have crashed.

--- a/core/dispatch/recorded_crash_test.go
+++ b/core/dispatch/recorded_crash_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"flamingohall.example/core/dispatch"
 	"flamingohall.example/core/jobstore"
 	"flamingohall.example/core/work"
 )
@@ -174,3 +175,55 @@
 		t.Errorf("%d crashes recorded for the run that was at the worker when its session ended, want 1", got)
 	}
 }
+
+// TestStoredHistory_NoJobFailsForOneCrash guards against the same failure in random histories: workers leave as planned and crash, and the
+// holders of the jobs end.
+func TestStoredHistory_NoJobFailsForOneCrash(t *testing.T) {
+	const jobs, length = 8, 24 * time.Second
+	failed := 0
+	for seed := range uint64(15) {
+		sim := newSimulation(t, seed, defaultLimits, 0, 6)
+		sim.control = newFakeControl(sim, holderTimeout)
+		for i := range 4 {
+			sim.entries = append(sim.entries, &entryNode{})
+			sim.startEntry(i)
+		}
+		for n := range jobs {
+			sim.after(time.Second+time.Duration(sim.random.Int64N(int64(length/4))), func() {
+				sim.control.store(sim.random.IntN(4), dispatch.Submission{
+					ID: jobID(n), Spec: "5s", IsStored: true, Queue: dispatch.Queue{Name: "q", Pool: "p", Attempts: 3, Slack: 1.6, Target: 60 * time.Millisecond},
+					Steps: []dispatch.Step{{Count: 1, Needs: work.Needs{MilliCores: 1000}, Expected: 5 * time.Second}},
+				})
+			})
+		}
+		crashes := map[string]int{}
+		for _, w := range sim.workers {
+			for at := 2 * time.Second; at < length; at += 3 * time.Second {
+				sim.after(at+time.Duration(sim.random.Int64N(int64(2*time.Second))), func() {
+					if sim.random.IntN(4) > 0 {
+						w.leave(500*time.Millisecond, 500*time.Millisecond)
+						return
+					}
+					for task := range w.runs {
+						crashes[task]++
+					}
+					w.crash(500 * time.Millisecond)
+				})
+			}
+		}
+		for i := range sim.entries {
+			sim.after(time.Duration(6+4*i)*time.Second, func() { sim.endEntry(i, 500*time.Millisecond) })
+		}
+		sim.run(length)
+		for n := range jobs {
+			if j := sim.control.table.Find(jobID(n)); j != nil && j.State == jobstore.Failed && crashes[jobID(n)+".0.0.0"] < 2 {
+				if failed++; failed < 8 {
+					t.Errorf("seed %d: job %s failed after %d crashes", seed, jobID(n), crashes[jobID(n)+".0.0.0"])
+				}
+			}
+		}
+	}
+	if failed > 0 {
+		t.Errorf("%d jobs failed", failed)
+	}
+}
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -237,7 +237,7 @@
 		return
 	}
 	if n.worker.up && sim.now >= n.worker.startedAt+sim.firstBeat {
-		n.core.Announced(sim.now, runner.Announcement{Worker: n.worker.record(), StartedAt: int64(n.worker.incarnation)})
+		n.core.Announced(sim.now, runner.Announcement{Worker: n.worker.record(), StartedAt: int64(n.worker.incarnation), Leaving: n.worker.isLeaving})
 	}
 	sim.after(300*time.Millisecond, func() { sim.heartbeat(i, incarnation) })
 }
@@ -523,6 +523,8 @@
 	rate        float64
 	// isCalled is true once the incarnation has carried out a call that wasn't late.
 	isCalled bool
+	// isLeaving means that the incarnation has announced that it leaves.
+	isLeaving bool
 	// refusesUntil is until when the worker refuses connections, while it goes on with its runs. It has broken those that were open.
 	refusesUntil time.Duration
 	startedAt    time.Duration
@@ -564,7 +566,7 @@
 func (f *fakeWorker) begin() {
 	f.incarnation++
 	f.startedAt = f.simulation.now
-	f.fence, f.lease, f.isCalled = 0, 0, false
+	f.fence, f.lease, f.isCalled, f.isLeaving = 0, 0, false, false
 	f.runs, f.ends, f.endedIn, f.endedRuns = map[string]*fakeRun{}, nil, nil, map[string]uint32{}
 }
 
@@ -857,6 +859,17 @@
 	})
 }
 
+// leave announces that the worker leaves, and ends it after the notice. It restarts later, as after a crash.
+func (f *fakeWorker) leave(notice, down time.Duration) {
+	incarnation := f.incarnation
+	f.isLeaving = true
+	f.simulation.after(notice, func() {
+		if f.incarnation == incarnation {
+			f.crash(down)
+		}
+	})
+}
+
 // Times of a worker that a deadly task ends, as seen on the users' bench.
 const (
 	deadlyDelay   = 8 * time.Millisecond
